Add the clients of engines and plain services

A body that notes when it is asked for tells a failed connect from a failed read, which the HTTP library reports alike: the verdict is exact.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,1 +1,15 @@
-//! placeholder
+//! Clients of the upstreams: model engines and plain services.
+//!
+//! Calls block and are made from plain threads. Every failure carries a
+//! [`schema::failure::Verdict`] that says whether the request may have run.
+
+mod client;
+mod failure;
+mod plain;
+mod sent;
+mod stream;
+
+pub use client::{Client, Pace};
+pub use failure::{Failure, Kind};
+pub use plain::{Answer, Call, Header};
+pub use stream::{Item, Stream};
