--- /dev/null
+++ b/crates/peer/src/rpc/mod.rs
@@ -0,0 +1,5 @@
+//! Calls between daemons over persistent WebSocket connections.
+
+mod error;
+
+pub use error::CallError;
