Check declarations and settings, define the operators' messages

Cause: the generated types say what a document may hold, not whether it makes sense as a whole. Change: schema::check reports all faults with path and what is allowed; schema::text reads YAML with file, line, column and path; operator.json with the messages of operator_status, operator_drain, operator_trace.

--- /dev/null
+++ b/crates/schema/src/check/mod.rs
@@ -0,0 +1,15 @@
+//! Checks that a schema can't express: references, unique names, ranges.
+//!
+//! A check reports every fault at once, each with its path in the document, so
+//! that an operator mends a file in one go.
+
+mod declaration;
+mod fault;
+mod report;
+mod rule;
+mod settings;
+
+pub use declaration::{MAX_BYTES, declaration};
+pub use fault::Fault;
+pub use rule::MAX_NAME;
+pub use settings::settings;
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -5,8 +5,11 @@
 //! on a declaration, the reading of YAML with the place of a mistake, and the
 //! macros that derive common sets of traits.
 
+pub mod check;
 mod derive;
 #[rustfmt::skip]
 pub mod generated;
+pub mod method;
+pub mod text;
 
-pub use generated::{cloud, config, engine, failure, journal, settings};
+pub use generated::{cloud, config, engine, failure, journal, operator, settings};
