--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -9,4 +9,4 @@
 #[rustfmt::skip]
 pub mod generated;
 
-pub use generated::{cloud, config, engine, failure, journal, settings};
+pub use generated::{cloud, config, engine, failure, journal, objects, settings};
