--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -18,5 +18,6 @@
 pub use generated::failure;
 pub use generated::journal;
 pub use generated::member;
+pub use generated::objects;
 pub use generated::operator;
 pub use generated::settings;
