Add the decisions on a request

Cause: callers' requests need admission, limits, a choice of upstream VM, retry and resume rules that daemons and tests share. Change: crate route with the public API and first bodies, without I/O and with the time passed in. No tests yet.

--- /dev/null
+++ b/crates/route/src/refusal.rs
@@ -0,0 +1,114 @@
+//! Requests turned away before they reach an upstream.
+
+use std::fmt;
+use std::time::Duration;
+
+use macro_rules_attribute::apply;
+use schema::failure::{Failure, Verdict};
+use schema::value;
+
+/// why a request was turned away
+#[apply(value!)]
+pub enum Reason {
+    /// no such service is declared
+    UnknownService,
+    /// no such workspace is declared
+    UnknownWorkspace,
+    /// the service has no VM that takes work
+    NoUpstream,
+    /// the wait would pass the request's deadline
+    Deadline,
+    /// the service is overloaded and the request's priority is too low
+    Overload,
+    /// the preset in force admits higher priorities only
+    Preset,
+    /// the workspace is over its tokens per second
+    TokenLimit,
+    /// the workspace has as many requests in flight as it may
+    ConcurrencyLimit,
+}
+
+/// a request turned away; it did not run
+#[apply(value!)]
+pub struct Refusal {
+    /// why
+    pub reason: Reason,
+    /// when to come back, if that can help
+    pub retry_after: Option<Duration>,
+}
+
+impl Reason {
+    /// returns the short name for programs
+    pub fn code(self) -> &'static str {
+        match self {
+            Reason::UnknownService => "unknown_service",
+            Reason::UnknownWorkspace => "unknown_workspace",
+            Reason::NoUpstream => "no_upstream",
+            Reason::Deadline => "deadline",
+            Reason::Overload => "overload",
+            Reason::Preset => "preset",
+            Reason::TokenLimit => "token_limit",
+            Reason::ConcurrencyLimit => "concurrency_limit",
+        }
+    }
+
+    /// returns the sentence for people
+    pub fn message(self) -> &'static str {
+        match self {
+            Reason::UnknownService => "The service is not declared.",
+            Reason::UnknownWorkspace => "The workspace is not declared.",
+            Reason::NoUpstream => "No VM of the service can take the request.",
+            Reason::Deadline => "The request would wait past its deadline.",
+            Reason::Overload => "The service is overloaded.",
+            Reason::Preset => "The preset in force admits higher priorities only.",
+            Reason::TokenLimit => "The workspace is over its limit of tokens per second.",
+            Reason::ConcurrencyLimit => "The workspace is over its limit of requests in flight.",
+        }
+    }
+}
+
+impl Refusal {
+    /// refuses without a time to come back
+    pub fn new(reason: Reason) -> Refusal {
+        Refusal {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// refuses until a time has passed
+    pub fn after(reason: Reason, wait: Duration) -> Refusal {
+        Refusal {
+            reason,
+            retry_after: Some(wait),
+        }
+    }
+
+    /// returns what a refused caller may conclude: the request did not run
+    pub fn verdict(&self) -> Verdict {
+        Verdict::NotRun
+    }
+
+    /// returns the body of the error answer
+    pub fn failure(&self) -> Failure {
+        Failure {
+            code: self.reason.code().to_owned(),
+            message: self.reason.message().to_owned(),
+            retry_after_ms: self.retry_after.map(millis),
+            verdict: self.verdict(),
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.reason.message())
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+/// returns whole milliseconds, rounded up
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_micros().div_ceil(1000)).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/route/src/table/mod.rs
@@ -0,0 +1,33 @@
+//! The shared table of upstream VMs and the choice among them.
+//!
+//! The estimated time to the first token is the queue of the last report, plus own
+//! sends since then, plus those expected of other daemons, plus the prefill of what is
+//! not cached. A few candidates are compared: VMs believed to hold the longest prefix,
+//! the rendezvous-hash homes of its blocks, and random ones, so that daemons with one
+//! view of the fleet do not all send to the same VM.
+//!
+//! Lock order: the view (which VMs there are), then the statistics of one service,
+//! then the state of one VM. No two services and no two VMs are locked at a time.
+
+mod ask;
+mod backlog;
+mod belief;
+mod choice;
+mod live;
+mod node;
+mod permit;
+mod rate;
+mod rule;
+mod shortlist;
+mod snapshot;
+mod stats;
+#[allow(clippy::module_inception)]
+mod table;
+mod view;
+mod vm;
+
+pub use ask::{Ask, Outcome, Pick};
+pub use permit::Permit;
+pub use snapshot::Row;
+pub use table::Table;
+pub use vm::{Place, Tier, Vm, cloud, fixed};
--- /dev/null
+++ b/crates/route/src/table/vm.rs
@@ -0,0 +1,113 @@
+//! Upstream VMs and where they are.
+
+use std::collections::HashMap;
+
+use macro_rules_attribute::apply;
+use schema::cloud;
+use schema::config::{Declaration, Fencing, Upstream};
+use schema::{data, key, value};
+
+/// where a daemon is
+#[apply(key!)]
+pub struct Place {
+    /// its data centre
+    pub data_centre: String,
+    /// the region of the data centre
+    pub region: String,
+}
+
+/// how far a VM is from the daemon
+#[apply(value!)]
+pub enum Tier {
+    /// in the daemon's data centre
+    Near,
+    /// in another data centre of the daemon's region
+    Region,
+    /// across the link between regions
+    Link,
+}
+
+/// a VM that serves a service
+#[apply(data!)]
+pub struct Vm {
+    /// unique name; the address, if the platform does not list it
+    pub name: String,
+    /// `ip:port` of what it serves
+    pub address: String,
+    /// upstream it belongs to
+    pub upstream: String,
+    /// service of the upstream
+    pub service: String,
+    /// where it is
+    pub data_centre: String,
+    /// region of the data centre
+    pub region: String,
+    /// requests it runs at the same time
+    pub slots: u32,
+    /// whether it checks fencing numbers of orders
+    pub fencing: Fencing,
+}
+
+impl Tier {
+    /// all tiers, nearest first
+    pub const ALL: [Tier; 3] = [Tier::Near, Tier::Region, Tier::Link];
+}
+
+impl Place {
+    /// returns the distance of a VM
+    pub fn tier(&self, vm: &Vm) -> Tier {
+        if vm.data_centre == self.data_centre {
+            return Tier::Near;
+        }
+        if vm.region == self.region {
+            return Tier::Region;
+        }
+        Tier::Link
+    }
+}
+
+impl Vm {
+    /// returns a VM of a declared upstream
+    pub fn new(name: &str, address: &str, upstream: &Upstream) -> Vm {
+        Vm {
+            name: name.to_owned(),
+            address: address.to_owned(),
+            upstream: upstream.name.clone(),
+            service: upstream.service.clone(),
+            data_centre: upstream.data_centre.clone(),
+            region: upstream.region.clone(),
+            slots: upstream.slots,
+            fencing: upstream.fencing,
+        }
+    }
+}
+
+/// returns the VMs of the fixed addresses of a declaration
+pub fn fixed(declaration: &Declaration) -> Vec<Vm> {
+    let mut vms = Vec::new();
+    for upstream in &declaration.upstreams {
+        for address in &upstream.addresses {
+            vms.push(Vm::new(address, address, upstream));
+        }
+    }
+    vms
+}
+
+/// returns the VMs of the platform's list that run and belong to a declared upstream
+pub fn cloud(declaration: &Declaration, list: &cloud::List) -> Vec<Vm> {
+    let upstreams: HashMap<&str, &Upstream> = declaration
+        .upstreams
+        .iter()
+        .map(|upstream| (upstream.name.as_str(), upstream))
+        .collect();
+    let mut vms = Vec::new();
+    for vm in &list.vms {
+        if vm.state == cloud::State::Starting || vm.address.is_empty() {
+            continue;
+        }
+        if let Some(upstream) = upstreams.get(vm.upstream.as_str()) {
+            vms.push(Vm::new(&vm.name, &vm.address, upstream));
+        }
+    }
+    vms
+}
--- /dev/null
+++ b/crates/route/src/verdict.rs
@@ -0,0 +1,48 @@
+//! Whether a request may have run, over all its attempts.
+//!
+//! A request is `NotRun` only if every attempt is: no byte of it reached an upstream,
+//! or the upstream documents its refusal as before execution.
+
+use schema::failure::Verdict;
+
+/// how far one attempt got before it failed
+#[macro_rules_attribute::apply(schema::value!)]
+pub enum Progress {
+    /// no byte of the request was written
+    Unsent,
+    /// some bytes may have been written, no answer came
+    Sent,
+    /// the upstream refused before execution, as it documents
+    Refused,
+    /// the upstream answered
+    Answered,
+}
+
+/// returns the verdict of one attempt
+pub fn attempt(progress: Progress) -> Verdict {
+    match progress {
+        Progress::Unsent => Verdict::NotRun,
+        Progress::Sent => Verdict::MayHaveRun,
+        Progress::Refused => Verdict::NotRun,
+        Progress::Answered => Verdict::Ran,
+    }
+}
+
+/// returns the stronger of two verdicts: `Ran`, then `MayHaveRun`, then `NotRun`
+pub fn join(one: Verdict, other: Verdict) -> Verdict {
+    one.max(other)
+}
+
+/// returns the verdict over all attempts; `NotRun` if there were none
+pub fn combine(attempts: impl IntoIterator<Item = Verdict>) -> Verdict {
+    attempts.into_iter().fold(Verdict::NotRun, join)
+}
+
+/// tells whether a request may be sent again after this verdict
+pub fn repeatable(verdict: Verdict, idempotent: bool) -> bool {
+    match verdict {
+        Verdict::NotRun => true,
+        Verdict::MayHaveRun => idempotent,
+        Verdict::Ran => false,
+    }
+}
