--- /dev/null
+++ b/crates/entry/src/call/completion.rs
@@ -0,0 +1,119 @@
+//! New completions.
+
+use std::sync::Arc;
+
+use route::table::Ask as Route;
+use schema::config::Kind;
+use tokio::time::Instant;
+
+use super::{admit, auth, read};
+use crate::context::Context;
+use crate::drive::Job;
+use crate::fault::Fault;
+use crate::http::Exchange;
+use crate::journal::{End, Journal, Origin};
+use crate::openai::Ask;
+
+/// bytes of randomness in a request id
+const ID_BYTES: usize = 16;
+
+/// a request that is accepted, and the form its answer has
+struct Accepted {
+    journal: Arc<Journal>,
+    stream: bool,
+}
+
+/// answers a new completion
+pub(super) fn answer(context: &Context, mut exchange: Exchange, chat: bool) {
+    match accept(context, &mut exchange, chat) {
+        Ok(accepted) => {
+            context.metrics.in_flight.inc();
+            match accepted.stream {
+                true => read::stream(context, exchange, &accepted.journal, 0),
+                false => read::whole(context, exchange, &accepted.journal),
+            }
+            context.metrics.in_flight.dec();
+        }
+        Err(fault) => {
+            let labels = ["", "", read::verdict_label(fault.verdict)];
+            context.metrics.requests.with_label_values(&labels).inc();
+            exchange.fail(&fault);
+        }
+    }
+}
+
+fn accept(context: &Context, exchange: &mut Exchange, chat: bool) -> Result<Accepted, Fault> {
+    let now = Instant::now();
+    let snapshot = context.snapshot.load();
+    let workspace = auth::workspace(&snapshot, &exchange.headers)?;
+    let body = exchange.body()?;
+    let ask = Ask::read(&body, chat)?;
+    let service = auth::service(&snapshot, workspace, &ask.model)?;
+    if service.kind != Kind::Model {
+        let message = format!("The service {:?} is no model.", ask.model);
+        return Err(Fault::refused(400, "service", message));
+    }
+    admit::stage(context)?;
+    let urgency = admit::urgency(&exchange.headers, workspace, service, now)?;
+    let origin = Origin {
+        id: new_id(&context.node.me().data_centre),
+        workspace: workspace.name.clone(),
+        service: service.name.clone(),
+        prompt: ask.prompt,
+        max_tokens: ask.max_tokens,
+        chat,
+        priority: urgency.priority,
+        accepted: now,
+        deadline: urgency.deadline,
+        trace: exchange.headers.get("traceparent").unwrap_or_default().to_owned(),
+    };
+    let journal = Arc::new(Journal::new(origin));
+    start(context, &journal)?;
+    Ok(Accepted { journal, stream: ask.stream })
+}
+
+/// admits a request, writes it down and gives it to the drivers
+fn start(context: &Context, journal: &Arc<Journal>) -> Result<(), Fault> {
+    let origin = &journal.origin;
+    let blocks = route::prefix::blocks(&origin.prompt);
+    let ask = Route {
+        service: &origin.service,
+        blocks: &blocks,
+        prompt_tokens: route::prefix::tokens(&origin.prompt),
+        prior_tokens: 0,
+        max_tokens: origin.max_tokens,
+        priority: origin.priority,
+        avoid: &[],
+        deadline: origin.deadline,
+        first_token: context.first_token_of(&origin.service),
+    };
+    let admitted = admit::admit(context, &origin.workspace, &ask)?;
+    let note = format!("vm={} estimate_ms={}", admitted.pick.vm, admitted.pick.estimate.as_millis());
+    context.spans.add(&origin.id, &origin.trace, "admit", origin.accepted, &note);
+    context.earn_retry();
+    context.journals.insert(journal);
+    let job = Job {
+        journal: Arc::clone(journal),
+        pick: Some(admitted.pick),
+        permit: Some(admitted.permit),
+    };
+    context.submit(job).map_err(|job| busy(context, *job))
+}
+
+/// gives back what a request holds that no driver can take
+fn busy(context: &Context, job: Job) -> Fault {
+    let now = Instant::now();
+    context.journals.remove(&job.journal.origin.id);
+    job.journal.end(End::Cancelled, now);
+    if let Some(permit) = job.permit {
+        context.limits.settle(permit, 0, now);
+    }
+    Fault::refused(503, "busy", "The daemon has too many requests in flight.")
+        .after(std::time::Duration::from_secs(1))
+}
+
+/// a request id: the data centre, so that the request can be found, and random bytes
+fn new_id(data_centre: &str) -> String {
+    let random: [u8; ID_BYTES] = rand::random();
+    format!("{data_centre}.{}", hex::encode(random))
+}
--- /dev/null
+++ b/crates/entry/src/call/plain.rs
@@ -0,0 +1,223 @@
+//! Calls to plain services.
+//!
+//! A call that may be repeated is retried within the budget. One that may not
+//! is sent again only while it is certain that it did not run. With an
+//! idempotency key, the call is claimed in the object API before it is sent.
+
+use std::time::Duration;
+
+use engine::{Answer, Call, Failure, Header};
+use route::retry::{self, State, Step};
+use route::table::{Ask, Outcome, Pick};
+use route::verdict;
+use schema::config::{Kind, Service, Workspace};
+use schema::failure::Verdict;
+use tokio::time::Instant;
+
+use super::admit::{self, Urgency};
+use super::{auth, claimed, read};
+use crate::context::Context;
+use crate::drive;
+use crate::fault::Fault;
+use crate::http::Exchange;
+
+/// methods that may be repeated by their definition
+const REPEATABLE: [&str; 5] = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"];
+/// headers that concern one connection only, or the caller's standing here
+const DROPPED: [&str; 14] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-not-run",
+    "x-workspace",
+];
+/// expected tokens of a plain call, for the limits
+const PLAIN_TOKENS: u32 = 0;
+
+/// a call on its way to a plain service
+pub(super) struct Plain<'a> {
+    pub(super) context: &'a Context,
+    pub(super) workspace: &'a str,
+    pub(super) service: &'a str,
+    pub(super) urgency: Urgency,
+    pub(super) repeatable: bool,
+    pub(super) call: Call<'a>,
+    pub(super) trace: &'a str,
+    pub(super) id: &'a str,
+}
+
+/// answers a call under `/services/`
+pub(super) fn answer(context: &Context, mut exchange: Exchange, rest: &str) {
+    context.metrics.in_flight.inc();
+    let result = run(context, &mut exchange, rest);
+    match result {
+        Ok(answer) => {
+            let mut headers = answer.headers;
+            headers.retain(|header| !DROPPED.contains(&header.name.as_str()));
+            exchange.respond(answer.status, &headers, &answer.body);
+        }
+        Err(fault) => exchange.fail(&fault),
+    }
+    context.metrics.in_flight.dec();
+}
+
+fn run(context: &Context, exchange: &mut Exchange, rest: &str) -> Result<Answer, Fault> {
+    let start = Instant::now();
+    let snapshot = context.snapshot.load_full();
+    let workspace = auth::workspace(&snapshot, &exchange.headers)?;
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = auth::service(&snapshot, workspace, name)?;
+    if service.kind != Kind::Plain {
+        let message = format!("The service {name:?} is a model; ask it under /v1.");
+        return Err(Fault::refused(400, "service", message));
+    }
+    let body = exchange.body()?;
+    admit::stage(context)?;
+    let urgency = admit::urgency(&exchange.headers, workspace, service, start)?;
+    let path = match exchange.query.as_str() {
+        "" => format!("/{path}"),
+        query => format!("/{path}?{query}"),
+    };
+    let headers = passed(exchange, workspace);
+    let id = hex::encode(rand::random::<[u8; 8]>());
+    let plain = Plain {
+        context,
+        workspace: &workspace.name,
+        service: name,
+        urgency,
+        repeatable: is_repeatable(service, &exchange.method),
+        call: Call { method: &exchange.method, path: &path, headers: &headers, body: &body },
+        trace: exchange.headers.get("traceparent").unwrap_or_default(),
+        id: &id,
+    };
+    let result = match exchange.headers.get("idempotency-key") {
+        Some(key) if !plain.repeatable => claimed::run(&plain, key),
+        _ => plain.send(),
+    };
+    plain.count(&result, start);
+    result
+}
+
+fn passed(exchange: &Exchange, workspace: &Workspace) -> Vec<Header> {
+    let mut headers: Vec<Header> = exchange.headers.all().to_vec();
+    headers.retain(|header| !DROPPED.contains(&header.name.as_str()));
+    headers.push(Header::new("x-workspace", workspace.name.as_str()));
+    headers
+}
+
+fn is_repeatable(service: &Service, method: &str) -> bool {
+    REPEATABLE.contains(&method) || service.repeatable.iter().any(|other| other == method)
+}
+
+impl Plain<'_> {
+    /// sends the call, again where that is allowed
+    pub(super) fn send(&self) -> Result<Answer, Fault> {
+        let mut avoid = Vec::new();
+        let mut told = Verdict::NotRun;
+        let mut attempts = 0;
+        loop {
+            let admitted = admit::admit(self.context, self.workspace, &self.ask(&avoid));
+            let admitted = admitted.map_err(|fault| after(fault, told))?;
+            if attempts == 0 {
+                self.context.earn_retry();
+            }
+            attempts += 1;
+            let vm = admitted.pick.vm.clone();
+            let result = self.attempt(admitted.pick, attempts);
+            self.context.limits.settle(admitted.permit, PLAIN_TOKENS, Instant::now());
+            let failure = match result {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            told = verdict::combine(told, failure.verdict);
+            match self.decide(&failure, attempts) {
+                Step::Reconnect => self.context.take_retry(),
+                Step::Move { after } => {
+                    self.context.take_retry();
+                    avoid.push(vm);
+                    std::thread::sleep(after);
+                }
+                Step::GiveUp => return Err(drive::fault(&failure, told)),
+            }
+        }
+    }
+
+    fn ask<'b>(&'b self, avoid: &'b [String]) -> Ask<'b> {
+        Ask {
+            service: self.service,
+            blocks: &[],
+            prompt_tokens: 0,
+            prior_tokens: 0,
+            max_tokens: PLAIN_TOKENS,
+            priority: self.urgency.priority,
+            avoid,
+            deadline: self.urgency.deadline,
+            first_token: self.context.first_token_of(self.service),
+        }
+    }
+
+    fn attempt(&self, pick: Pick, number: u32) -> Result<Answer, Failure> {
+        let start = Instant::now();
+        let result = self.context.engines.call(&pick.address, &self.call);
+        let outcome = match &result {
+            Ok(_) => Outcome::Answered,
+            Err(failure) => Outcome::Failed(drive::retry_failure(failure).kind),
+        };
+        let label = if result.is_ok() { "done" } else { "lost" };
+        self.context.metrics.attempts.with_label_values(&[self.service, label]).inc();
+        let note = format!("vm={} number={number} outcome={label}", pick.vm);
+        self.context.spans.add(self.id, self.trace, "attempt", start, &note);
+        self.context.routes.finish(pick.permit, outcome, Instant::now());
+        result
+    }
+
+    fn decide(&self, failure: &Failure, attempts: u32) -> Step {
+        let state = State {
+            idempotent: self.repeatable,
+            attempts,
+            reconnects: attempts,
+            deadline_left: self.urgency.deadline.saturating_duration_since(Instant::now()),
+            breaker_open: false,
+            leaving: false,
+            budget_wait: self.context.retry_wait(),
+            jitter: rand::random(),
+        };
+        retry::decide(&drive::retry_failure(failure), &state)
+    }
+
+    fn count(&self, result: &Result<Answer, Fault>, start: Instant) {
+        let outcome = match result {
+            Ok(_) => "ran",
+            Err(fault) => read::verdict_label(fault.verdict),
+        };
+        let labels = [self.service, self.workspace, outcome];
+        self.context.metrics.requests.with_label_values(&labels).inc();
+        tracing::info!(
+            event = "call",
+            request = self.id,
+            workspace = self.workspace,
+            service = self.service,
+            method = self.call.method,
+            outcome,
+            took_ms = start.elapsed().as_millis() as u64,
+        );
+    }
+}
+
+/// a refusal after earlier attempts, with what is known of them
+fn after(fault: Fault, told: Verdict) -> Fault {
+    let verdict = verdict::combine(told, fault.verdict);
+    fault.with_verdict(verdict)
+}
+
+/// when a caller may repeat a call that is under way elsewhere
+pub(super) const UNDER_WAY: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/entry/src/call/read.rs
@@ -0,0 +1,161 @@
+//! Writing an answer to its caller, as it comes or whole.
+
+use std::io;
+use std::time::Duration;
+
+use engine::Header;
+use schema::failure::Verdict;
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::fault::Fault;
+use crate::http::{Exchange, Sse};
+use crate::journal::{End, Journal, Progress};
+use crate::openai::{Form, Usage};
+
+/// longest silence towards a caller
+const COMMENT_AFTER: Duration = Duration::from_secs(1);
+/// time after which a caller comes back to a request that was handed over, milliseconds
+const REATTACH_MS: u32 = 50;
+
+/// a reader of a journal, counted for as long as it lives
+struct Reader<'a> {
+    context: &'a Context,
+    journal: &'a Journal,
+}
+
+impl<'a> Reader<'a> {
+    fn new(context: &'a Context, journal: &'a Journal) -> Reader<'a> {
+        journal.enter();
+        Reader { context, journal }
+    }
+
+    fn form(&self) -> Form<'a> {
+        let origin = &self.journal.origin;
+        Form { id: &origin.id, model: &origin.service, chat: origin.chat }
+    }
+
+    fn usage(&self) -> Usage {
+        let prompt = route::prefix::tokens(&self.journal.origin.prompt);
+        Usage::new(prompt, self.journal.count())
+    }
+
+    fn count(&self, end: &End) {
+        let verdict = match end {
+            End::Finished(_) => "ran",
+            End::Moved => "moved",
+            End::Cancelled => "cancelled",
+            End::Failed(fault) => verdict_label(fault.verdict),
+        };
+        let origin = &self.journal.origin;
+        let labels = [origin.service.as_str(), origin.workspace.as_str(), verdict];
+        self.context.metrics.requests.with_label_values(&labels).inc();
+        let took = origin.accepted.elapsed().as_millis() as u64;
+        tracing::info!(
+            event = "request",
+            request = origin.id,
+            workspace = origin.workspace,
+            service = origin.service,
+            outcome = verdict,
+            tokens = self.journal.count(),
+            took_ms = took,
+        );
+    }
+}
+
+impl Drop for Reader<'_> {
+    fn drop(&mut self) {
+        self.journal.leave(Instant::now());
+    }
+}
+
+/// label of a verdict in metrics
+pub(super) fn verdict_label(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::NotRun => "not_run",
+        Verdict::MayHaveRun => "may_have_run",
+        Verdict::Ran => "ran",
+    }
+}
+
+/// streams the tokens after index `from`
+pub(super) fn stream(context: &Context, exchange: Exchange, journal: &Journal, from: u32) {
+    let reader = Reader::new(context, journal);
+    let id = &journal.origin.id;
+    let written = exchange.events(id).and_then(|sse| write(&reader, sse, from as usize));
+    match written {
+        Ok(end) => reader.count(&end),
+        Err(error) => tracing::info!(event = "caller_left", request = id, %error),
+    }
+}
+
+fn write(reader: &Reader<'_>, mut sse: Sse, from: usize) -> io::Result<End> {
+    let mut at = from;
+    loop {
+        let Progress { tokens, end } = reader.journal.wait(at, COMMENT_AFTER);
+        if tokens.is_empty() && end.is_none() {
+            sse.comment("waiting");
+        }
+        for text in &tokens {
+            let id = format!("{}:{at}", reader.journal.origin.id);
+            sse.event(None, Some(&id), &reader.form().chunk(text));
+            at += 1;
+        }
+        if let Some(end) = end {
+            last(reader, &mut sse, &end);
+            sse.end()?;
+            return Ok(end);
+        }
+        sse.flush()?;
+    }
+}
+
+/// adds the events that end a stream
+fn last(reader: &Reader<'_>, sse: &mut Sse, end: &End) {
+    match end {
+        End::Finished(reason) => {
+            sse.event(None, None, &reader.form().last(reason, reader.usage()));
+            sse.event(None, None, "[DONE]");
+        }
+        End::Failed(fault) => sse.event(Some("error"), None, &fault.json()),
+        End::Cancelled => sse.event(Some("error"), None, &cancelled().json()),
+        End::Moved => {
+            let id = &reader.journal.origin.id;
+            let data = format!(
+                "{{\"location\":\"/v1/requests/{id}\",\"retry_after_ms\":{REATTACH_MS}}}"
+            );
+            sse.event(Some("reattach"), None, &data);
+        }
+    }
+}
+
+/// waits for the whole answer
+pub(super) fn whole(context: &Context, exchange: Exchange, journal: &Journal) {
+    let reader = Reader::new(context, journal);
+    let end = loop {
+        let count = journal.count() as usize;
+        if let Some(end) = journal.wait(count, COMMENT_AFTER).end {
+            break end;
+        }
+    };
+    reader.count(&end);
+    let id = Header::new("x-request-id", journal.origin.id.as_str());
+    match &end {
+        End::Finished(reason) => {
+            let text = journal.tokens().concat();
+            let body = reader.form().whole(&text, reason, reader.usage());
+            let kind = Header::new("content-type", "application/json");
+            exchange.respond(200, &[kind, id], body.as_bytes());
+        }
+        End::Failed(fault) => exchange.fail(fault),
+        End::Cancelled => exchange.fail(&cancelled()),
+        End::Moved => {
+            let path = format!("/v1/requests/{}", journal.origin.id);
+            exchange.respond(303, &[Header::new("location", path), id], b"");
+        }
+    }
+}
+
+fn cancelled() -> Fault {
+    Fault::unsure(410, "cancelled", "The request was cancelled.")
+}
--- /dev/null
+++ b/crates/entry/src/call/reattach.rs
@@ -0,0 +1,120 @@
+//! Coming back to a request in flight, at any daemon.
+
+use std::sync::Arc;
+
+use schema::journal::Holding;
+use tokio::time::Instant;
+
+use super::{auth, read, remote};
+use crate::context::Context;
+use crate::drive::Job;
+use crate::fault::Fault;
+use crate::handover;
+use crate::http::Exchange;
+use crate::journal::{End, Journal};
+
+/// answers a call under `/v1/requests/`
+pub(super) fn answer(context: &Context, exchange: Exchange, id: &str) {
+    let snapshot = context.snapshot.load_full();
+    let workspace = match auth::workspace(&snapshot, &exchange.headers) {
+        Ok(workspace) => workspace.name.as_str(),
+        Err(fault) => return exchange.fail(&fault),
+    };
+    match exchange.method.as_str() {
+        "GET" => fetch(context, exchange, id, workspace),
+        "DELETE" => cancel(context, exchange, id, workspace),
+        _ => exchange.fail(&Fault::refused(405, "method", "Requests take GET and DELETE.")),
+    }
+}
+
+fn fetch(context: &Context, exchange: Exchange, id: &str, workspace: &str) {
+    let journal = match here(context, &exchange, id) {
+        Some(journal) => journal,
+        None => return remote::fetch(context, exchange, id),
+    };
+    if journal.origin.workspace != workspace {
+        return exchange.fail(&unknown(id));
+    }
+    if !wants_stream(&exchange) {
+        return read::whole(context, exchange, &journal);
+    }
+    match start(&exchange, id) {
+        Ok(from) if from <= journal.count() => read::stream(context, exchange, &journal, from),
+        Ok(_) => {
+            let message = "Last-Event-ID is beyond the answer.";
+            exchange.fail(&Fault::refused(400, "header", message));
+        }
+        Err(fault) => exchange.fail(&fault),
+    }
+}
+
+/// the request if this daemon runs it, or is the one to take it up
+fn here(context: &Context, exchange: &Exchange, id: &str) -> Option<Arc<Journal>> {
+    if let Some(journal) = context.journals.get(id)
+        && journal.ended() != Some(End::Moved)
+    {
+        return Some(journal);
+    }
+    let asked = exchange.headers.get(remote::HOP).is_some();
+    if !context.standby.has(id) || (!asked && elsewhere(context, id)) {
+        return None;
+    }
+    activate(context, id)
+}
+
+fn elsewhere(context: &Context, id: &str) -> bool {
+    let place = handover::locate(context, id);
+    place.is_some_and(|place| place.holding == Holding::Request)
+}
+
+/// takes up a request whose daemon is gone
+fn activate(context: &Context, id: &str) -> Option<Arc<Journal>> {
+    let now = Instant::now();
+    let copy = context.standby.take(id, now)?;
+    let journal = Arc::new(Journal::resume(&copy, now));
+    context.journals.insert(&journal);
+    context.metrics.handovers.with_label_values(&["activated"]).inc();
+    tracing::info!(event = "copy_activated", request = id, tokens = journal.count());
+    let job = Job { journal: Arc::clone(&journal), pick: None, permit: None };
+    if context.submit(job).is_err() {
+        context.standby.put(copy, now);
+        context.journals.remove(id);
+        return None;
+    }
+    Some(journal)
+}
+
+fn cancel(context: &Context, exchange: Exchange, id: &str, workspace: &str) {
+    let Some(journal) = here(context, &exchange, id) else {
+        return remote::fetch(context, exchange, id);
+    };
+    if journal.origin.workspace != workspace {
+        return exchange.fail(&unknown(id));
+    }
+    journal.end(End::Cancelled, Instant::now());
+    exchange.json(200, "{\"cancelled\":true}");
+}
+
+fn wants_stream(exchange: &Exchange) -> bool {
+    let accept = exchange.headers.get("accept").unwrap_or_default();
+    accept.contains("text/event-stream")
+        || exchange.headers.get("last-event-id").is_some()
+        || exchange.query.split('&').any(|pair| pair == "stream=true")
+}
+
+/// index of the first token that the caller does not have
+fn start(exchange: &Exchange, id: &str) -> Result<u32, Fault> {
+    let Some(last) = exchange.headers.get("last-event-id") else {
+        return Ok(0);
+    };
+    let index = last.strip_prefix(id).and_then(|rest| rest.strip_prefix(':'));
+    let index = index.and_then(|index| index.parse::<u32>().ok());
+    let message = "Last-Event-ID must be the id of an event of this request.";
+    let index = index.ok_or_else(|| Fault::refused(400, "header", message))?;
+    Ok(index.saturating_add(1))
+}
+
+/// there is no such request for this workspace
+pub(super) fn unknown(id: &str) -> Fault {
+    Fault::refused(404, "request", format!("There is no request {id}."))
+}
--- /dev/null
+++ b/crates/entry/src/call/router.rs
@@ -0,0 +1,40 @@
+//! From a path to the code that answers it.
+
+use crate::context::Context;
+use crate::fault::Fault;
+use crate::http::Exchange;
+
+use super::{completion, info, plain, reattach};
+
+/// prefix of the paths of requests in flight
+const REQUESTS: &str = "/v1/requests/";
+/// prefix of the paths of plain services
+const SERVICES: &str = "/services/";
+
+/// answers a request
+pub(crate) fn answer(context: &Context, exchange: Exchange) {
+    let method = exchange.method.clone();
+    let path = exchange.path.clone();
+    if let Some(id) = path.strip_prefix(REQUESTS) {
+        return reattach::answer(context, exchange, id);
+    }
+    if let Some(rest) = path.strip_prefix(SERVICES) {
+        return plain::answer(context, exchange, rest);
+    }
+    match (method.as_str(), path.as_str()) {
+        ("POST", "/v1/completions") => completion::answer(context, exchange, false),
+        ("POST", "/v1/chat/completions") => completion::answer(context, exchange, true),
+        ("GET", "/v1/models") => info::models(context, exchange),
+        ("GET", "/healthz") => info::health(exchange),
+        ("GET", "/readyz") => info::ready(context, exchange),
+        ("GET", "/metrics") => info::metrics(context, exchange),
+        (_, "/v1/completions" | "/v1/chat/completions") => {
+            let message = "Completions are asked for by POST.";
+            exchange.fail(&Fault::refused(405, "method", message));
+        }
+        _ => {
+            let message = format!("There is nothing at {path}.");
+            exchange.fail(&Fault::refused(404, "path", message));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/attempt.rs
@@ -0,0 +1,171 @@
+//! One attempt: a stream on one upstream VM.
+
+use engine::{Failure, Item, Stream};
+use route::table::{Permit, Pick};
+use schema::engine::Finish;
+use schema::journal as wire;
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::journal::Journal;
+
+/// an upstream VM in use by a request
+pub(super) struct Seat {
+    /// where the stream is
+    pub(super) stream: wire::Stream,
+    /// counts the request on the VM; none for a stream taken over
+    pub(super) permit: Option<Permit>,
+    /// the stream is there already; none is opened
+    pub(super) running: bool,
+}
+
+/// how an attempt came to its end
+pub(super) enum Halt {
+    /// the answer is whole
+    Done(Finish),
+    /// the request was ended elsewhere
+    Ended,
+    /// the upstream VM is leaving
+    Leaving,
+    /// the stream failed
+    Lost(Failure),
+}
+
+/// an open stream and its number
+pub(super) struct Attempt<'a> {
+    context: &'a Context,
+    journal: &'a Journal,
+    number: u32,
+    reader: Stream,
+    last: Instant,
+}
+
+impl Seat {
+    /// a seat for a new stream
+    pub(super) fn fresh(journal: &Journal, pick: Pick, number: u32) -> Seat {
+        let name = format!("{}-{number}", journal.origin.id);
+        let stream = wire::Stream { vm: pick.vm, address: pick.address, name };
+        Seat { stream, permit: Some(pick.permit), running: false }
+    }
+
+    /// a seat on a stream that another daemon opened
+    pub(super) fn adopted(stream: wire::Stream) -> Seat {
+        Seat { stream, permit: None, running: true }
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.permit.as_ref().is_some_and(Permit::is_leaving)
+    }
+}
+
+impl<'a> Attempt<'a> {
+    /// opens the stream of a seat or attaches to it
+    pub(super) fn open(
+        context: &'a Context,
+        journal: &'a Journal,
+        seat: &Seat,
+    ) -> Result<Attempt<'a>, Failure> {
+        let number = journal.begin(&seat.stream);
+        let address = &seat.stream.address;
+        let reader = match seat.running {
+            true => context.engines.attach(address, &seat.stream.name, journal.count())?,
+            false => context.engines.open(address, &completion(journal, seat))?,
+        };
+        Ok(Attempt { context, journal, number, reader, last: Instant::now() })
+    }
+
+    /// reads until the answer is whole, the stream fails, or `stop` says so
+    pub(super) fn read(&mut self, seat: &Seat, stop: impl Fn() -> bool) -> Halt {
+        let warned = seat.is_leaving();
+        loop {
+            let halt = match self.reader.next_item() {
+                Ok(item) => self.take(item),
+                Err(failure) => Some(Halt::Lost(failure)),
+            };
+            if let Some(halt) = halt {
+                return halt;
+            }
+            if !self.journal.is_open() {
+                return Halt::Ended;
+            }
+            if (!warned && seat.is_leaving()) || stop() {
+                return Halt::Leaving;
+            }
+        }
+    }
+
+    fn take(&mut self, item: Item) -> Option<Halt> {
+        match item {
+            Item::Waiting => None,
+            Item::Finish(finish) => Some(self.finish(finish)),
+            Item::Token(chunk) => {
+                let known = self.journal.count();
+                match self.journal.push(self.number, chunk.index, &chunk.text) {
+                    Ok(()) => {
+                        self.measure(known);
+                        None
+                    }
+                    Err(_) if !self.journal.is_open() => Some(Halt::Ended),
+                    Err(_) => Some(Halt::Lost(out_of_order())),
+                }
+            }
+        }
+    }
+
+    fn finish(&self, finish: Finish) -> Halt {
+        if finish.finish_reason == "cancelled" {
+            return Halt::Lost(Failure::new(
+                engine::Kind::Broken,
+                schema::failure::Verdict::MayHaveRun,
+                "the engine cancelled the stream",
+            ));
+        }
+        let whole = finish.usage.completion_tokens == self.journal.count();
+        if !whole {
+            return Halt::Lost(out_of_order());
+        }
+        Halt::Done(finish)
+    }
+
+    /// number of the attempt
+    pub(super) fn number(&self) -> u32 {
+        self.number
+    }
+
+    fn measure(&mut self, known: u32) {
+        let now = Instant::now();
+        let service = [self.journal.origin.service.as_str()];
+        let metrics = &self.context.metrics;
+        if known == 0 {
+            let accepted = self.journal.origin.accepted;
+            let waited = now.saturating_duration_since(accepted).as_secs_f64();
+            metrics.first_token.with_label_values(&service).observe(waited);
+            let note = format!("tokens=1 attempt={}", self.number);
+            let origin = &self.journal.origin;
+            self.context.spans.add(&origin.id, &origin.trace, "first_token", accepted, &note);
+        } else {
+            let waited = now.saturating_duration_since(self.last).as_secs_f64();
+            metrics.between_tokens.with_label_values(&service).observe(waited);
+        }
+        metrics.generated.inc();
+        self.last = now;
+    }
+}
+
+fn out_of_order() -> Failure {
+    let verdict = schema::failure::Verdict::MayHaveRun;
+    Failure::new(engine::Kind::Garbled, verdict, "tokens are missing or out of order")
+}
+
+fn completion(journal: &Journal, seat: &Seat) -> schema::engine::Completion {
+    let origin = &journal.origin;
+    schema::engine::Completion {
+        model: origin.service.clone(),
+        prompt: origin.prompt.clone(),
+        max_tokens: origin.max_tokens,
+        request_id: seat.stream.name.clone(),
+        priority: origin.priority,
+        prior: journal.tokens(),
+        stream: true,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/driver.rs
@@ -0,0 +1,50 @@
+//! The pool of threads that run attempts.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+
+use crossbeam::channel::Receiver;
+use route::limit;
+use route::table::Pick;
+
+use super::run::Run;
+use crate::context::Context;
+use crate::journal::Journal;
+
+/// stack of a driver thread, bytes
+const STACK_BYTES: usize = 512 * 1024;
+
+/// a request to fill
+pub struct Job {
+    /// the request
+    pub journal: Arc<Journal>,
+    /// the upstream VM chosen at admission; none for a request taken over
+    pub pick: Option<Pick>,
+    /// its share of the workspace's limits
+    pub permit: Option<limit::Permit>,
+}
+
+/// the pool of threads that run attempts
+pub struct Driver;
+
+impl Driver {
+    /// starts the threads; they end when the queue is closed
+    ///
+    /// # Errors
+    /// When a thread can't be started.
+    pub fn start(context: &Arc<Context>, jobs: &Receiver<Job>, threads: u32) -> io::Result<()> {
+        for number in 0..threads {
+            let context = Arc::clone(context);
+            let jobs = jobs.clone();
+            let builder = thread::Builder::new().name(format!("drive-{number}"));
+            builder.stack_size(STACK_BYTES).spawn(move || {
+                let _runtime = context.runtime.enter();
+                for job in &jobs {
+                    Run::new(&context, job).run();
+                }
+            })?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/lost.rs
@@ -0,0 +1,40 @@
+//! What failures of upstreams mean for a request.
+
+use std::time::Duration;
+
+use engine::{Failure, Kind};
+use route::retry;
+use schema::failure::Verdict;
+
+use crate::fault::Fault;
+
+/// when a caller may try again after an upstream's failure
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// the failure as the retry rules see it
+pub(crate) fn retry_failure(failure: &Failure) -> retry::Failure {
+    let kind = match failure.kind {
+        Kind::Unreachable => retry::Kind::Unreachable,
+        Kind::Silent => retry::Kind::Silent,
+        Kind::Broken => retry::Kind::Broken,
+        Kind::Refused => retry::Kind::Busy,
+        Kind::Status(409 | 429) => retry::Kind::Busy,
+        Kind::Status(400..=499) => retry::Kind::Caller,
+        Kind::Unknown | Kind::Status(_) | Kind::Garbled => retry::Kind::Fault,
+    };
+    retry::Failure { kind, verdict: failure.verdict }
+}
+
+/// what the caller is told when the request is given up on
+pub(crate) fn fault(failure: &Failure, verdict: Verdict) -> Fault {
+    let (status, code) = match failure.kind {
+        Kind::Status(400..=499) => (400, "upstream_refused"),
+        Kind::Silent => (504, "upstream_silent"),
+        _ => (502, "upstream_failed"),
+    };
+    let fault = Fault::unsure(status, code, failure.to_string()).with_verdict(verdict);
+    match status {
+        400 => fault,
+        _ => fault.after(RETRY_AFTER),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/run.rs
@@ -0,0 +1,327 @@
+//! A request's way through its attempts.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use engine::Failure;
+use route::limit;
+use route::retry::{self, State, Step};
+use route::table::{Ask, Outcome, Pick};
+use route::verdict;
+use schema::engine::{Finish, Import};
+use schema::failure::Verdict;
+use tokio::time::Instant;
+
+use super::attempt::{Attempt, Halt, Seat};
+use super::{Job, fault, retry_failure};
+use crate::context::Context;
+use crate::fault::Fault;
+use crate::journal::{End, Journal};
+
+/// wait before an accepted request looks for an upstream VM again
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// rest of an answer that a leaving upstream VM is left to finish
+const FINISH_WITHIN: Duration = Duration::from_secs(2);
+
+/// one request and what is known of its attempts
+pub(super) struct Run<'a> {
+    context: &'a Context,
+    job: Job,
+    blocks: Vec<u64>,
+    attempts: u32,
+    reconnects: u32,
+    avoid: Vec<String>,
+    verdict: Verdict,
+}
+
+impl<'a> Run<'a> {
+    pub(super) fn new(context: &'a Context, job: Job) -> Run<'a> {
+        let blocks = route::prefix::blocks(&job.journal.origin.prompt);
+        Run {
+            context,
+            job,
+            blocks,
+            attempts: 0,
+            reconnects: 0,
+            avoid: Vec::new(),
+            verdict: Verdict::NotRun,
+        }
+    }
+
+    /// fills the journal and gives back what the request holds
+    pub(super) fn run(mut self) {
+        if let Some(first) = self.first() {
+            self.follow(first);
+        }
+        if let Some(permit) = self.job.permit.take() {
+            self.settle(permit);
+        }
+    }
+
+    fn journal(&self) -> &Journal {
+        &self.job.journal
+    }
+
+    fn first(&mut self) -> Option<Seat> {
+        if let Some(pick) = self.job.pick.take() {
+            return Some(Seat::fresh(self.journal(), pick, 1));
+        }
+        match self.journal().stream() {
+            Some(stream) => Some(Seat::adopted(stream)),
+            None => self.look(),
+        }
+    }
+
+    /// goes from attempt to attempt until the request has ended
+    fn follow(&mut self, first: Seat) {
+        let mut next = Some(first);
+        while let Some(seat) = next {
+            if self.out_of_time() {
+                self.release(seat, Outcome::Cancelled);
+                return;
+            }
+            next = self.attempt(seat);
+        }
+    }
+
+    fn attempt(&mut self, seat: Seat) -> Option<Seat> {
+        let start = Instant::now();
+        self.attempts += 1;
+        let journal = std::sync::Arc::clone(&self.job.journal);
+        let context = self.context;
+        let (halt, attempt) = match Attempt::open(context, &journal, &seat) {
+            Ok(mut attempt) => (attempt.read(&seat, || false), Some(attempt)),
+            Err(failure) => (Halt::Lost(failure), None),
+        };
+        let halt = match (halt, attempt) {
+            (Halt::Leaving, Some(attempt)) => return self.leave(seat, attempt),
+            (Halt::Lost(_), _) if !self.journal().is_open() => Halt::Ended,
+            (halt, _) => halt,
+        };
+        self.note(&seat, start, &halt);
+        match halt {
+            Halt::Done(finish) => self.done(seat, finish),
+            Halt::Ended => self.ended(seat),
+            Halt::Leaving => return self.move_on(seat, Duration::ZERO),
+            Halt::Lost(failure) => return self.lost(seat, &failure),
+        }
+        None
+    }
+
+    fn done(&mut self, seat: Seat, finish: Finish) {
+        let recomputed = u64::from(finish.usage.recomputed_tokens);
+        self.context.metrics.recomputed.inc_by(recomputed);
+        let journal = self.journal();
+        if journal.finish(journal.attempt(), &finish.finish_reason, Instant::now()).is_err() {
+            return self.ended(seat);
+        }
+        self.release(seat, Outcome::Done { usage: finish.usage });
+    }
+
+    fn ended(&mut self, seat: Seat) {
+        match self.journal().ended() {
+            None | Some(End::Moved) => (),
+            Some(_) => self.cancel(&seat),
+        }
+        self.release(seat, Outcome::Cancelled);
+    }
+
+    fn lost(&mut self, seat: Seat, failure: &Failure) -> Option<Seat> {
+        self.verdict = verdict::combine(self.verdict, failure.verdict);
+        let state = self.state(&seat);
+        match retry::decide(&retry_failure(failure), &state) {
+            Step::Reconnect => {
+                self.reconnects += 1;
+                Some(Seat { running: true, ..seat })
+            }
+            Step::Move { after } => {
+                self.context.take_retry();
+                self.avoid.push(seat.stream.vm.clone());
+                self.release(seat, Outcome::Failed(retry_failure(failure).kind));
+                self.pause(after);
+                self.look()
+            }
+            Step::GiveUp => {
+                let fault = fault(failure, self.verdict);
+                self.journal().end(End::Failed(fault), Instant::now());
+                self.release(seat, Outcome::Failed(retry_failure(failure).kind));
+                None
+            }
+        }
+    }
+
+    fn state(&self, seat: &Seat) -> State {
+        State {
+            idempotent: true,
+            attempts: self.attempts,
+            reconnects: self.reconnects,
+            deadline_left: self.left(),
+            breaker_open: false,
+            leaving: seat.permit.as_ref().is_some_and(|permit| permit.is_leaving()),
+            budget_wait: self.context.retry_wait(),
+            jitter: rand::random(),
+        }
+    }
+
+    /// finishes on a leaving VM if little is missing, else moves the stream
+    fn leave(&mut self, seat: Seat, mut attempt: Attempt<'_>) -> Option<Seat> {
+        let origin = &self.journal().origin;
+        let missing = origin.max_tokens.saturating_sub(self.journal().count());
+        if self.context.pace_of(&origin.service) * missing <= FINISH_WITHIN {
+            let halt = attempt.read(&seat, || false);
+            return self.after_leaving(seat, halt);
+        }
+        self.avoid.push(seat.stream.vm.clone());
+        let Some(pick) = self.pick() else {
+            let halt = attempt.read(&seat, || false);
+            return self.after_leaving(seat, halt);
+        };
+        self.export(seat, attempt, pick)
+    }
+
+    fn after_leaving(&mut self, seat: Seat, halt: Halt) -> Option<Seat> {
+        match halt {
+            Halt::Done(finish) => self.done(seat, finish),
+            Halt::Ended => self.ended(seat),
+            Halt::Lost(_) if !self.journal().is_open() => self.ended(seat),
+            Halt::Leaving | Halt::Lost(_) => return self.move_on(seat, Duration::ZERO),
+        }
+        None
+    }
+
+    /// moves the KV cache to the successor while the old stream goes on
+    fn export(&mut self, seat: Seat, mut attempt: Attempt<'_>, pick: Pick) -> Option<Seat> {
+        let start = Instant::now();
+        let import = Import {
+            source: format!("http://{}", seat.stream.address),
+            request_id: seat.stream.name.clone(),
+        };
+        let moved = AtomicBool::new(false);
+        let halt = thread::scope(|scope| {
+            scope.spawn(|| {
+                if let Err(error) = self.context.engines.import(&pick.address, &import) {
+                    tracing::info!(event = "kv_move_failed", vm = pick.vm, %error);
+                }
+                moved.store(true, Ordering::Release);
+            });
+            attempt.read(&seat, || moved.load(Ordering::Acquire))
+        });
+        let number = attempt.number() + 1;
+        drop(attempt);
+        let note = format!("from={} to={}", seat.stream.vm, pick.vm);
+        let origin = &self.journal().origin;
+        self.context.spans.add(&origin.id, &origin.trace, "move", start, &note);
+        match halt {
+            Halt::Leaving | Halt::Lost(_) if self.journal().is_open() => {
+                self.cancel(&seat);
+                self.release(seat, Outcome::Failed(retry::Kind::Leaving));
+                Some(Seat::fresh(self.journal(), pick, number))
+            }
+            halt => {
+                self.context.routes.finish(pick.permit, Outcome::Cancelled, Instant::now());
+                self.after_leaving(seat, halt)
+            }
+        }
+    }
+
+    fn move_on(&mut self, seat: Seat, after: Duration) -> Option<Seat> {
+        self.avoid.push(seat.stream.vm.clone());
+        self.release(seat, Outcome::Failed(retry::Kind::Leaving));
+        self.pause(after);
+        self.look()
+    }
+
+    /// looks for an upstream VM until there is one or the request ends
+    fn look(&mut self) -> Option<Seat> {
+        loop {
+            if self.out_of_time() || !self.journal().is_open() {
+                return None;
+            }
+            if let Some(pick) = self.pick() {
+                let number = self.journal().attempt() + 1;
+                return Some(Seat::fresh(self.journal(), pick, number));
+            }
+            self.avoid.clear();
+            self.pause(LOOK_AGAIN);
+        }
+    }
+
+    fn pick(&mut self) -> Option<Pick> {
+        let start = Instant::now();
+        let origin = &self.job.journal.origin;
+        let prior = self.job.journal.count();
+        let ask = Ask {
+            service: &origin.service,
+            blocks: &self.blocks,
+            prompt_tokens: route::prefix::tokens(&origin.prompt),
+            prior_tokens: prior,
+            max_tokens: origin.max_tokens,
+            priority: origin.priority,
+            avoid: &self.avoid,
+            deadline: origin.deadline,
+            first_token: self.context.first_token_of(&origin.service),
+        };
+        let pick = self.context.routes.pick(&ask, &mut rand::rng(), start).ok()?;
+        let note = format!("vm={} prior={prior}", pick.vm);
+        self.context.spans.add(&origin.id, &origin.trace, "choose", start, &note);
+        Some(pick)
+    }
+
+    fn pause(&self, time: Duration) {
+        if time.is_zero() {
+            return;
+        }
+        let count = self.journal().count() as usize;
+        self.journal().wait(count, time.min(self.left()));
+    }
+
+    fn left(&self) -> Duration {
+        self.journal().origin.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn out_of_time(&self) -> bool {
+        if !self.left().is_zero() {
+            return false;
+        }
+        let message = "The request's deadline has passed.";
+        let fault = Fault::unsure(504, "deadline", message).with_verdict(self.verdict);
+        self.journal().end(End::Failed(fault), Instant::now());
+        true
+    }
+
+    fn cancel(&self, seat: &Seat) {
+        if let Err(error) = self.context.engines.cancel(&seat.stream.address, &seat.stream.name) {
+            tracing::debug!(event = "cancel_failed", vm = seat.stream.vm, %error);
+        }
+    }
+
+    fn release(&self, seat: Seat, outcome: Outcome) {
+        if let Some(permit) = seat.permit {
+            self.context.routes.finish(permit, outcome, Instant::now());
+        }
+    }
+
+    fn settle(&self, permit: limit::Permit) {
+        let origin = &self.journal().origin;
+        let used = route::prefix::tokens(&origin.prompt) + self.journal().count();
+        self.context.limits.settle(permit, used, Instant::now());
+    }
+
+    fn note(&self, seat: &Seat, start: Instant, halt: &Halt) {
+        let outcome = match halt {
+            Halt::Done(_) => "done",
+            Halt::Ended => "ended",
+            Halt::Leaving => "leaving",
+            Halt::Lost(_) => "lost",
+        };
+        let origin = &self.journal().origin;
+        let labels = [origin.service.as_str(), outcome];
+        self.context.metrics.attempts.with_label_values(&labels).inc();
+        let mut note = format!("vm={} outcome={outcome}", seat.stream.vm);
+        if let Halt::Lost(failure) = halt {
+            note.push_str(&format!(" cause={failure:?}"));
+        }
+        self.context.spans.add(&origin.id, &origin.trace, "attempt", start, &note);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! Callers' HTTP: one request and its answer, whole or as server-sent events.
+
+mod exchange;
+mod headers;
+mod sse;
+
+pub use exchange::{Bounds, Exchange};
+pub use headers::Headers;
+pub use sse::Sse;
--- /dev/null
+++ b/crates/entry/src/journal/record.rs
@@ -0,0 +1,285 @@
+//! One request in flight.
+
+use std::sync::{Condvar, Mutex, MutexGuard};
+use std::time::Duration;
+
+use macro_rules_attribute::apply;
+use schema::journal as wire;
+use schema::{data, value};
+use tokio::time::Instant;
+
+use super::End;
+use crate::lock;
+
+/// what a request asks for; fixed for its life
+#[apply(data!)]
+pub struct Origin {
+    /// request id, unguessable
+    pub id: String,
+    /// whose request it is
+    pub workspace: String,
+    /// service it asks
+    pub service: String,
+    /// whole prompt
+    pub prompt: String,
+    /// tokens wanted in all
+    pub max_tokens: u32,
+    /// the answer has the form of a chat completion
+    pub chat: bool,
+    /// 0 lowest, 9 highest
+    pub priority: u8,
+    /// when this daemon accepted it or took it over
+    pub accepted: Instant,
+    /// when the request is given up on
+    pub deadline: Instant,
+    /// W3C trace parent
+    pub trace: String,
+}
+
+/// a write by an attempt that is no longer the current one
+#[apply(value!)]
+pub struct Stale;
+
+/// what a reader sees
+#[apply(data!)]
+pub struct Progress {
+    /// tokens after the index asked for
+    pub tokens: Vec<Box<str>>,
+    /// how the request ended, once it has and all tokens are read
+    pub end: Option<End>,
+}
+
+/// a request in flight, shared by its attempts and its readers
+#[derive(Debug)]
+pub struct Journal {
+    /// what the request asks for
+    pub origin: Origin,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    tokens: Vec<Box<str>>,
+    end: Option<End>,
+    ended: Option<Instant>,
+    attempt: u32,
+    stream: Option<wire::Stream>,
+    readers: u32,
+    unread_since: Option<Instant>,
+    held: bool,
+}
+
+impl Journal {
+    /// a new request
+    pub fn new(origin: Origin) -> Journal {
+        Journal { origin, state: Mutex::default(), changed: Condvar::new() }
+    }
+
+    /// a request taken over from another daemon
+    pub fn resume(journal: &wire::Journal, now: Instant) -> Journal {
+        let origin = Origin {
+            id: journal.id.clone(),
+            workspace: journal.workspace.clone(),
+            service: journal.service.clone(),
+            prompt: journal.prompt.clone(),
+            max_tokens: journal.max_tokens,
+            chat: journal.chat,
+            priority: journal.priority,
+            accepted: now,
+            deadline: now + Duration::from_millis(journal.deadline_ms),
+            trace: journal.trace.clone(),
+        };
+        let state = State {
+            tokens: journal.tokens.iter().map(|text| text.as_str().into()).collect(),
+            end: journal.finish.clone().map(End::Finished),
+            attempt: journal.attempt,
+            stream: journal.stream.clone(),
+            unread_since: Some(now),
+            ..State::default()
+        };
+        Journal { origin, state: Mutex::new(state), changed: Condvar::new() }
+    }
+
+    /// what another daemon needs to go on
+    pub fn export(&self, now: Instant) -> wire::Journal {
+        let state = self.state();
+        let origin = &self.origin;
+        let finish = match &state.end {
+            Some(End::Finished(reason)) => Some(reason.clone()),
+            _ => None,
+        };
+        wire::Journal {
+            id: origin.id.clone(),
+            workspace: origin.workspace.clone(),
+            service: origin.service.clone(),
+            prompt: origin.prompt.clone(),
+            max_tokens: origin.max_tokens,
+            tokens: state.tokens.iter().map(|text| text.to_string()).collect(),
+            finish,
+            chat: origin.chat,
+            priority: origin.priority,
+            deadline_ms: millis(origin.deadline.saturating_duration_since(now)),
+            attempt: state.attempt,
+            stream: state.stream.clone(),
+            trace: origin.trace.clone(),
+        }
+    }
+
+    /// begins an attempt and returns its number; older attempts become stale
+    pub fn begin(&self, stream: &wire::Stream) -> u32 {
+        let mut state = self.state();
+        state.attempt += 1;
+        state.stream = Some(stream.clone());
+        state.attempt
+    }
+
+    /// adds a token; one that is known already is dropped
+    ///
+    /// # Errors
+    /// [`Stale`] when the attempt is no longer the current one, the request
+    /// has ended, or tokens before this one are missing.
+    pub fn push(&self, attempt: u32, index: u32, text: &str) -> Result<(), Stale> {
+        let mut state = self.state();
+        if state.attempt != attempt || state.end.is_some() || state.held {
+            return Err(Stale);
+        }
+        let next = state.tokens.len() as u32;
+        if index < next {
+            return Ok(());
+        }
+        if index > next {
+            return Err(Stale);
+        }
+        state.tokens.push(text.into());
+        self.changed.notify_all();
+        Ok(())
+    }
+
+    /// ends the answer on behalf of an attempt
+    ///
+    /// # Errors
+    /// [`Stale`] when the attempt is no longer the current one or the request has ended.
+    pub fn finish(&self, attempt: u32, reason: &str, now: Instant) -> Result<(), Stale> {
+        let mut state = self.state();
+        if state.attempt != attempt || state.end.is_some() || state.held {
+            return Err(Stale);
+        }
+        self.close(&mut state, End::Finished(reason.to_owned()), now);
+        Ok(())
+    }
+
+    /// ends the request whatever its attempts do; false if it had ended before
+    pub fn end(&self, end: End, now: Instant) -> bool {
+        let mut state = self.state();
+        if state.end.is_some() {
+            return false;
+        }
+        self.close(&mut state, end, now);
+        true
+    }
+
+    /// stops the attempts while the request is handed over; false if it has ended
+    pub fn hold(&self) -> bool {
+        let mut state = self.state();
+        if state.end.is_some() {
+            return false;
+        }
+        state.held = true;
+        true
+    }
+
+    /// undoes [`Journal::hold`] after a hand-over that did not take place
+    pub fn unhold(&self) {
+        self.state().held = false;
+    }
+
+    /// whether attempts go on
+    pub fn is_open(&self) -> bool {
+        let state = self.state();
+        state.end.is_none() && !state.held
+    }
+
+    /// number of the last attempt
+    pub fn attempt(&self) -> u32 {
+        self.state().attempt
+    }
+
+    /// how the request ended, once it has
+    pub fn ended(&self) -> Option<End> {
+        self.state().end.clone()
+    }
+
+    /// when the request ended, once it has
+    pub fn ended_at(&self) -> Option<Instant> {
+        self.state().ended
+    }
+
+    /// number of tokens so far
+    pub fn count(&self) -> u32 {
+        self.state().tokens.len() as u32
+    }
+
+    /// tokens so far
+    pub fn tokens(&self) -> Vec<String> {
+        self.state().tokens.iter().map(|text| text.to_string()).collect()
+    }
+
+    /// the stream of the current attempt
+    pub fn stream(&self) -> Option<wire::Stream> {
+        self.state().stream.clone()
+    }
+
+    /// waits until there are tokens after `from` or the request has ended
+    pub fn wait(&self, from: usize, longest: Duration) -> Progress {
+        let state = self.state();
+        let idle = |state: &mut State| state.tokens.len() <= from && state.end.is_none();
+        let waited = self.changed.wait_timeout_while(state, longest, idle);
+        let (state, _) = waited.unwrap_or_else(std::sync::PoisonError::into_inner);
+        let tokens = state.tokens.get(from..).unwrap_or_default().to_vec();
+        Progress { tokens, end: state.end.clone() }
+    }
+
+    /// counts a reader in
+    pub fn enter(&self) {
+        let mut state = self.state();
+        state.readers += 1;
+        state.unread_since = None;
+    }
+
+    /// counts a reader out
+    pub fn leave(&self, now: Instant) {
+        let mut state = self.state();
+        state.readers = state.readers.saturating_sub(1);
+        if state.readers == 0 {
+            state.unread_since = Some(now);
+        }
+    }
+
+    /// whether somebody reads the answer
+    pub fn is_read(&self) -> bool {
+        self.state().readers > 0
+    }
+
+    /// time for which nobody has read the answer
+    pub fn unread(&self, now: Instant) -> Duration {
+        match self.state().unread_since {
+            Some(since) => now.saturating_duration_since(since),
+            None => Duration::ZERO,
+        }
+    }
+
+    fn close(&self, state: &mut State, end: End, now: Instant) {
+        state.end = Some(end);
+        state.ended = Some(now);
+        self.changed.notify_all();
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/journal/table.rs
@@ -0,0 +1,54 @@
+//! All requests in flight on this daemon.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{End, Journal};
+use crate::lock;
+
+/// requests in flight, and ended ones for as long as they can be fetched again
+#[derive(Debug, Default)]
+pub struct Table {
+    journals: Mutex<HashMap<String, Arc<Journal>>>,
+}
+
+impl Table {
+    /// adds a request
+    pub fn insert(&self, journal: &Arc<Journal>) {
+        lock(&self.journals).insert(journal.origin.id.clone(), Arc::clone(journal));
+    }
+
+    /// the request of this id
+    pub fn get(&self, id: &str) -> Option<Arc<Journal>> {
+        lock(&self.journals).get(id).cloned()
+    }
+
+    /// forgets a request
+    pub fn remove(&self, id: &str) {
+        lock(&self.journals).remove(id);
+    }
+
+    /// requests that have not ended
+    pub fn open(&self) -> Vec<Arc<Journal>> {
+        let all: Vec<Arc<Journal>> = lock(&self.journals).values().cloned().collect();
+        all.into_iter().filter(|journal| journal.ended().is_none()).collect()
+    }
+
+    /// ends requests that nobody reads and forgets those ended long ago
+    pub fn sweep(&self, abandoned: Duration, keep: Duration, now: Instant) -> Vec<Arc<Journal>> {
+        let mut cancelled = Vec::new();
+        for journal in self.open() {
+            if journal.unread(now) > abandoned && journal.end(End::Cancelled, now) {
+                cancelled.push(journal);
+            }
+        }
+        lock(&self.journals).retain(|_, journal| match journal.ended_at() {
+            Some(ended) => now.saturating_duration_since(ended) <= keep,
+            None => true,
+        });
+        cancelled
+    }
+}
