Add the engine and plain stand-ins

Cause: tests and trials need a model engine that batches, caches prefixes, resumes and cancels, and a plain service that records what it ran. Change: `standin::engine`, `standin::plain`, their shared HTTP plumbing and the binary `standin`. Each token is flushed through the raw writer; the listening socket carries TCP_NODELAY, which accepted connections inherit. Ruled out: tiny_http's own chunked answer, which holds tokens back.

--- /dev/null
+++ b/crates/standin/src/command.rs
@@ -0,0 +1,55 @@
+//! The command line of the binary `standin`.
+
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+use crate::{engine, plain};
+
+/// stand-ins of the systems that agateloom meets
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, generate(command), private)]
+enum Command {
+    /// a model engine
+    #[bpaf(command)]
+    Engine(#[bpaf(external(engine::parser))] engine::Options),
+    /// a plain service
+    #[bpaf(command)]
+    Plain(#[bpaf(external(plain::parser))] plain::Options),
+}
+
+/// runs the stand-in that the command line names until it ends
+pub fn run() -> ExitCode {
+    match start(command().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("the stand-in failed: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(command: Command) -> io::Result<()> {
+    match command {
+        Command::Engine(options) => {
+            let server = engine::Server::start(options)?;
+            announce(server.address())?;
+            server.wait();
+        }
+        Command::Plain(options) => {
+            let server = plain::Server::start(options)?;
+            announce(server.address())?;
+            server.wait();
+        }
+    }
+    Ok(())
+}
+
+/// prints the line that tells a parent process where the stand-in listens
+fn announce(address: SocketAddr) -> io::Result<()> {
+    let mut output = io::stdout().lock();
+    writeln!(output, "listening {address}")?;
+    output.flush()
+}
--- /dev/null
+++ b/crates/standin/src/engine/kv.rs
@@ -0,0 +1,92 @@
+//! Export and import of a stream's KV cache between engines.
+//!
+//! The body is a line of JSON that names the blocks, then zeros up to the size
+//! that the cache of these tokens would have.
+
+use std::io::{self, BufRead, BufReader, Read};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use macro_rules_attribute::apply;
+use schema::engine::{Import, Imported};
+use schema::message;
+use tiny_http::{Request, Response};
+
+use super::cache::{BLOCK_WORDS, block_hashes};
+use super::shared::Shared;
+use super::stream::Stream;
+
+/// bytes that leave between two waits for the pace
+const PIECE: usize = 16 * 1024;
+
+/// longest wait for the source's connection and for each read
+const SOURCE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// first line of an export
+#[apply(message!)]
+struct Head {
+    blocks: Vec<u64>,
+}
+
+/// sends the KV cache of a stream
+pub fn export(shared: &Arc<Shared>, stream: &Stream, request: Request) {
+    let blocks = block_hashes(stream.text().split_whitespace());
+    let tokens = blocks.len() * BLOCK_WORDS;
+    let padding = tokens as u64 * shared.options.kv_bytes_per_token;
+    let mut head = serde_json::to_vec(&Head { blocks }).unwrap_or_default();
+    head.push(b'\n');
+    let length = head.len() + padding as usize;
+    let body = io::Cursor::new(head).chain(io::repeat(0).take(padding));
+    let paced = Paced {
+        shared: Arc::clone(shared),
+        body,
+    };
+    let response = Response::new(200.into(), Vec::new(), paced, Some(length), None);
+    let _ = request.respond(response);
+}
+
+/// fetches the KV cache of a stream from another engine
+pub fn import(shared: &Shared, import: &Import) -> Result<Imported, String> {
+    let source = import.source.trim_end_matches('/');
+    let response = attohttpc::get(format!("{source}/v1/kv/{}", import.request_id))
+        .connect_timeout(SOURCE_TIMEOUT)
+        .read_timeout(SOURCE_TIMEOUT)
+        .send()
+        .and_then(attohttpc::Response::error_for_status)
+        .map_err(|error| error.to_string())?;
+    let mut body = BufReader::new(response);
+    let mut line = Vec::new();
+    body.read_until(b'\n', &mut line)
+        .map_err(|error| error.to_string())?;
+    let head: Head = serde_json::from_slice(&line).map_err(|error| error.to_string())?;
+    let padding = io::copy(&mut body, &mut io::sink()).map_err(|error| error.to_string())?;
+    let tokens = (head.blocks.len() * BLOCK_WORDS) as u32;
+    if padding < u64::from(tokens) * shared.options.kv_bytes_per_token {
+        return Err("the export ended early".to_owned());
+    }
+    shared.batch().store(&head.blocks);
+    Ok(Imported {
+        tokens,
+        bytes: line.len() as u64 + padding,
+    })
+}
+
+/// a body that keeps to the pace of all exports
+struct Paced<R> {
+    shared: Arc<Shared>,
+    body: R,
+}
+
+impl<R: Read> Read for Paced<R> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        if self.shared.stop.is_set() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        let most = buffer.len().min(PIECE);
+        let count = self.body.read(&mut buffer[..most])?;
+        let passed_at = self.shared.pace.book(count);
+        thread::sleep(passed_at.saturating_duration_since(Instant::now()));
+        Ok(count)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/server.rs
@@ -0,0 +1,247 @@
+//! The engine's HTTP server.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use schema::engine::{Completion, Import, Order};
+use tiny_http::{Method, Request};
+
+use super::batch::Rejection;
+use super::control::{Faults, Notice};
+use super::feed::feed;
+use super::kv;
+use super::options::Options;
+use super::run::Run;
+use super::shared::{Readiness, Shared};
+use super::stream::Stream;
+use crate::http::{Listener, Refusal, Stop, Target, answer, close, fail, read_json};
+
+/// a running engine; stops on drop
+#[derive(Debug)]
+pub struct Server {
+    listener: Listener,
+    shared: Arc<Shared>,
+    steps: Option<JoinHandle<()>>,
+}
+
+impl Server {
+    /// starts an engine
+    pub fn start(options: Options) -> io::Result<Self> {
+        let stop = Stop::default();
+        let listen = options.listen.clone();
+        let shared = Arc::new(Shared::new(options, stop.clone()));
+        let handler = Arc::clone(&shared);
+        let handle = move |request| route(&handler, request);
+        let listener = Listener::start(&listen, &stop, handle)?;
+        let stepper = Arc::clone(&shared);
+        let steps = thread::Builder::new()
+            .name("steps".to_owned())
+            .spawn(move || stepper.run_steps())?;
+        Ok(Self {
+            listener,
+            shared,
+            steps: Some(steps),
+        })
+    }
+
+    /// where it listens
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// blocks until a reclaim or [`Server::kill`] ends it
+    pub fn wait(&self) {
+        self.shared.stop.wait();
+    }
+
+    /// ends it at once, as a reclaim does
+    pub fn kill(&self) {
+        self.shared.stop.set();
+    }
+
+    /// gives a reclaim notice; it dies after `time`
+    pub fn notice(&self, time: Duration) {
+        give_notice(&self.shared, time);
+    }
+
+    /// replaces the faults
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.set_faults(faults);
+    }
+
+    /// everything it ran
+    pub fn record(&self) -> Vec<Run> {
+        self.shared.batch().record()
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.shared.stop.set();
+        if let Some(steps) = self.steps.take() {
+            let _ = steps.join();
+        }
+    }
+}
+
+fn route(shared: &Arc<Shared>, request: Request) {
+    let Some(target) = Target::of(&request) else {
+        return fail(400, "malformed", "the path can't be parsed", true).send(request);
+    };
+    let method = request.method().clone();
+    match (method, target.segments().as_slice()) {
+        (Method::Post, ["v1", "completions"]) => complete(shared, request),
+        (Method::Get, ["v1", "streams", id]) => {
+            let from = target.query("from").unwrap_or(0);
+            with_stream(shared, request, id, |stream, request| {
+                feed(shared, &stream, request, from);
+            });
+        }
+        (Method::Delete, ["v1", "streams", id]) => cancel(shared, request, id),
+        (Method::Get, ["v1", "kv", id]) => {
+            with_stream(shared, request, id, |stream, request| {
+                kv::export(shared, &stream, request);
+            });
+        }
+        (Method::Post, ["v1", "kv", "import"]) => import(shared, request),
+        (Method::Get, ["v1", "load"]) => answer(request, 200, &shared.load()),
+        (Method::Get, ["v1", "events"]) => {
+            let events = shared
+                .batch()
+                .events()
+                .since(target.query("since").unwrap_or(0));
+            answer(request, 200, &events);
+        }
+        (Method::Get, ["v1", "orders"]) => answer(request, 200, &shared.order()),
+        (Method::Put, ["v1", "orders"]) => order(shared, request),
+        (method, ["control", action]) => control(shared, request, &method, action),
+        _ => fail(404, "unknown_path", "there is no such path", true).send(request),
+    }
+}
+
+fn control(shared: &Arc<Shared>, mut request: Request, method: &Method, action: &str) {
+    match (method, action) {
+        (Method::Post, "notice") => match read_json::<Notice>(&mut request) {
+            Ok(notice) => {
+                give_notice(shared, Duration::from_secs_f64(notice.seconds.max(0.0)));
+                answer(request, 200, &notice);
+            }
+            Err(refusal) => refusal.send(request),
+        },
+        (Method::Post, "faults") => match read_json::<Faults>(&mut request) {
+            Ok(faults) => {
+                shared.set_faults(faults);
+                answer(request, 200, &faults);
+            }
+            Err(refusal) => refusal.send(request),
+        },
+        (Method::Get, "record") => {
+            let record = shared.batch().record();
+            answer(request, 200, &record);
+        }
+        _ => fail(404, "unknown_path", "there is no such control", true).send(request),
+    }
+}
+
+fn complete(shared: &Arc<Shared>, mut request: Request) {
+    let completion = match read_json::<Completion>(&mut request) {
+        Ok(completion) => completion,
+        Err(refusal) => return refusal.send(request),
+    };
+    if take(&mut shared.faults().fail_before) {
+        return close(request);
+    }
+    let from = completion.prior.len() as u32;
+    match submit(shared, completion) {
+        Ok(stream) if take(&mut shared.faults().fail_after) => {
+            let reader = stream.attach();
+            stream.detach(reader);
+            close(request);
+        }
+        Ok(stream) => feed(shared, &stream, request, from),
+        Err(refusal) => refusal.send(request),
+    }
+}
+
+fn submit(shared: &Shared, completion: Completion) -> Result<Arc<Stream>, Refusal> {
+    if shared.faults().refuse {
+        return Err(fail(503, "refused", "the engine refuses work", true));
+    }
+    match shared.readiness(&completion.model) {
+        Readiness::Ready => {}
+        Readiness::Loading => return Err(fail(503, "loading", "a model is being loaded", true)),
+        Readiness::OtherModel => {
+            return Err(fail(404, "unknown_model", "another model is loaded", true));
+        }
+    }
+    let submitted = shared.batch().submit(completion);
+    shared.wake();
+    submitted.map_err(|rejection| match rejection {
+        Rejection::WrongPrior => fail(400, "wrong_prior", "the prior tokens are wrong", true),
+        Rejection::Known => fail(409, "known_request", "the request is known", false),
+    })
+}
+
+fn cancel(shared: &Shared, request: Request, id: &str) {
+    with_stream(shared, request, id, |stream, request| {
+        stream.cancel();
+        shared.wake();
+        answer(request, 200, &stream.last());
+    });
+}
+
+fn import(shared: &Shared, mut request: Request) {
+    match read_json::<Import>(&mut request) {
+        Ok(body) => match kv::import(shared, &body) {
+            Ok(imported) => answer(request, 200, &imported),
+            Err(message) => fail(502, "source", &message, false).send(request),
+        },
+        Err(refusal) => refusal.send(request),
+    }
+}
+
+fn order(shared: &Shared, mut request: Request) {
+    match read_json::<Order>(&mut request) {
+        Ok(order) if shared.take_order(&order) => answer(request, 200, &order),
+        Ok(_) => {
+            fail(
+                409,
+                "old_fence",
+                "the fencing number is older than the last",
+                true,
+            )
+            .send(request);
+        }
+        Err(refusal) => refusal.send(request),
+    }
+}
+
+fn with_stream<F>(shared: &Shared, request: Request, id: &str, run: F)
+where
+    F: FnOnce(Arc<Stream>, Request),
+{
+    let found = shared.batch().find(id);
+    match found {
+        Some(stream) => run(stream, request),
+        None => fail(404, "unknown_stream", "there is no such stream", true).send(request),
+    }
+}
+
+fn give_notice(shared: &Arc<Shared>, time: Duration) {
+    shared.notice();
+    let shared = Arc::clone(shared);
+    thread::spawn(move || {
+        shared.stop.wait_for(time);
+        shared.stop.set();
+    });
+}
+
+/// uses one of a counted fault up
+fn take(left: &mut u32) -> bool {
+    let some = *left > 0;
+    *left = left.saturating_sub(1);
+    some
+}
--- /dev/null
+++ b/crates/standin/src/http/mod.rs
@@ -0,0 +1,13 @@
+//! Plumbing shared by the stand-ins: listener, requests, answers, event streams.
+
+mod answer;
+mod listener;
+mod sse;
+mod stop;
+mod target;
+
+pub use answer::{Failure, Problem, Refusal, answer, close, fail, read_bytes, read_json};
+pub use listener::Listener;
+pub use sse::Sse;
+pub use stop::Stop;
+pub use target::Target;
--- /dev/null
+++ b/crates/standin/src/http/target.rs
@@ -0,0 +1,40 @@
+//! The path and query of a request.
+
+use std::str::FromStr;
+
+use tiny_http::Request;
+use url::Url;
+
+/// a parsed request target
+#[derive(Clone, Debug)]
+pub struct Target {
+    url: Url,
+}
+
+impl Target {
+    /// parses the target of a request; none if it is malformed
+    pub fn of(request: &Request) -> Option<Self> {
+        let base = Url::parse("http://standin").ok()?;
+        base.join(request.url()).ok().map(|url| Self { url })
+    }
+
+    /// whole path
+    pub fn path(&self) -> &str {
+        self.url.path()
+    }
+
+    /// parts of the path between slashes
+    pub fn segments(&self) -> Vec<&str> {
+        self.url
+            .path_segments()
+            .map(Iterator::collect)
+            .unwrap_or_default()
+    }
+
+    /// a query parameter; none if missing or malformed
+    pub fn query<T: FromStr>(&self, name: &str) -> Option<T> {
+        let mut pairs = self.url.query_pairs();
+        let (_, value) = pairs.find(|(key, _)| key == name)?;
+        value.parse().ok()
+    }
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,7 @@
-//! placeholder
+//! Starts one stand-in.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    standin::command::run()
+}
--- /dev/null
+++ b/crates/standin/src/plain/server.rs
@@ -0,0 +1,210 @@
+//! The plain service's HTTP server.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use macro_rules_attribute::apply;
+use schema::message;
+use tiny_http::{Method, Request};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::options::Options;
+use crate::http::{Listener, Stop, Target, answer, close, fail, read_bytes, read_json};
+
+/// one call that ran
+#[apply(message!)]
+pub struct Execution {
+    /// grows by one with every call, from 1
+    pub sequence: u64,
+    /// HTTP method
+    pub method: String,
+    /// path without the query
+    pub path: String,
+    /// `Idempotency-Key`; empty if there was none
+    pub key: String,
+    /// xxh3 of the body
+    pub body_hash: u64,
+    /// when it ran, milliseconds since 1970
+    pub at: u64,
+}
+
+/// body of an answer
+#[apply(message!)]
+pub struct Answer {
+    /// number of the execution
+    pub sequence: u64,
+    /// the request's body
+    pub echo: String,
+}
+
+/// body of `POST /control/faults`; replaces the faults before
+#[derive(Copy, Default)]
+#[apply(message!)]
+#[serde(default)]
+pub struct Faults {
+    /// calls run but are never answered; the connection stays open
+    pub freeze: bool,
+    /// calls are refused before they run, with `x-not-run: true`
+    pub refuse: bool,
+    /// the next calls whose connection closes before they run
+    pub close_before: u32,
+    /// the next calls that run while their connection closes without an answer
+    pub die_after: u32,
+    /// the next calls that run and are answered with status 500
+    pub error_after: u32,
+    /// time added between execution and answer, milliseconds
+    pub slow_ms: u64,
+}
+
+/// a running plain service; stops on drop
+#[derive(Debug)]
+pub struct Server {
+    listener: Listener,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    options: Options,
+    stop: Stop,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: Faults,
+    record: Vec<Execution>,
+}
+
+impl Server {
+    /// starts a plain service
+    pub fn start(options: Options) -> io::Result<Self> {
+        let stop = Stop::default();
+        let listen = options.listen.clone();
+        let state = Mutex::default();
+        let shared = Arc::new(Shared {
+            options,
+            stop: stop.clone(),
+            state,
+        });
+        let handler = Arc::clone(&shared);
+        let listener = Listener::start(&listen, &stop, move |request| route(&handler, request))?;
+        Ok(Self { listener, shared })
+    }
+
+    /// where it listens
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// blocks until [`Server::kill`] ends it
+    pub fn wait(&self) {
+        self.shared.stop.wait();
+    }
+
+    /// ends it at once
+    pub fn kill(&self) {
+        self.shared.stop.set();
+    }
+
+    /// replaces the faults
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.lock().faults = faults;
+    }
+
+    /// every call that ran, in order
+    pub fn record(&self) -> Vec<Execution> {
+        self.shared.lock().record.clone()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("state lock")
+    }
+
+    fn execute(&self, request: &Request, path: &str, body: &[u8]) -> u64 {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let mut state = self.lock();
+        let sequence = state.record.len() as u64 + 1;
+        state.record.push(Execution {
+            sequence,
+            method: request.method().to_string(),
+            path: path.to_owned(),
+            key: idempotency_key(request),
+            body_hash: xxh3_64(body),
+            at: since_epoch.as_millis() as u64,
+        });
+        sequence
+    }
+}
+
+fn route(shared: &Shared, mut request: Request) {
+    let Some(target) = Target::of(&request) else {
+        return fail(400, "malformed", "the path can't be parsed", true).send(request);
+    };
+    let method = request.method().clone();
+    match (method, target.path()) {
+        (Method::Get, "/control/record") => {
+            let record = shared.lock().record.clone();
+            answer(request, 200, &record);
+        }
+        (Method::Post, "/control/faults") => match read_json::<Faults>(&mut request) {
+            Ok(faults) => {
+                shared.lock().faults = faults;
+                answer(request, 200, &faults);
+            }
+            Err(refusal) => refusal.send(request),
+        },
+        (_, path) => serve(shared, request, path),
+    }
+}
+
+fn serve(shared: &Shared, mut request: Request, path: &str) {
+    let faults = shared.lock().faults;
+    if faults.refuse {
+        return fail(503, "refused", "the service refuses work", true).send(request);
+    }
+    if take(&mut shared.lock().faults.close_before) {
+        return close(request);
+    }
+    let Ok(body) = read_bytes(&mut request) else {
+        return close(request);
+    };
+    let sequence = shared.execute(&request, path, &body);
+    if faults.freeze {
+        return shared.stop.wait();
+    }
+    if take(&mut shared.lock().faults.die_after) {
+        return close(request);
+    }
+    if shared.stop.wait_for(Duration::from_millis(
+        shared.options.delay_ms + faults.slow_ms,
+    )) {
+        return close(request);
+    }
+    if take(&mut shared.lock().faults.error_after) {
+        return fail(500, "failed", "the service failed while it ran", false).send(request);
+    }
+    let echo = String::from_utf8_lossy(&body).into_owned();
+    answer(request, 200, &Answer { sequence, echo });
+}
+
+fn idempotency_key(request: &Request) -> String {
+    let mut headers = request.headers().iter();
+    let header = headers.find(|header| header.field.equiv("Idempotency-Key"));
+    header
+        .map(|header| header.value.to_string())
+        .unwrap_or_default()
+}
+
+/// uses one of a counted fault up
+fn take(left: &mut u32) -> bool {
+    let some = *left > 0;
+    *left = left.saturating_sub(1);
+    some
+}
