--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,7 @@
-//! placeholder
+//! The daemon `agateloomd`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    daemon::main()
+}
