--- /dev/null
+++ b/crates/daemon/src/vms/message.rs
@@ -0,0 +1,24 @@
+//! Messages by which a daemon pulls the list of VMs from another one.
+
+use macro_rules_attribute::apply;
+use schema::cloud::List;
+use schema::message;
+
+/// method that pulls the list
+pub const LIST: &str = "vms_list";
+
+/// asks for the list if it has changed
+#[apply(message!)]
+pub struct Ask {
+    /// hash of the list that the caller has
+    pub have: u64,
+}
+
+/// the list, or none if the caller has it
+#[apply(message!)]
+pub struct Listed {
+    /// hash of the list
+    pub hash: u64,
+    /// the list
+    pub list: Option<List>,
+}
