--- /dev/null
+++ b/crates/peer/src/fact/key.rs
@@ -0,0 +1,37 @@
+use macro_rules_attribute::apply;
+use schema::key;
+use schema::member::Fact;
+
+/// the subject of a fact
+#[apply(key!)]
+pub enum Key {
+    /// a VM that leaves
+    Leaving(String),
+    /// highest revision known
+    Revision,
+    /// revision in force on an instance
+    Applied(u64),
+    /// load as polled by an instance
+    Load(u64),
+    /// demand at an instance
+    Demand(u64),
+    /// a request that was handed over
+    Moved(String),
+    /// sums of a data centre
+    Summary(String),
+}
+
+impl Key {
+    /// the subject of a fact published by `origin`
+    pub fn of(fact: &Fact, origin: u64) -> Key {
+        match fact {
+            Fact::Leaving(leaving) => Key::Leaving(leaving.vm.clone()),
+            Fact::Revision(_) => Key::Revision,
+            Fact::Applied(_) => Key::Applied(origin),
+            Fact::Load(_) => Key::Load(origin),
+            Fact::Demand(_) => Key::Demand(origin),
+            Fact::Moved(moved) => Key::Moved(moved.request.clone()),
+            Fact::Summary(summary) => Key::Summary(summary.data_centre.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/gossip/learn.rs
@@ -0,0 +1,265 @@
+use std::time::Duration;
+
+use schema::member::{Ack, Check, Confirm, Fact, Item, News, Probe, Record, Revision, State};
+use tokio::time::Instant;
+
+use super::core::Purpose;
+use super::{Core, Message, Target};
+use crate::Notice;
+use crate::fact::{Key, Topic, life};
+use crate::member::timing::HELPERS;
+use crate::member::{Merge, Step};
+
+/// how often a claim about a member is passed on, besides pushing it
+const RECORD_REPEATS: u8 = 3;
+/// life of a revision that was learned as a number
+const REVISION_LIFE: Duration = Duration::from_secs(600);
+
+impl Core {
+    /// takes over news; `source` is the instance that told them
+    pub(super) fn learn(&mut self, news: &News, source: u64, now: Instant) {
+        for record in &news.records {
+            self.learn_record(record, source, now);
+        }
+        for item in &news.items {
+            self.learn_item(item, source, now);
+        }
+    }
+
+    /// takes over a claim about a member; false if a later one is held
+    pub(super) fn learn_record(&mut self, record: &Record, source: u64, now: Instant) -> bool {
+        let instance = record.member.instance;
+        match self.table.merge(record, now) {
+            Merge::Known => {}
+            Merge::Stale => {
+                self.queue_record(instance, 1, 0);
+                return false;
+            }
+            Merge::Refute => {
+                self.table.refute(record.incarnation, now);
+                self.announce(self.me.instance, 0);
+            }
+            Merge::News => self.record_changed(record, source, now),
+        }
+        true
+    }
+
+    fn record_changed(&mut self, record: &Record, source: u64, now: Instant) {
+        let instance = record.member.instance;
+        self.touch();
+        if !self.table.is_local(record) {
+            self.queue_record(instance, RECORD_REPEATS, source);
+            return;
+        }
+        if record.member.state == State::Gone {
+            self.prober.forget(instance);
+        } else if record.suspected {
+            self.prober.hear(instance, record.incarnation, now);
+        } else {
+            self.prober.refuted(instance, record.incarnation);
+            self.question_namesakes(record, now);
+        }
+        self.announce(instance, source);
+    }
+
+    /// probes members at the address of a new one: only one of them can be alive
+    fn question_namesakes(&mut self, record: &Record, now: Instant) {
+        let member = &record.member;
+        let namesakes: Vec<u64> = self
+            .table
+            .others()
+            .map(|other| &other.member)
+            .filter(|other| other.control == member.control && other.instance != member.instance)
+            .map(|other| other.instance)
+            .collect();
+        for namesake in namesakes {
+            let steps = self.prober.hurry(namesake, now);
+            self.follow(&steps, now);
+        }
+    }
+
+    /// pushes the claim about a member, and passes it on with probes too
+    pub(super) fn announce(&mut self, instance: u64, source: u64) {
+        self.queue_record(instance, RECORD_REPEATS, source);
+        self.urgent.push(Topic::Member(instance));
+    }
+
+    fn queue_record(&mut self, instance: u64, repeats: u8, source: u64) {
+        if let Some(entry) = self.table.get(instance) {
+            let bytes = size(&entry.record);
+            self.queue
+                .add(Topic::Member(instance), bytes, repeats, source);
+        }
+    }
+
+    /// takes over a fact
+    pub(super) fn learn_item(&mut self, item: &Item, source: u64, now: Instant) {
+        if item.origin == self.me.instance || !self.ledger.offer(item, now) {
+            return;
+        }
+        if matches!(item.fact, Fact::Summary(_)) {
+            self.touch();
+        }
+        self.notices.push(Notice {
+            origin: item.origin,
+            fact: item.fact.clone(),
+        });
+        self.pass_on(item, source);
+    }
+
+    /// passes a fact on as fast as its kind asks for
+    pub(super) fn pass_on(&mut self, item: &Item, source: u64) {
+        let topic = Topic::Fact(Key::of(&item.fact, item.origin));
+        let repeats = life::repeats(&item.fact);
+        self.queue.add(topic.clone(), size(item), repeats, source);
+        if life::is_urgent(&item.fact) {
+            self.urgent.push(topic);
+        }
+    }
+
+    /// takes over a revision that was told as a number
+    pub(super) fn learn_revision(&mut self, number: u64, source: u64, now: Instant) {
+        if number <= self.ledger.revision() {
+            return;
+        }
+        let item = Item {
+            origin: source,
+            counter: self.ledger.clock(),
+            life_ms: u64::try_from(REVISION_LIFE.as_millis()).unwrap_or(u64::MAX),
+            fact: Fact::Revision(Revision { number }),
+        };
+        self.learn_item(&item, source, now);
+    }
+
+    /// does what the membership asks for
+    pub(super) fn follow(&mut self, steps: &[Step], now: Instant) {
+        for step in steps {
+            match *step {
+                Step::Ask { target, suspected } => self.ask(target, suspected, now),
+                Step::Check { target, suspected } => self.check(target, suspected),
+                Step::Confirm { asker, target } => self.confirm(asker, target),
+                Step::Suspect(target) => {
+                    if self.table.suspect(target, now) {
+                        self.touch();
+                        self.announce(target, 0);
+                    }
+                }
+                Step::Bury(target) => self.bury(target, now),
+            }
+        }
+    }
+
+    pub(super) fn bury(&mut self, target: u64, now: Instant) {
+        self.prober.forget(target);
+        if self.table.bury(target, now) {
+            self.touch();
+            self.announce(target, 0);
+        }
+    }
+
+    pub(super) fn ask(&mut self, target: u64, suspected: Option<u64>, now: Instant) {
+        let Some(to) = self.target(target) else {
+            return;
+        };
+        let probe = Probe {
+            from: self.me.instance,
+            to: target,
+            suspected,
+            revision: self.ledger.revision(),
+            news: self.piggyback(target, now),
+        };
+        self.send(to, Message::Probe(probe), Purpose::Probe(target));
+    }
+
+    fn check(&mut self, target: u64, suspected: Option<u64>) {
+        for helper in self.sample(HELPERS, &[target]) {
+            let check = Check {
+                from: self.me.instance,
+                target,
+                suspected,
+            };
+            self.tell(helper, Message::Check(check));
+        }
+    }
+
+    fn confirm(&mut self, asker: u64, target: u64) {
+        if let Some(entry) = self.table.get(target) {
+            let record = entry.record.clone();
+            self.tell(asker, Message::Confirm(Confirm { record }));
+        }
+    }
+
+    pub(super) fn tell(&mut self, instance: u64, message: Message) {
+        if let Some(to) = self.target(instance) {
+            self.send(to, message, Purpose::Tell);
+        }
+    }
+
+    /// a probe was answered
+    pub(super) fn acked(&mut self, target: u64, ack: &Ack, now: Instant) {
+        self.learn(&ack.news, ack.instance, now);
+        self.learn_revision(ack.revision, ack.instance, now);
+        if ack.instance != target {
+            self.bury(target, now);
+            return;
+        }
+        let steps = self.prober.answered(target, ack.incarnation, now);
+        self.follow(&steps, now);
+        if ack.stranger {
+            self.introduce(target);
+        }
+    }
+
+    /// tells a member about this daemon
+    fn introduce(&mut self, instance: u64) {
+        let records = vec![self.table.own().clone()];
+        self.push_to(
+            instance,
+            News {
+                records,
+                items: Vec::new(),
+            },
+        );
+    }
+
+    /// asks the daemon at an address who it is
+    pub(super) fn join(&mut self, control: String, now: Instant) {
+        let mut news = self.piggyback(0, now);
+        news.records.push(self.table.own().clone());
+        let probe = Probe {
+            from: self.me.instance,
+            to: 0,
+            suspected: None,
+            revision: self.ledger.revision(),
+            news,
+        };
+        let to = Target {
+            instance: 0,
+            control,
+        };
+        self.send(to, Message::Probe(probe), Purpose::Join);
+    }
+
+    /// the daemon at a seed's address answered
+    pub(super) fn joined(&mut self, ack: &Ack, now: Instant) {
+        self.learn(&ack.news, ack.instance, now);
+        self.learn_revision(ack.revision, ack.instance, now);
+        let Some(entry) = self.table.get(ack.instance) else {
+            return;
+        };
+        if ack.instance == self.me.instance {
+            return;
+        }
+        if self.table.is_local(&entry.record) {
+            self.sync_with(ack.instance, now);
+        } else {
+            let data_centre = entry.record.member.data_centre.clone();
+            self.exchange_with(ack.instance, &data_centre, now);
+        }
+    }
+}
+
+/// bytes of a value as JSON
+pub(super) fn size(value: &impl serde::Serialize) -> usize {
+    serde_json::to_vec(value).map_or(0, |text| text.len())
+}
--- /dev/null
+++ b/crates/peer/src/gossip/serve.rs
@@ -0,0 +1,119 @@
+use schema::member::{Ack, Check, Confirm, News, Probe, State};
+use tokio::time::Instant;
+
+use super::{Answer, Core, Message};
+
+impl Core {
+    /// serves a call of another daemon
+    pub fn serve(&mut self, message: &Message, now: Instant) -> Answer {
+        let answer = match message {
+            Message::Probe(probe) => Answer::Ack(self.serve_probe(probe, now)),
+            Message::Check(check) => {
+                self.serve_check(check, now);
+                Answer::Done
+            }
+            Message::Confirm(confirm) => {
+                self.serve_confirm(confirm, now);
+                Answer::Done
+            }
+            Message::Push(push) => {
+                self.learn(&push.news, push.from, now);
+                Answer::Done
+            }
+            Message::Sync(digest) => Answer::Difference(self.compare(digest, now)),
+            Message::Report(report) => {
+                self.receive_report(report, now);
+                Answer::Done
+            }
+            Message::Exchange(exchange) => Answer::Exchange(self.serve_exchange(exchange, now)),
+        };
+        self.push_urgent(now);
+        answer
+    }
+
+    fn serve_probe(&mut self, probe: &Probe, now: Instant) -> Ack {
+        self.learn(&probe.news, probe.from, now);
+        self.learn_revision(probe.revision, probe.from, now);
+        let mut tell_self = probe.to != self.me.instance;
+        if let Some(suspected) = probe.suspected
+            && probe.to == self.me.instance
+        {
+            tell_self = true;
+            if suspected >= self.table.own().incarnation && !self.has_left() {
+                self.table.refute(suspected, now);
+                self.announce(self.me.instance, 0);
+            }
+        }
+        let mut news = self.piggyback(probe.from, now);
+        let stranger = self.is_stranger(probe.from, &mut news);
+        if tell_self || stranger {
+            news.records.push(self.table.own().clone());
+        }
+        Ack {
+            instance: self.me.instance,
+            incarnation: self.table.own().incarnation,
+            stranger,
+            revision: self.ledger.revision(),
+            news,
+        }
+    }
+
+    /// whether the sender has to introduce itself; tells it what is believed of it
+    fn is_stranger(&self, instance: u64, news: &mut News) -> bool {
+        match self.table.get(instance) {
+            None => true,
+            Some(entry) => {
+                let record = &entry.record;
+                let doubted = record.suspected || record.member.state == State::Gone;
+                if doubted {
+                    news.records.push(record.clone());
+                }
+                doubted
+            }
+        }
+    }
+
+    fn serve_check(&mut self, check: &Check, now: Instant) {
+        if check.target == self.me.instance {
+            return;
+        }
+        self.prober.relay(check.target, check.from, now);
+        self.ask(check.target, check.suspected, now);
+    }
+
+    fn serve_confirm(&mut self, confirm: &Confirm, now: Instant) {
+        let record = &confirm.record;
+        let instance = record.member.instance;
+        self.learn_record(record, 0, now);
+        let steps = self.prober.answered(instance, record.incarnation, now);
+        self.follow(&steps, now);
+    }
+
+    /// says that this daemon leaves: it takes no more duties and hand-overs
+    pub fn leave(&mut self, now: Instant) {
+        if self.table.own().member.state == State::Live {
+            self.declare(State::Leaving, now);
+        }
+    }
+
+    /// says that this daemon is gone, and takes part no more
+    pub fn quit(&mut self, now: Instant) {
+        self.declare(State::Gone, now);
+    }
+
+    fn declare(&mut self, state: State, now: Instant) {
+        self.table.declare(state, 0, now);
+        self.touch();
+        self.announce(self.me.instance, 0);
+        self.push_urgent(now);
+    }
+
+    /// a connection to a member broke: probes it at once
+    pub fn disconnected(&mut self, instance: u64, now: Instant) {
+        let known = self.table.others().any(|r| r.member.instance == instance);
+        if known {
+            let steps = self.prober.hurry(instance, now);
+            self.follow(&steps, now);
+        }
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,6 +6,9 @@
 //! messages over persistent connections, and [`Node`] puts both together.
 
 pub mod duty;
+pub mod fact;
+pub mod gossip;
+pub mod member;
 mod node;
 pub mod rpc;
 
