--- /dev/null
+++ b/crates/store/src/client/mod.rs
@@ -0,0 +1,11 @@
+//! Typed calls to the object API.
+
+mod calls;
+mod object;
+mod transport;
+mod watch;
+
+pub use calls::Client;
+pub use object::{List, Object, Spec};
+pub use transport::Limits;
+pub use watch::{Change, Update, Watch};
