--- a/crates/schema/src/check/declaration.rs
+++ b/crates/schema/src/check/declaration.rs
@@ -96,6 +96,7 @@
             &upstream.region,
             &rule::NAME_OR_NONE,
         );
+        report.text(&format!("{path}.class"), &upstream.class, &rule::CLASS);
         report.positive(&format!("{path}.slots"), upstream.slots.into());
         for (place, address) in upstream.addresses.iter().enumerate() {
             report.text(
--- a/crates/schema/src/check/rule.rs
+++ b/crates/schema/src/check/rule.rs
@@ -31,6 +31,11 @@
     allowed: "nothing, or 1 to 63 of a-z, 0-9 and -, with no - at either end",
 };
 
+pub(super) const CLASS: Rule = Rule {
+    holds: is_class,
+    allowed: "nothing, or up to 63 letters, digits, dots, _ and -, as the cloud names its classes",
+};
+
 pub(super) const ADDRESS: Rule = Rule {
     holds: is_address,
     allowed: "an IP number and a port, such as 10.0.0.7:8000 or [fd00::7]:8000",
@@ -82,6 +87,11 @@
         && !text.ends_with('-')
 }
 
+fn is_class(text: &str) -> bool {
+    let inner = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    text.len() <= MAX_NAME && text.chars().all(inner)
+}
+
 fn is_address(text: &str) -> bool {
     match text.parse::<SocketAddr>() {
         Ok(address) => address.port() != 0 && !address.ip().is_unspecified(),
--- /dev/null
+++ b/crates/schema/tests/check.rs
@@ -0,0 +1,275 @@
+//! Checks of declarations and settings: every fault, with its path.
+
+use proptest::prelude::*;
+use schema::check::{self, Fault};
+use schema::config::{Capacity, Declaration, Fencing, Kind, Preset, Service, Upstream, Workspace};
+use schema::text;
+
+fn sample() -> Declaration {
+    let file = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../examples/koe-no-kura.yaml"
+    );
+    let yaml = std::fs::read_to_string(file).expect("the example");
+    text::declaration(&yaml, file).expect("reads")
+}
+
+fn faults(change: impl FnOnce(&mut Declaration)) -> Vec<Fault> {
+    let mut declaration = sample();
+    change(&mut declaration);
+    check::declaration(&declaration).err().unwrap_or_default()
+}
+
+/// asserts that a change gives exactly one fault, at this path
+fn one(path: &str, change: impl FnOnce(&mut Declaration)) {
+    let faults = faults(change);
+    let paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    assert_eq!(paths, [path], "{faults:?}");
+    assert!(!faults[0].wrong.is_empty() && !faults[0].allowed.is_empty());
+}
+
+#[test]
+fn faults_of_services_have_their_paths() {
+    one("services[2].name", |d| {
+        let service = Service {
+            name: "front desk".into(),
+            ..d.services[1].clone()
+        };
+        d.services.push(service);
+    });
+    one("services[0].first_token_ms", |d| {
+        d.services[0].first_token_ms = 0
+    });
+    one("services[0].between_tokens_ms", |d| {
+        d.services[0].between_tokens_ms = 0
+    });
+    one("services[0].deadline_ms", |d| d.services[0].deadline_ms = 0);
+    one("services[0].repeatable", |d| {
+        d.services[0].repeatable = vec!["POST".into()]
+    });
+    one("services[1].repeatable[0]", |d| {
+        d.services[1].repeatable = vec!["post it".into()]
+    });
+}
+
+#[test]
+fn faults_of_upstreams_have_their_paths() {
+    one("upstreams[2].name", |d| {
+        d.upstreams[2].name = d.upstreams[0].name.clone()
+    });
+    one("upstreams[0].service", |d| {
+        d.upstreams[0].service = "nothing".into()
+    });
+    one("upstreams[0].data_centre", |d| {
+        d.upstreams[0].data_centre = String::new()
+    });
+    one("upstreams[3].region", |d| {
+        d.upstreams[3].region = "elsewhere".into()
+    });
+    one("upstreams[1].class", |d| {
+        d.upstreams[1].class = "gpu\u{7f}".into()
+    });
+    one("upstreams[1].slots", |d| d.upstreams[1].slots = 0);
+    one("upstreams[1].addresses[0]", |d| {
+        d.upstreams[1].addresses = vec!["host:80".into()]
+    });
+    one("upstreams[1].addresses[0]", |d| {
+        d.upstreams[1].addresses = vec!["10.0.0.1:0".into()]
+    });
+    one("upstreams[1].addresses[1]", |d| {
+        d.upstreams[1].addresses = vec!["10.0.0.1:80".into(), "10.0.0.1:80".into()];
+    });
+}
+
+#[test]
+fn faults_of_workspaces_have_their_paths() {
+    one("workspaces[1].name", |d| {
+        d.workspaces[1].name = d.workspaces[0].name.clone()
+    });
+    one("workspaces[1].priority", |d| d.workspaces[1].priority = 10);
+    one("workspaces[0].keys[1]", |d| {
+        d.workspaces[0].keys[1] = "secret".into()
+    });
+    one("workspaces[2].keys[0]", |d| {
+        d.workspaces[2].keys[0] = d.workspaces[0].keys[0].to_uppercase();
+    });
+    one("workspaces[0].services[0]", |d| {
+        d.workspaces[0].services[0] = "nothing".into()
+    });
+}
+
+#[test]
+fn faults_of_presets_have_their_paths() {
+    one("presets[1].name", |d| d.presets[1].name = "ordinary".into());
+    one("presets[0].admit_priority", |d| {
+        d.presets[0].admit_priority = 12
+    });
+    one("presets[0].capacity[1].service", |d| {
+        d.presets[0].capacity[1].service = "homily-models".into();
+    });
+    one("presets[0].capacity[0].floor", |d| {
+        d.presets[0].capacity[0].floor = 99
+    });
+    one("presets[0].capacity[0].load_percent", |d| {
+        d.presets[0].capacity[0].load_percent = 0
+    });
+    one("presets[0].capacity[0].on_demand_percent", |d| {
+        d.presets[0].capacity[0].on_demand_percent = 101;
+    });
+    one("preset", |d| d.preset = "quiet".into());
+}
+
+#[test]
+fn all_faults_are_reported_at_once() {
+    let faults = faults(|d| {
+        d.upstreams[0].slots = 0;
+        d.workspaces[0].priority = 77;
+        d.preset = "quiet".into();
+    });
+    let paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    assert_eq!(
+        paths,
+        ["upstreams[0].slots", "workspaces[0].priority", "preset"]
+    );
+    let text = faults[2].to_string();
+    assert!(
+        text.contains("\"quiet\"") && text.contains("ordinary, peak, maintenance"),
+        "{text}"
+    );
+}
+
+#[test]
+fn nothing_declared_is_a_fault() {
+    let faults = faults(|d| {
+        d.services.clear();
+        d.upstreams.clear();
+        d.workspaces.clear();
+        d.presets.clear();
+    });
+    let paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    assert_eq!(paths, ["services", "preset"]);
+}
+
+#[test]
+fn a_declaration_too_large_for_one_object_is_a_fault() {
+    let found = faults(|d| {
+        for number in 0..9_000 {
+            let mut workspace = d.workspaces[0].clone();
+            workspace.name = format!("workspace-{number}");
+            workspace.keys = vec![format!("{number:064x}")];
+            d.workspaces.push(workspace);
+        }
+    });
+    assert_eq!(found.len(), 1, "{:?}", found.first());
+    assert!(found[0].wrong.contains("bytes as JSON"));
+}
+
+#[test]
+fn each_fault_of_settings_has_its_path() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/daemon.yaml");
+    let yaml = std::fs::read_to_string(file).expect("the example");
+    let mut daemon = text::settings(&yaml, file).expect("reads");
+    daemon.vm = "entry 1".into();
+    daemon.listen.control = daemon.listen.callers.clone();
+    daemon.peers = vec!["entry-2:8081".into()];
+    daemon.keys.operator_file = daemon.keys.fleet_file.clone();
+    daemon.platform.objects = "https://10.0.0.1".into();
+    daemon.limits.workers = 0;
+    daemon.timing.drain_ms = 0;
+    let faults = check::settings(&daemon).expect_err("faults");
+    let paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    let expected = [
+        "vm",
+        "listen.control",
+        "peers[0]",
+        "keys.operator_file",
+        "platform.objects",
+        "limits.workers",
+        "timing.drain_ms",
+    ];
+    assert_eq!(paths, expected);
+}
+
+fn name() -> impl Strategy<Value = String> {
+    // words that YAML could take for another type are among them
+    prop_oneof![
+        "[a-z0-9]{1,8}",
+        Just("null".into()),
+        Just("true".into()),
+        Just("1e5".into())
+    ]
+}
+
+prop_compose! {
+    fn service()(name in name(), model in any::<bool>(), deadline_ms in 1..u64::MAX) -> Service {
+        let kind = if model { Kind::Model } else { Kind::Plain };
+        let repeatable = if model { vec![] } else { vec!["POST".to_owned()] };
+        Service { name, kind, first_token_ms: 1, between_tokens_ms: 2, deadline_ms, repeatable }
+    }
+}
+
+prop_compose! {
+    fn upstream(service: String)(
+        name in name(), slots in 1..u32::MAX, class in "[A-Za-z0-9._-]{0,6}", port in 1..u16::MAX, v6 in any::<bool>(),
+    ) -> Upstream {
+        let address = if v6 { format!("[::1]:{port}") } else { format!("127.0.0.1:{port}") };
+        Upstream {
+            name, class, slots, service: service.clone(), data_centre: "a".into(), region: String::new(),
+            fencing: Fencing::Checked, addresses: vec![address],
+        }
+    }
+}
+
+prop_compose! {
+    fn preset(service: String)(
+        floor in 0..5u32, more in 0..9u32, percent in 1..=100u32, hold in any::<bool>(), admit in 0..=9u8,
+    ) -> Preset {
+        let capacity = Capacity {
+            service: service.clone(), floor, ceiling: floor + more, spare: more, load_percent: percent,
+            on_demand_percent: percent, hold,
+        };
+        Preset { name: "ordinary".into(), admit_priority: admit, capacity: vec![capacity] }
+    }
+}
+
+fn declaration() -> impl Strategy<Value = Declaration> {
+    service().prop_flat_map(|service| {
+        let called = service.name.clone();
+        let parts = (
+            upstream(called.clone()),
+            preset(called.clone()),
+            name(),
+            "[0-9a-f]{64}",
+        );
+        parts.prop_map(move |(upstream, preset, name, key)| {
+            let workspace = Workspace {
+                name,
+                keys: vec![key],
+                priority: 9,
+                concurrent: 1,
+                tokens_per_second: u32::MAX,
+                services: vec![called.clone()],
+            };
+            Declaration {
+                preset: preset.name.clone(),
+                presets: vec![preset],
+                services: vec![service.clone()],
+                upstreams: vec![upstream],
+                workspaces: vec![workspace],
+            }
+        })
+    })
+}
+
+proptest! {
+    #[test]
+    fn what_passes_survives_round_trips(declaration in declaration()) {
+        prop_assert_eq!(check::declaration(&declaration), Ok(()));
+        let yaml = serde_norway::to_string(&declaration).expect("YAML");
+        prop_assert_eq!(&text::declaration(&yaml, "a.yaml").expect("reads"), &declaration);
+        let json = serde_json::to_string(&declaration).expect("JSON");
+        prop_assert_eq!(&serde_json::from_str::<Declaration>(&json).expect("reads"), &declaration);
+        // JSON is YAML too
+        prop_assert_eq!(&text::declaration(&json, "a.json").expect("reads"), &declaration);
+    }
+}
