--- a/crates/schema/src/text/read.rs
+++ b/crates/schema/src/text/read.rs
@@ -6,9 +6,6 @@
 use crate::config::Declaration;
 use crate::settings::Daemon;
 
-/// path of a mistake that concerns the whole document
-const WHOLE: &str = ".";
-
 /// reads a declaration; `file` is only named in errors
 ///
 /// # Errors
@@ -43,8 +40,7 @@
     };
     let path = error.path().to_string();
     let message = plain(&inner.to_string(), &path);
-    // the scanner fails before any value is known
-    if path == WHOLE && !is_value_error(&message) {
+    if !is_value_error(&message) {
         return Error::Syntax { place, message };
     }
     Error::Value {
@@ -62,8 +58,11 @@
 
 /// the message without the path and the place, which are told apart from it
 fn plain(message: &str, path: &str) -> String {
-    let message = message.strip_prefix(path).unwrap_or(message);
-    let message = message.trim_start_matches(": ");
+    // the inner path may end above the one that was tracked
+    let message = match message.split_once(": ") {
+        Some((start, rest)) if path.starts_with(start) => rest,
+        _ => message,
+    };
     match message.rfind(" at line ") {
         Some(end) => message[..end].to_owned(),
         None => message.to_owned(),
--- a/crates/schema/tests/text.rs
+++ b/crates/schema/tests/text.rs
@@ -34,8 +34,10 @@
 fn an_unknown_key_is_told_with_the_known_ones() {
     let message = fail(&SMALL.replace("data_centre: a", "data_center: a"));
     assert!(message.starts_with("a.yaml:7:"), "{message}");
-    assert!(message.contains("upstreams[0]"), "{message}");
-    assert!(message.contains("unknown field `data_center`"), "{message}");
+    assert!(
+        message.contains(": upstreams[0].data_center: unknown field"),
+        "{message}"
+    );
     assert!(message.contains("`data_centre`"), "{message}");
 }
 
@@ -66,7 +68,7 @@
 
 #[test]
 fn broken_yaml_is_a_syntax_error_with_its_line() {
-    let text = SMALL.replace("workspaces: []", "workspaces: [");
+    let text = SMALL.replace("workspaces: []", "workspaces: []]");
     let error = text::declaration(&text, "a.yaml").expect_err("a mistake");
     let Error::Syntax { place, .. } = error else {
         panic!("{error}");
