--- /dev/null
+++ b/crates/cli/src/actions/check.rs
@@ -0,0 +1,14 @@
+//! `agateloom check`
+
+use std::path::Path;
+
+use super::declaration;
+use crate::error::Error;
+use crate::output::{self, Summary};
+use crate::settings::Settings;
+
+/// checks a declaration and counts what it declares
+pub(super) fn run(path: &Path, settings: &Settings) -> Result<String, Error> {
+    let declaration = declaration::read(path)?;
+    output::render(&Summary::of(&declaration), settings.output)
+}
--- /dev/null
+++ b/crates/cli/src/actions/declaration.rs
@@ -0,0 +1,72 @@
+//! Reads a declaration from a file, or from the files of a folder.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use schema::check;
+use schema::config::Declaration;
+use schema::text::{self, Source};
+
+use crate::error::Error;
+
+/// reads and checks a declaration
+pub(super) fn read(path: &Path) -> Result<Declaration, Error> {
+    let declaration = if path.is_dir() {
+        read_folder(path)?
+    } else {
+        read_file(path)?
+    };
+    check::declaration(&declaration).map_err(Error::Faults)?;
+    Ok(declaration)
+}
+
+fn read_file(path: &Path) -> Result<Declaration, Error> {
+    let yaml = read_text(path)?;
+    text::declaration(&yaml, &path.to_string_lossy()).map_err(Error::Text)
+}
+
+fn read_folder(folder: &Path) -> Result<Declaration, Error> {
+    let mut files = Vec::new();
+    for path in list(folder)? {
+        files.push((path.to_string_lossy().into_owned(), read_text(&path)?));
+    }
+    if files.is_empty() {
+        return Err(Error::Absent(format!(
+            "{} holds no .yaml file",
+            folder.display()
+        )));
+    }
+    let sources: Vec<Source<'_>> = files
+        .iter()
+        .map(|(file, text)| Source { file, text })
+        .collect();
+    text::parts(&sources).map_err(Error::Text)
+}
+
+/// the YAML files of a folder by name; hidden ones and folders inside are left out
+fn list(folder: &Path) -> Result<Vec<PathBuf>, Error> {
+    let failed = |error| Error::File(folder.to_owned(), error);
+    let mut paths = Vec::new();
+    for entry in fs::read_dir(folder).map_err(failed)? {
+        let path = entry.map_err(failed)?.path();
+        if path.is_file() && is_yaml(&path) {
+            paths.push(path);
+        }
+    }
+    paths.sort();
+    Ok(paths)
+}
+
+fn is_yaml(path: &Path) -> bool {
+    let hidden = path
+        .file_name()
+        .is_some_and(|name| name.to_string_lossy().starts_with('.'));
+    let known = path
+        .extension()
+        .is_some_and(|end| end == "yaml" || end == "yml");
+    known && !hidden
+}
+
+fn read_text(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|error| Error::File(path.to_owned(), error))
+}
--- /dev/null
+++ b/crates/cli/src/actions/key.rs
@@ -0,0 +1,26 @@
+//! `agateloom key new`
+
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use sha2::{Digest, Sha256};
+
+use crate::error::Error;
+use crate::output::{self, KeyPair};
+use crate::settings::Settings;
+
+/// random bytes of a key
+const KEY_BYTES: usize = 32;
+
+/// start of every key, so that a leaked one can be searched for
+const KEY_PREFIX: &str = "agl-";
+
+/// makes a key and the hash to declare for it
+pub(super) fn run(settings: &Settings) -> Result<String, Error> {
+    let mut bytes = [0; KEY_BYTES];
+    OsRng
+        .try_fill_bytes(&mut bytes)
+        .map_err(|error| Error::Failed(format!("the system gave no random bytes: {error}")))?;
+    let key = format!("{KEY_PREFIX}{}", hex::encode(bytes));
+    let sha256 = hex::encode(Sha256::digest(key.as_bytes()));
+    output::render(&KeyPair { key, sha256 }, settings.output)
+}
--- /dev/null
+++ b/crates/cli/src/args/mod.rs
@@ -0,0 +1,10 @@
+//! The command line.
+
+mod command;
+mod help;
+mod options;
+mod target;
+
+pub use command::{Command, Key, Preset, Shell};
+pub use options::{Options, options};
+pub use target::Target;
--- /dev/null
+++ b/crates/cli/src/error/exit.rs
@@ -0,0 +1,31 @@
+//! Exit codes.
+
+use std::process::ExitCode;
+
+use macro_rules_attribute::apply;
+
+/// how a command ended, for scripts
+#[apply(schema::value!)]
+#[repr(u8)]
+pub enum Exit {
+    /// done
+    Done = 0,
+    /// failed in another way
+    Failed = 1,
+    /// the command line or the settings file is wrong
+    Usage = 2,
+    /// the declaration has faults; nothing was changed
+    Refused = 3,
+    /// another change came first; nothing was changed
+    Conflict = 4,
+    /// the platform or the daemon could not be reached; nothing was changed
+    Unreachable = 5,
+    /// no answer came; the change may have been made
+    Unknown = 6,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        ExitCode::from(exit as u8)
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,7 @@
-//! placeholder
+//! `agateloom`, the operators' command-line tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- /dev/null
+++ b/crates/cli/src/output/table.rs
@@ -0,0 +1,66 @@
+//! Text in columns.
+
+/// blanks between columns
+const GAP: usize = 2;
+
+/// rows under a head, in columns as wide as their widest cell
+#[derive(Debug, Clone)]
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// a table with a head
+    #[must_use]
+    pub fn new(head: &[&str]) -> Self {
+        let head = head.iter().map(|cell| (*cell).to_owned()).collect();
+        Table { rows: vec![head] }
+    }
+
+    /// adds a row
+    pub fn row(&mut self, cells: &[&str]) {
+        let cells = cells
+            .iter()
+            .map(|cell| {
+                if cell.is_empty() {
+                    "-".to_owned()
+                } else {
+                    (*cell).to_owned()
+                }
+            })
+            .collect();
+        self.rows.push(cells);
+    }
+
+    /// whether there is no row under the head
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.len() <= 1
+    }
+
+    /// the lines
+    #[must_use]
+    pub fn text(&self) -> String {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or_default();
+        let widths: Vec<usize> = (0..columns).map(|column| self.width(column)).collect();
+        let mut lines = Vec::new();
+        for row in &self.rows {
+            let mut line = String::new();
+            for (cell, width) in row.iter().zip(&widths) {
+                line.push_str(cell);
+                let pad = width + GAP - cell.chars().count();
+                line.push_str(&" ".repeat(pad));
+            }
+            lines.push(line.trim_end().to_owned());
+        }
+        lines.join("\n")
+    }
+
+    fn width(&self, column: usize) -> usize {
+        let cells = self.rows.iter().filter_map(|row| row.get(column));
+        cells
+            .map(|cell| cell.chars().count())
+            .max()
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/cli/src/output/trace.rs
@@ -0,0 +1,38 @@
+//! The hops of a request, for people.
+
+use schema::operator::Trace;
+
+use super::render::Render;
+use super::table::Table;
+
+impl Render for Trace {
+    fn text(&self) -> String {
+        let start = self
+            .spans
+            .iter()
+            .map(|span| span.start_us)
+            .min()
+            .unwrap_or_default();
+        let mut table = Table::new(&["AFTER", "TOOK", "DAEMON", "SPAN", "NOTE"]);
+        for span in &self.spans {
+            table.row(&[
+                &milliseconds(span.start_us - start),
+                &milliseconds(span.duration_us),
+                &span.daemon,
+                &span.name,
+                &span.note,
+            ]);
+        }
+        let mut text = format!("request {}\n{}", self.id, table.text());
+        if !self.missing.is_empty() {
+            let names = self.missing.join(", ");
+            text.push_str(&format!("\nspans may be missing, no answer from: {names}"));
+        }
+        text
+    }
+}
+
+/// microseconds in milliseconds with one decimal
+fn milliseconds(us: u64) -> String {
+    format!("{}.{} ms", us / 1000, us % 1000 / 100)
+}
--- /dev/null
+++ b/crates/cli/src/run.rs
@@ -0,0 +1,47 @@
+//! From the command line to the exit code.
+
+use std::process::ExitCode;
+
+use bpaf::{Args, ParseFailure};
+
+use crate::actions;
+use crate::args::{Command, options};
+use crate::error::{Error, Exit};
+use crate::output;
+use crate::settings::Settings;
+
+/// width of help and messages, columns
+const WIDTH: usize = 100;
+
+/// runs the command that the process was started with
+#[must_use]
+pub fn run() -> ExitCode {
+    let options = match options().run_inner(Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => return report_usage(&failure),
+    };
+    let target = options.target.over(options.command.target());
+    match execute(&options.command, &target) {
+        Ok(text) => {
+            output::print(&text);
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("agateloom: {error}");
+            error.exit().into()
+        }
+    }
+}
+
+fn execute(command: &Command, target: &crate::args::Target) -> Result<String, Error> {
+    let settings = Settings::load(target)?;
+    actions::run(command, &settings)
+}
+
+fn report_usage(failure: &ParseFailure) -> ExitCode {
+    failure.print_message(WIDTH);
+    match failure {
+        ParseFailure::Stderr(_) => Exit::Usage.into(),
+        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
+    }
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -12,4 +12,4 @@
 pub mod method;
 pub mod text;
 
-pub use generated::{cloud, config, engine, failure, journal, operator, settings};
+pub use generated::{client, cloud, config, engine, failure, journal, operator, settings};
