--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod method;
 pub mod text;
 
+pub use generated::client;
 pub use generated::cloud;
 pub use generated::config;
 pub use generated::engine;
