--- /dev/null
+++ b/crates/daemon/src/app.rs
@@ -0,0 +1,199 @@
+//! The daemon from its settings to its end.
+
+use std::fs;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, Sender, bounded};
+use engine::{Client, Pace};
+use entry::{Bounds, Builder, Context, Driver, Job, Server, handover};
+use jsonrpsee::RpcModule;
+use peer::Node;
+use route::table::{Place, Table};
+use schema::member::Leaving;
+use schema::settings::Daemon;
+use store::claim::Claims;
+use tokio::runtime::{self, Runtime};
+
+use crate::args::Args;
+use crate::config::{Follower, Keeper};
+use crate::error::Error;
+use crate::load::{Poller, Spread};
+use crate::operator::{self, Parts};
+use crate::vms::{Notices, Reader};
+use crate::{logs, secret, share, stop, sweep};
+
+/// threads of the runtime that carries peers and timers
+const RUNTIME_THREADS: usize = 2;
+/// reasons to stop that wait
+const STOPS: usize = 4;
+
+/// clients of the platform
+struct Platform {
+    objects: store::Client,
+    cloud: fleet::cloud::Client,
+}
+
+/// reads the settings and runs the daemon until it is told to stop
+///
+/// # Errors
+/// When the settings are wrong or something can't be started.
+pub fn run(args: &Args) -> Result<(), Error> {
+    let text = fs::read_to_string(&args.settings)
+        .map_err(|error| Error::File(args.settings.clone(), error))?;
+    let name = args.settings.display().to_string();
+    let settings =
+        schema::text::settings(&text, &name).map_err(|error| Error::Settings(error.to_string()))?;
+    if let Err(faults) = schema::check::settings(&settings) {
+        let lines: Vec<String> = faults
+            .iter()
+            .map(|fault| format!("{name}: {fault}"))
+            .collect();
+        return Err(Error::Settings(lines.join("\n")));
+    }
+    if args.check {
+        println!("{name}: the settings are right");
+        return Ok(());
+    }
+    logs::start(&settings.log)?;
+    serve(&settings)
+}
+
+fn serve(settings: &Daemon) -> Result<(), Error> {
+    let runtime = runtime()?;
+    let bounds = Bounds {
+        body_bytes: settings.limits.body_bytes,
+        header_bytes: settings.limits.header_bytes,
+    };
+    let server = Server::bind(&settings.listen.callers, bounds).map_err(Error::Server)?;
+    let slot: handover::Slot = Arc::new(OnceLock::new());
+    let parts: operator::Slot = Arc::new(OnceLock::new());
+    let node = node(settings, &server, &runtime, methods(&slot, &parts))?;
+    let platform = platform(settings)?;
+    let (jobs, queue) = bounded(settings.limits.waiting as usize);
+    let context = Arc::new(context(settings, node, &platform, jobs, &runtime));
+    if slot.set(Arc::clone(&context)).is_err() {
+        tracing::error!(event = "context_set_twice");
+    }
+    let (stops, reasons) = bounded(STOPS);
+    let threads = || start_threads(settings, &context, &platform, &queue, &stops);
+    let started = threads().map_err(Error::System)?;
+    if parts.set(started).is_err() {
+        tracing::error!(event = "parts_set_twice");
+    }
+    let limits = &settings.limits;
+    server
+        .start(&context, limits.workers, limits.waiting)
+        .map_err(Error::Server)?;
+    stop::on_signals(&context, &stops).map_err(Error::System)?;
+    tracing::info!(event = "started", vm = settings.vm, callers = %server.address());
+    stop::wait(
+        &context,
+        &reasons,
+        Duration::from_millis(settings.timing.drain_ms),
+    );
+    tracing::info!(event = "stopped", vm = settings.vm);
+    Ok(())
+}
+
+fn runtime() -> Result<Runtime, Error> {
+    let mut builder = runtime::Builder::new_multi_thread();
+    builder.worker_threads(RUNTIME_THREADS).enable_all();
+    builder.build().map_err(Error::System)
+}
+
+fn methods(slot: &handover::Slot, parts: &operator::Slot) -> RpcModule<()> {
+    let mut module = RpcModule::new(());
+    module
+        .merge(handover::methods(slot))
+        .expect("the names are distinct");
+    module
+        .merge(operator::methods(parts))
+        .expect("the names are distinct");
+    module
+}
+
+fn node(
+    settings: &Daemon,
+    server: &Server,
+    runtime: &Runtime,
+    methods: RpcModule<()>,
+) -> Result<Node, Error> {
+    let fleet_key = secret::read(&settings.keys.fleet_file)?;
+    let operator_key = secret::read(&settings.keys.operator_file)?;
+    let node = peer::Settings::new(&settings.vm, &settings.data_centre)
+        .region(&settings.region)
+        .control(&settings.listen.control)
+        .callers(&server.address().to_string())
+        .seeds(&settings.peers)
+        .fleet_key(&fleet_key)
+        .operator_key(&operator_key);
+    runtime
+        .block_on(Node::start(node, methods))
+        .map_err(Error::Node)
+}
+
+fn platform(settings: &Daemon) -> Result<Platform, Error> {
+    let token = match &settings.platform.token_file {
+        Some(path) => secret::read(path)?,
+        None => String::new(),
+    };
+    Ok(Platform {
+        objects: store::Client::new(&settings.platform.objects, &token),
+        cloud: fleet::cloud::Client::new(&settings.platform.cloud),
+    })
+}
+
+fn context(
+    settings: &Daemon,
+    node: Node,
+    platform: &Platform,
+    jobs: Sender<Job>,
+    runtime: &Runtime,
+) -> Context {
+    let _runtime = runtime.enter();
+    let timing = &settings.timing;
+    let engines = Client::new(Pace {
+        connect: Duration::from_millis(timing.connect_ms),
+        silence: Duration::from_millis(timing.silence_ms),
+        plain: Duration::from_millis(timing.plain_ms),
+    });
+    let place = Place {
+        data_centre: settings.data_centre.clone(),
+        region: settings.region.clone(),
+    };
+    let claims = Claims::start(platform.objects.clone(), store::claim::Options::default());
+    let routes = Table::new(place, settings.policy);
+    Builder::new(node, routes, engines, claims, jobs).build(runtime.handle().clone())
+}
+
+fn start_threads(
+    settings: &Daemon,
+    context: &Arc<Context>,
+    platform: &Platform,
+    jobs: &Receiver<Job>,
+    stops: &Sender<Leaving>,
+) -> std::io::Result<Parts> {
+    Driver::start(context, jobs, settings.limits.workers)?;
+    let keeper = Arc::new(Keeper::new(Arc::clone(context)));
+    Follower::start(
+        Arc::clone(context),
+        Arc::clone(&keeper),
+        platform.objects.clone(),
+    )?;
+    let reader = Reader::start(Arc::clone(context), platform.cloud.clone())?;
+    Notices::start(Arc::clone(context), platform.cloud.clone(), stops.clone())?;
+    Poller::start(context, Duration::from_millis(settings.timing.poll_ms))?;
+    Spread::start(Arc::clone(context))?;
+    share::start(Arc::clone(context))?;
+    sweep::start(
+        Arc::clone(context),
+        Duration::from_secs(settings.limits.keep_seconds),
+    )?;
+    Ok(Parts {
+        context: Arc::clone(context),
+        keeper,
+        reader,
+        stop: stops.clone(),
+    })
+}
--- a/crates/daemon/src/config/follow.rs
+++ b/crates/daemon/src/config/follow.rs
@@ -12,8 +12,8 @@
 use schema::member::Fact;
 use store::config::{Revision, Watcher};
 
-use super::message::{PULL, Pull, Pulled};
 use super::Keeper;
+use super::message::{PULL, Pull, Pulled};
 
 /// duty of following the object API
 pub const DUTY: &str = "config";
@@ -49,9 +49,17 @@
     ) -> std::io::Result<()> {
         let (sender, revisions) = bounded(WAITING);
         let facts = context.node.facts();
-        let mut follower = Follower { context, keeper, client, sender, watcher: None };
+        let mut follower = Follower {
+            context,
+            keeper,
+            client,
+            sender,
+            watcher: None,
+        };
         let builder = thread::Builder::new().name("config".to_owned());
-        builder.spawn(move || follower.run(&revisions, &facts)).map(drop)
+        builder
+            .spawn(move || follower.run(&revisions, &facts))
+            .map(drop)
     }
 
     fn run(&mut self, revisions: &Receiver<Arc<Revision>>, facts: &Receiver<Notice>) {
@@ -123,7 +131,9 @@
 
     fn pull_from(&self, member: &Member, have: u64) -> bool {
         let answer: Result<Pulled, _> =
-            self.context.node.call_blocking(member, PULL, &Pull { have }, PULL_TIMEOUT);
+            self.context
+                .node
+                .call_blocking(member, PULL, &Pull { have }, PULL_TIMEOUT);
         match answer {
             Ok(pulled) => self.keeper.take(pulled),
             Err(error) => {
@@ -138,7 +148,9 @@
         let me = self.context.node.me().instance;
         let members = self.context.node.members();
         let mut rng = rand::rng();
-        let told = members.iter().find(|member| Some(member.instance) == teller);
+        let told = members
+            .iter()
+            .find(|member| Some(member.instance) == teller);
         let mut near = self.context.node.local();
         near.retain(|member| member.instance != me);
         let others: Vec<&Member> = members.iter().filter(|m| m.instance != me).collect();
--- a/crates/daemon/src/config/keeper.rs
+++ b/crates/daemon/src/config/keeper.rs
@@ -27,12 +27,18 @@
 impl Keeper {
     /// keeps revisions and puts them in force in a context
     pub fn new(context: Arc<Context>) -> Keeper {
-        Keeper { context, kept: Mutex::default() }
+        Keeper {
+            context,
+            kept: Mutex::default(),
+        }
     }
 
     /// number of the newest revision; 0 for none
     pub fn number(&self) -> u64 {
-        self.kept().newest.as_ref().map_or(0, |revision| revision.number())
+        self.kept()
+            .newest
+            .as_ref()
+            .map_or(0, |revision| revision.number())
     }
 
     /// puts a revision in force and tells of it; one that is not newer is ignored
@@ -58,7 +64,11 @@
         self.context.node.publish(Fact::Revision(Number { number }));
         self.context.node.publish(Fact::Applied(Applied { number }));
         self.context.stage.advance(Phase::Serving);
-        tracing::info!(event = "config_in_force", revision = number, preset = revision.declaration.preset);
+        tracing::info!(
+            event = "config_in_force",
+            revision = number,
+            preset = revision.declaration.preset
+        );
         true
     }
 
@@ -71,12 +81,18 @@
         if newest.number() <= pull.have {
             return Pulled::Nothing;
         }
-        let first = kept.changes.iter().position(|change| change.from == pull.have);
+        let first = kept
+            .changes
+            .iter()
+            .position(|change| change.from == pull.have);
         if let Some(first) = first {
             return Pulled::Changes(kept.changes.iter().skip(first).cloned().collect());
         }
         let document = newest.document().clone();
-        Pulled::Body(Body { edit: newest.edit.clone(), document })
+        Pulled::Body(Body {
+            edit: newest.edit.clone(),
+            document,
+        })
     }
 
     /// takes in the answer to an own pull; false when it does not fit
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -8,6 +8,6 @@
 mod keeper;
 mod message;
 
-pub use follow::Follower;
+pub use follow::{DUTY, FOLLOWERS, Follower};
 pub use keeper::Keeper;
-pub use message::{Pull, Pulled};
+pub use message::{PULL, Pull};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod secret;
 mod share;
 mod stop;
+mod sweep;
 mod vms;
 
 use std::process::ExitCode;
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -15,5 +15,7 @@
         .map_err(|error| Error::Settings(format!("The log filter is wrong: {error}.")))?;
     let lines = tracing_logfmt::builder().with_target(false).layer();
     let registry = tracing_subscriber::registry().with(filter).with(lines);
-    registry.try_init().map_err(|error| Error::Settings(error.to_string()))
+    registry
+        .try_init()
+        .map_err(|error| Error::Settings(error.to_string()))
 }
--- /dev/null
+++ b/crates/daemon/src/sweep.rs
@@ -0,0 +1,30 @@
+//! Forgetting of requests that ended, were left, or were never asked for again.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use entry::Context;
+use tokio::time::Instant;
+
+/// period of sweeping
+const PERIOD: Duration = Duration::from_millis(500);
+/// time after which a request that nobody reads is cancelled
+const ABANDONED: Duration = Duration::from_secs(10);
+
+/// starts to sweep
+///
+/// # Errors
+/// When the thread can't be started.
+pub fn start(context: Arc<Context>, keep: Duration) -> std::io::Result<()> {
+    let builder = thread::Builder::new().name("sweep".to_owned());
+    let run = move || loop {
+        let now = Instant::now();
+        for journal in context.journals.sweep(ABANDONED, keep, now) {
+            tracing::info!(event = "abandoned", request = journal.origin.id);
+        }
+        context.standby.sweep(now);
+        thread::sleep(PERIOD);
+    };
+    builder.spawn(run).map(drop)
+}
--- a/crates/daemon/src/vms/mod.rs
+++ b/crates/daemon/src/vms/mod.rs
@@ -7,7 +7,7 @@
 mod notices;
 mod reader;
 
-pub use message::{LIST, Listed};
+pub use message::{Ask, LIST};
 pub use notices::Notices;
 pub use reader::Reader;
 
--- a/crates/daemon/src/vms/notices.rs
+++ b/crates/daemon/src/vms/notices.rs
@@ -32,10 +32,20 @@
     ///
     /// # Errors
     /// When a thread can't be started.
-    pub fn start(context: Arc<Context>, cloud: Client, own: Sender<Leaving>) -> std::io::Result<()> {
-        let notices = Arc::new(Notices { context, cloud, own });
+    pub fn start(
+        context: Arc<Context>,
+        cloud: Client,
+        own: Sender<Leaving>,
+    ) -> std::io::Result<()> {
+        let notices = Arc::new(Notices {
+            context,
+            cloud,
+            own,
+        });
         let reading = Arc::clone(&notices);
-        thread::Builder::new().name("notices".to_owned()).spawn(move || reading.read())?;
+        thread::Builder::new()
+            .name("notices".to_owned())
+            .spawn(move || reading.read())?;
         let facts = notices.context.node.facts();
         let hear = move || {
             for Notice { fact, .. } in facts {
@@ -44,7 +54,10 @@
                 }
             }
         };
-        thread::Builder::new().name("leaving".to_owned()).spawn(hear).map(drop)
+        thread::Builder::new()
+            .name("leaving".to_owned())
+            .spawn(hear)
+            .map(drop)
     }
 
     fn read(&self) {
@@ -59,7 +72,10 @@
                     for notice in notices.notices {
                         since = since.max(notice.number);
                         let seconds = u64::from(notice.seconds);
-                        let leaving = Leaving { vm: notice.vm, seconds };
+                        let leaving = Leaving {
+                            vm: notice.vm,
+                            seconds,
+                        };
                         tracing::info!(event = "notice", vm = leaving.vm, seconds);
                         self.context.node.publish(Fact::Leaving(leaving.clone()));
                         self.act(&leaving);
--- a/crates/daemon/src/vms/reader.rs
+++ b/crates/daemon/src/vms/reader.rs
@@ -33,8 +33,15 @@
     /// # Errors
     /// When the thread can't be started.
     pub fn start(context: Arc<Context>, cloud: Client) -> std::io::Result<Arc<Reader>> {
-        let kept = Mutex::new(Listed { hash: 0, list: None });
-        let reader = Arc::new(Reader { context, cloud, kept });
+        let kept = Mutex::new(Listed {
+            hash: 0,
+            list: None,
+        });
+        let reader = Arc::new(Reader {
+            context,
+            cloud,
+            kept,
+        });
         let running = Arc::clone(&reader);
         let builder = thread::Builder::new().name("vms".to_owned());
         builder.spawn(move || running.run())?;
@@ -45,7 +52,10 @@
     pub fn answer(&self, ask: &Ask) -> Listed {
         let kept = self.kept();
         match kept.hash == ask.have {
-            true => Listed { hash: kept.hash, list: None },
+            true => Listed {
+                hash: kept.hash,
+                list: None,
+            },
             false => kept.clone(),
         }
     }
@@ -81,7 +91,10 @@
         }
         let holder = self.context.node.holders(DUTY, 1).into_iter().next()?;
         let ask = Ask { have };
-        let answer = self.context.node.call_blocking(&holder, LIST, &ask, PULL_TIMEOUT);
+        let answer = self
+            .context
+            .node
+            .call_blocking(&holder, LIST, &ask, PULL_TIMEOUT);
         match answer {
             Ok(listed) => Some(listed),
             Err(error) => {
@@ -93,7 +106,10 @@
 
     fn read_cloud(&self) -> Option<Listed> {
         match self.cloud.list() {
-            Ok(list) => Some(Listed { hash: hash(&list), list: Some(list) }),
+            Ok(list) => Some(Listed {
+                hash: hash(&list),
+                list: Some(list),
+            }),
             Err(error) => {
                 tracing::warn!(event = "vms_read_failed", %error);
                 None
--- a/crates/entry/src/call/admit.rs
+++ b/crates/entry/src/call/admit.rs
@@ -53,14 +53,26 @@
     service: &Service,
     now: Instant,
 ) -> Result<Urgency, Fault> {
-    let asked = headers.number("x-priority")?.unwrap_or(u64::from(workspace.priority));
+    let asked = headers
+        .number("x-priority")?
+        .unwrap_or(u64::from(workspace.priority));
     if asked > 9 {
-        return Err(Fault::refused(400, "header", "X-Priority must be from 0 to 9."));
+        return Err(Fault::refused(
+            400,
+            "header",
+            "X-Priority must be from 0 to 9.",
+        ));
     }
     let priority = workspace.priority.min(asked as u8);
-    let time = headers.number("x-deadline-ms")?.unwrap_or(service.deadline_ms);
+    let time = headers
+        .number("x-deadline-ms")?
+        .unwrap_or(service.deadline_ms);
     if time == 0 {
-        return Err(Fault::refused(400, "header", "X-Deadline-Ms must be above 0."));
+        return Err(Fault::refused(
+            400,
+            "header",
+            "X-Deadline-Ms must be above 0.",
+        ));
     }
     let deadline = now + Duration::from_millis(time).min(LONGEST_DEADLINE);
     Ok(Urgency { priority, deadline })
@@ -86,7 +98,10 @@
 fn choose(context: &Context, ask: &Ask<'_>, now: Instant) -> Result<Pick, Fault> {
     let mut rng = rand::rng();
     let wait = context.routes.wait(ask.service, now).unwrap_or_default();
-    let pick = context.routes.pick(ask, &mut rng, now).map_err(|refusal| fault(&refusal))?;
+    let pick = context
+        .routes
+        .pick(ask, &mut rng, now)
+        .map_err(|refusal| fault(&refusal))?;
     let call = Call {
         service: ask.service,
         priority: ask.priority,
@@ -97,7 +112,9 @@
     match context.gate.admit(&call, &mut rng, now) {
         Ok(()) => Ok(pick),
         Err(refusal) => {
-            context.routes.finish(pick.permit, route::table::Outcome::Cancelled, now);
+            context
+                .routes
+                .finish(pick.permit, route::table::Outcome::Cancelled, now);
             Err(fault(&refusal))
         }
     }
--- a/crates/entry/src/call/auth.rs
+++ b/crates/entry/src/call/auth.rs
@@ -23,7 +23,11 @@
     };
     let scheme = value.get(..SCHEME.len()).map(str::to_ascii_lowercase);
     if scheme.as_deref() != Some(SCHEME) {
-        return Err(Fault::refused(401, "key", "The header Authorization must hold a bearer key."));
+        return Err(Fault::refused(
+            401,
+            "key",
+            "The header Authorization must hold a bearer key.",
+        ));
     }
     let key = value[SCHEME.len()..].trim();
     let workspace = snapshot.workspace(key);
@@ -40,7 +44,11 @@
     name: &str,
 ) -> Result<&'a Service, Fault> {
     let Some(service) = snapshot.service(name) else {
-        return Err(Fault::refused(404, "service", format!("There is no service {name:?}.")));
+        return Err(Fault::refused(
+            404,
+            "service",
+            format!("There is no service {name:?}."),
+        ));
     };
     if workspace.services.is_empty() || workspace.services.iter().any(|allowed| allowed == name) {
         return Ok(service);
--- a/crates/entry/src/call/completion.rs
+++ b/crates/entry/src/call/completion.rs
@@ -65,11 +65,18 @@
         priority: urgency.priority,
         accepted: now,
         deadline: urgency.deadline,
-        trace: exchange.headers.get("traceparent").unwrap_or_default().to_owned(),
+        trace: exchange
+            .headers
+            .get("traceparent")
+            .unwrap_or_default()
+            .to_owned(),
     };
     let journal = Arc::new(Journal::new(origin));
     start(context, &journal)?;
-    Ok(Accepted { journal, stream: ask.stream })
+    Ok(Accepted {
+        journal,
+        stream: ask.stream,
+    })
 }
 
 /// admits a request, writes it down and gives it to the drivers
@@ -88,8 +95,14 @@
         first_token: context.first_token_of(&origin.service),
     };
     let admitted = admit::admit(context, &origin.workspace, &ask)?;
-    let note = format!("vm={} estimate_ms={}", admitted.pick.vm, admitted.pick.estimate.as_millis());
-    context.spans.add(&origin.id, &origin.trace, "admit", origin.accepted, &note);
+    let note = format!(
+        "vm={} estimate_ms={}",
+        admitted.pick.vm,
+        admitted.pick.estimate.as_millis()
+    );
+    context
+        .spans
+        .add(origin.hop(), "admit", origin.accepted, &note);
     context.earn_retry();
     context.journals.insert(journal);
     let job = Job {
--- a/crates/entry/src/call/info.rs
+++ b/crates/entry/src/call/info.rs
@@ -54,10 +54,17 @@
     for service in &snapshot.declaration.services {
         let allowed = auth::service(&snapshot, workspace, &service.name).is_ok();
         if allowed && service.kind == Kind::Model {
-            data.push(Model { id: &service.name, object: "model", owned_by: "agateloom" });
+            data.push(Model {
+                id: &service.name,
+                object: "model",
+                owned_by: "agateloom",
+            });
         }
     }
-    match serde_json::to_string(&List { object: "list", data }) {
+    match serde_json::to_string(&List {
+        object: "list",
+        data,
+    }) {
         Ok(body) => exchange.json(200, &body),
         Err(error) => exchange.fail(&Fault::refused(500, "internal", error.to_string())),
     }
--- a/crates/entry/src/call/plain.rs
+++ b/crates/entry/src/call/plain.rs
@@ -20,6 +20,7 @@
 use crate::drive;
 use crate::fault::Fault;
 use crate::http::Exchange;
+use crate::span::Hop;
 
 /// methods that may be repeated by their definition
 const REPEATABLE: [&str; 5] = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"];
@@ -95,7 +96,12 @@
         service: name,
         urgency,
         repeatable: is_repeatable(service, &exchange.method),
-        call: Call { method: &exchange.method, path: &path, headers: &headers, body: &body },
+        call: Call {
+            method: &exchange.method,
+            path: &path,
+            headers: &headers,
+            body: &body,
+        },
         trace: exchange.headers.get("traceparent").unwrap_or_default(),
         id: &id,
     };
@@ -119,6 +125,14 @@
 }
 
 impl Plain<'_> {
+    /// the request its spans belong to
+    pub(super) fn hop(&self) -> Hop<'_> {
+        Hop {
+            request: self.id,
+            trace: self.trace,
+        }
+    }
+
     /// sends the call, again where that is allowed
     pub(super) fn send(&self) -> Result<Answer, Fault> {
         let mut avoid = Vec::new();
@@ -133,12 +147,14 @@
             attempts += 1;
             let vm = admitted.pick.vm.clone();
             let result = self.attempt(admitted.pick, attempts);
-            self.context.limits.settle(admitted.permit, PLAIN_TOKENS, Instant::now());
+            self.context
+                .limits
+                .settle(admitted.permit, PLAIN_TOKENS, Instant::now());
             let failure = match result {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
-            told = verdict::combine(told, failure.verdict);
+            told = verdict::join(told, failure.verdict);
             match self.decide(&failure, attempts) {
                 Step::Reconnect => self.context.take_retry(),
                 Step::Move { after } => {
@@ -173,10 +189,16 @@
             Err(failure) => Outcome::Failed(drive::retry_failure(failure).kind),
         };
         let label = if result.is_ok() { "done" } else { "lost" };
-        self.context.metrics.attempts.with_label_values(&[self.service, label]).inc();
+        self.context
+            .metrics
+            .attempts
+            .with_label_values(&[self.service, label])
+            .inc();
         let note = format!("vm={} number={number} outcome={label}", pick.vm);
-        self.context.spans.add(self.id, self.trace, "attempt", start, &note);
-        self.context.routes.finish(pick.permit, outcome, Instant::now());
+        self.context.spans.add(self.hop(), "attempt", start, &note);
+        self.context
+            .routes
+            .finish(pick.permit, outcome, Instant::now());
         result
     }
 
@@ -185,7 +207,10 @@
             idempotent: self.repeatable,
             attempts,
             reconnects: attempts,
-            deadline_left: self.urgency.deadline.saturating_duration_since(Instant::now()),
+            deadline_left: self
+                .urgency
+                .deadline
+                .saturating_duration_since(Instant::now()),
             breaker_open: false,
             leaving: false,
             budget_wait: self.context.retry_wait(),
@@ -200,7 +225,11 @@
             Err(fault) => read::verdict_label(fault.verdict),
         };
         let labels = [self.service, self.workspace, outcome];
-        self.context.metrics.requests.with_label_values(&labels).inc();
+        self.context
+            .metrics
+            .requests
+            .with_label_values(&labels)
+            .inc();
         tracing::info!(
             event = "call",
             request = self.id,
@@ -215,7 +244,7 @@
 
 /// a refusal after earlier attempts, with what is known of them
 fn after(fault: Fault, told: Verdict) -> Fault {
-    let verdict = verdict::combine(told, fault.verdict);
+    let verdict = verdict::join(told, fault.verdict);
     fault.with_verdict(verdict)
 }
 
--- a/crates/entry/src/call/read.rs
+++ b/crates/entry/src/call/read.rs
@@ -32,7 +32,11 @@
 
     fn form(&self) -> Form<'a> {
         let origin = &self.journal.origin;
-        Form { id: &origin.id, model: &origin.service, chat: origin.chat }
+        Form {
+            id: &origin.id,
+            model: &origin.service,
+            chat: origin.chat,
+        }
     }
 
     fn usage(&self) -> Usage {
@@ -49,7 +53,11 @@
         };
         let origin = &self.journal.origin;
         let labels = [origin.service.as_str(), origin.workspace.as_str(), verdict];
-        self.context.metrics.requests.with_label_values(&labels).inc();
+        self.context
+            .metrics
+            .requests
+            .with_label_values(&labels)
+            .inc();
         let took = origin.accepted.elapsed().as_millis() as u64;
         tracing::info!(
             event = "request",
@@ -82,7 +90,9 @@
 pub(super) fn stream(context: &Context, exchange: Exchange, journal: &Journal, from: u32) {
     let reader = Reader::new(context, journal);
     let id = &journal.origin.id;
-    let written = exchange.events(id).and_then(|sse| write(&reader, sse, from as usize));
+    let written = exchange
+        .events(id)
+        .and_then(|sse| write(&reader, sse, from as usize));
     match written {
         Ok(end) => reader.count(&end),
         Err(error) => tracing::info!(event = "caller_left", request = id, %error),
@@ -121,9 +131,8 @@
         End::Cancelled => sse.event(Some("error"), None, &cancelled().json()),
         End::Moved => {
             let id = &reader.journal.origin.id;
-            let data = format!(
-                "{{\"location\":\"/v1/requests/{id}\",\"retry_after_ms\":{REATTACH_MS}}}"
-            );
+            let data =
+                format!("{{\"location\":\"/v1/requests/{id}\",\"retry_after_ms\":{REATTACH_MS}}}");
             sse.event(Some("reattach"), None, &data);
         }
     }
--- a/crates/entry/src/call/reattach.rs
+++ b/crates/entry/src/call/reattach.rs
@@ -23,7 +23,11 @@
     match exchange.method.as_str() {
         "GET" => fetch(context, exchange, id, workspace),
         "DELETE" => cancel(context, exchange, id, workspace),
-        _ => exchange.fail(&Fault::refused(405, "method", "Requests take GET and DELETE.")),
+        _ => exchange.fail(&Fault::refused(
+            405,
+            "method",
+            "Requests take GET and DELETE.",
+        )),
     }
 }
 
@@ -73,9 +77,21 @@
     let copy = context.standby.take(id, now)?;
     let journal = Arc::new(Journal::resume(&copy, now));
     context.journals.insert(&journal);
-    context.metrics.handovers.with_label_values(&["activated"]).inc();
-    tracing::info!(event = "copy_activated", request = id, tokens = journal.count());
-    let job = Job { journal: Arc::clone(&journal), pick: None, permit: None };
+    context
+        .metrics
+        .handovers
+        .with_label_values(&["activated"])
+        .inc();
+    tracing::info!(
+        event = "copy_activated",
+        request = id,
+        tokens = journal.count()
+    );
+    let job = Job {
+        journal: Arc::clone(&journal),
+        pick: None,
+        permit: None,
+    };
     if context.submit(job).is_err() {
         context.standby.put(copy, now);
         context.journals.remove(id);
@@ -107,7 +123,9 @@
     let Some(last) = exchange.headers.get("last-event-id") else {
         return Ok(0);
     };
-    let index = last.strip_prefix(id).and_then(|rest| rest.strip_prefix(':'));
+    let index = last
+        .strip_prefix(id)
+        .and_then(|rest| rest.strip_prefix(':'));
     let index = index.and_then(|index| index.parse::<u32>().ok());
     let message = "Last-Event-ID must be the id of an event of this request.";
     let index = index.ok_or_else(|| Fault::refused(400, "header", message))?;
--- a/crates/entry/src/call/remote.rs
+++ b/crates/entry/src/call/remote.rs
@@ -16,7 +16,13 @@
 /// header that marks a call passed on by a daemon, so that it is not passed on again
 pub(super) const HOP: &str = "x-agateloom-hop";
 /// headers passed on
-const PASSED: [&str; 5] = ["authorization", "accept", "last-event-id", "traceparent", "accept-encoding"];
+const PASSED: [&str; 5] = [
+    "authorization",
+    "accept",
+    "last-event-id",
+    "traceparent",
+    "accept-encoding",
+];
 /// longest wait for a connection to a daemon
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// longest silence of a daemon's answer as events; it sends a comment every second
@@ -44,10 +50,16 @@
 
 fn call(exchange: &Exchange, member: &Member) -> attohttpc::Result<Response> {
     let query = if exchange.query.is_empty() { "" } else { "?" };
-    let url = format!("http://{}{}{query}{}", member.callers, exchange.path, exchange.query);
+    let url = format!(
+        "http://{}{}{query}{}",
+        member.callers, exchange.path, exchange.query
+    );
     let method = Method::from_bytes(exchange.method.as_bytes()).unwrap_or(Method::GET);
     let streamed = exchange.headers.get("last-event-id").is_some()
-        || exchange.headers.get("accept").is_some_and(|a| a.contains("text/event-stream"))
+        || exchange
+            .headers
+            .get("accept")
+            .is_some_and(|a| a.contains("text/event-stream"))
         || exchange.query.contains("stream=true");
     let mut request = RequestBuilder::new(method, url)
         .proxy_settings(attohttpc::ProxySettings::builder().build())
@@ -72,7 +84,9 @@
             Some(Header::new(*name, value))
         })
         .collect();
-    let events = headers.iter().any(|header| header.value == "text/event-stream");
+    let events = headers
+        .iter()
+        .any(|header| header.value == "text/event-stream");
     let (_, _, reader) = answer.split();
     if events {
         return stream(exchange, id, reader);
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -71,9 +71,21 @@
 }
 
 impl Builder {
-    /// starts with the node and the queue of the drivers
-    pub fn new(node: Node, routes: Table, jobs: Sender<Job>) -> BuilderNeedsClients {
-        BuilderNeedsClients { node, routes, jobs }
+    /// starts with the node, the table of VMs, the clients, and the drivers' queue
+    pub fn new(
+        node: Node,
+        routes: Table,
+        engines: Client,
+        claims: Claims,
+        jobs: Sender<Job>,
+    ) -> Builder {
+        Builder {
+            routes,
+            engines,
+            node,
+            claims,
+            jobs,
+        }
     }
 
     /// builds the context on a runtime
@@ -98,21 +110,6 @@
     }
 }
 
-/// a [`Builder`] that still needs its clients
-pub struct BuilderNeedsClients {
-    node: Node,
-    routes: Table,
-    jobs: Sender<Job>,
-}
-
-impl BuilderNeedsClients {
-    /// adds the clients of upstreams and of the object API
-    pub fn clients(self, engines: Client, claims: Claims) -> Builder {
-        let BuilderNeedsClients { node, routes, jobs } = self;
-        Builder { routes, engines, node, claims, jobs }
-    }
-}
-
 impl Context {
     /// puts a revision in force; an older one than that in force is ignored
     pub fn configure(&self, snapshot: Snapshot) -> bool {
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -45,8 +45,16 @@
     let kept = handover::hand_over(context, &open);
     wait_for_readers(context, Instant::now() + READERS);
     let handed_over = (open.len() - kept.len()) as u32;
-    let lost = kept.iter().filter(|journal| journal.ended().is_none()).count() as u32;
-    tracing::info!(event = "drained", handed_over, lost, took_ms = start.elapsed().as_millis() as u64);
+    let lost = kept
+        .iter()
+        .filter(|journal| journal.ended().is_none())
+        .count() as u32;
+    tracing::info!(
+        event = "drained",
+        handed_over,
+        lost,
+        took_ms = start.elapsed().as_millis() as u64
+    );
     Report { handed_over, lost }
 }
 
--- a/crates/entry/src/drive/attempt.rs
+++ b/crates/entry/src/drive/attempt.rs
@@ -44,13 +44,25 @@
     /// a seat for a new stream
     pub(super) fn fresh(journal: &Journal, pick: Pick, number: u32) -> Seat {
         let name = format!("{}-{number}", journal.origin.id);
-        let stream = wire::Stream { vm: pick.vm, address: pick.address, name };
-        Seat { stream, permit: Some(pick.permit), running: false }
+        let stream = wire::Stream {
+            vm: pick.vm,
+            address: pick.address,
+            name,
+        };
+        Seat {
+            stream,
+            permit: Some(pick.permit),
+            running: false,
+        }
     }
 
     /// a seat on a stream that another daemon opened
     pub(super) fn adopted(stream: wire::Stream) -> Seat {
-        Seat { stream, permit: None, running: true }
+        Seat {
+            stream,
+            permit: None,
+            running: true,
+        }
     }
 
     fn is_leaving(&self) -> bool {
@@ -68,10 +80,18 @@
         let number = journal.begin(&seat.stream);
         let address = &seat.stream.address;
         let reader = match seat.running {
-            true => context.engines.attach(address, &seat.stream.name, journal.count())?,
+            true => context
+                .engines
+                .attach(address, &seat.stream.name, journal.count())?,
             false => context.engines.open(address, &completion(journal, seat))?,
         };
-        Ok(Attempt { context, journal, number, reader, last: Instant::now() })
+        Ok(Attempt {
+            context,
+            journal,
+            number,
+            reader,
+            last: Instant::now(),
+        })
     }
 
     /// reads until the answer is whole, the stream fails, or `stop` says so
@@ -139,13 +159,21 @@
         if known == 0 {
             let accepted = self.journal.origin.accepted;
             let waited = now.saturating_duration_since(accepted).as_secs_f64();
-            metrics.first_token.with_label_values(&service).observe(waited);
+            metrics
+                .first_token
+                .with_label_values(&service)
+                .observe(waited);
             let note = format!("tokens=1 attempt={}", self.number);
             let origin = &self.journal.origin;
-            self.context.spans.add(&origin.id, &origin.trace, "first_token", accepted, &note);
+            self.context
+                .spans
+                .add(origin.hop(), "first_token", accepted, &note);
         } else {
             let waited = now.saturating_duration_since(self.last).as_secs_f64();
-            metrics.between_tokens.with_label_values(&service).observe(waited);
+            metrics
+                .between_tokens
+                .with_label_values(&service)
+                .observe(waited);
         }
         metrics.generated.inc();
         self.last = now;
@@ -154,7 +182,11 @@
 
 fn out_of_order() -> Failure {
     let verdict = schema::failure::Verdict::MayHaveRun;
-    Failure::new(engine::Kind::Garbled, verdict, "tokens are missing or out of order")
+    Failure::new(
+        engine::Kind::Garbled,
+        verdict,
+        "tokens are missing or out of order",
+    )
 }
 
 fn completion(journal: &Journal, seat: &Seat) -> schema::engine::Completion {
--- a/crates/entry/src/drive/lost.rs
+++ b/crates/entry/src/drive/lost.rs
@@ -22,7 +22,10 @@
         Kind::Status(400..=499) => retry::Kind::Caller,
         Kind::Unknown | Kind::Status(_) | Kind::Garbled => retry::Kind::Fault,
     };
-    retry::Failure { kind, verdict: failure.verdict }
+    retry::Failure {
+        kind,
+        verdict: failure.verdict,
+    }
 }
 
 /// what the caller is told when the request is given up on
--- a/crates/entry/src/drive/run.rs
+++ b/crates/entry/src/drive/run.rs
@@ -113,10 +113,18 @@
         let recomputed = u64::from(finish.usage.recomputed_tokens);
         self.context.metrics.recomputed.inc_by(recomputed);
         let journal = self.journal();
-        if journal.finish(journal.attempt(), &finish.finish_reason, Instant::now()).is_err() {
+        if journal
+            .finish(journal.attempt(), &finish.finish_reason, Instant::now())
+            .is_err()
+        {
             return self.ended(seat);
         }
-        self.release(seat, Outcome::Done { usage: finish.usage });
+        self.release(
+            seat,
+            Outcome::Done {
+                usage: finish.usage,
+            },
+        );
     }
 
     fn ended(&mut self, seat: Seat) {
@@ -128,12 +136,15 @@
     }
 
     fn lost(&mut self, seat: Seat, failure: &Failure) -> Option<Seat> {
-        self.verdict = verdict::combine(self.verdict, failure.verdict);
+        self.verdict = verdict::join(self.verdict, failure.verdict);
         let state = self.state(&seat);
         match retry::decide(&retry_failure(failure), &state) {
             Step::Reconnect => {
                 self.reconnects += 1;
-                Some(Seat { running: true, ..seat })
+                Some(Seat {
+                    running: true,
+                    ..seat
+                })
             }
             Step::Move { after } => {
                 self.context.take_retry();
@@ -158,7 +169,10 @@
             reconnects: self.reconnects,
             deadline_left: self.left(),
             breaker_open: false,
-            leaving: seat.permit.as_ref().is_some_and(|permit| permit.is_leaving()),
+            leaving: seat
+                .permit
+                .as_ref()
+                .is_some_and(|permit| permit.is_leaving()),
             budget_wait: self.context.retry_wait(),
             jitter: rand::random(),
         }
@@ -211,7 +225,7 @@
         drop(attempt);
         let note = format!("from={} to={}", seat.stream.vm, pick.vm);
         let origin = &self.journal().origin;
-        self.context.spans.add(&origin.id, &origin.trace, "move", start, &note);
+        self.context.spans.add(origin.hop(), "move", start, &note);
         match halt {
             Halt::Leaving | Halt::Lost(_) if self.journal().is_open() => {
                 self.cancel(&seat);
@@ -219,7 +233,9 @@
                 Some(Seat::fresh(self.journal(), pick, number))
             }
             halt => {
-                self.context.routes.finish(pick.permit, Outcome::Cancelled, Instant::now());
+                self.context
+                    .routes
+                    .finish(pick.permit, Outcome::Cancelled, Instant::now());
                 self.after_leaving(seat, halt)
             }
         }
@@ -262,9 +278,13 @@
             deadline: origin.deadline,
             first_token: self.context.first_token_of(&origin.service),
         };
-        let pick = self.context.routes.pick(&ask, &mut rand::rng(), start).ok()?;
+        let pick = self
+            .context
+            .routes
+            .pick(&ask, &mut rand::rng(), start)
+            .ok()?;
         let note = format!("vm={} prior={prior}", pick.vm);
-        self.context.spans.add(&origin.id, &origin.trace, "choose", start, &note);
+        self.context.spans.add(origin.hop(), "choose", start, &note);
         Some(pick)
     }
 
@@ -277,7 +297,10 @@
     }
 
     fn left(&self) -> Duration {
-        self.journal().origin.deadline.saturating_duration_since(Instant::now())
+        self.journal()
+            .origin
+            .deadline
+            .saturating_duration_since(Instant::now())
     }
 
     fn out_of_time(&self) -> bool {
@@ -291,7 +314,11 @@
     }
 
     fn cancel(&self, seat: &Seat) {
-        if let Err(error) = self.context.engines.cancel(&seat.stream.address, &seat.stream.name) {
+        if let Err(error) = self
+            .context
+            .engines
+            .cancel(&seat.stream.address, &seat.stream.name)
+        {
             tracing::debug!(event = "cancel_failed", vm = seat.stream.vm, %error);
         }
     }
@@ -317,11 +344,17 @@
         };
         let origin = &self.journal().origin;
         let labels = [origin.service.as_str(), outcome];
-        self.context.metrics.attempts.with_label_values(&labels).inc();
+        self.context
+            .metrics
+            .attempts
+            .with_label_values(&labels)
+            .inc();
         let mut note = format!("vm={} outcome={outcome}", seat.stream.vm);
         if let Halt::Lost(failure) = halt {
             note.push_str(&format!(" cause={failure:?}"));
         }
-        self.context.spans.add(&origin.id, &origin.trace, "attempt", start, &note);
+        self.context
+            .spans
+            .add(origin.hop(), "attempt", start, &note);
     }
 }
--- a/crates/entry/src/fault.rs
+++ b/crates/entry/src/fault.rs
@@ -25,12 +25,21 @@
     /// a request that was refused before anything ran
     pub fn refused(status: u16, code: &'static str, message: impl Into<String>) -> Fault {
         let verdict = Verdict::NotRun;
-        Fault { status, verdict, code, message: message.into(), retry_after: None }
+        Fault {
+            status,
+            verdict,
+            code,
+            message: message.into(),
+            retry_after: None,
+        }
     }
 
     /// a request that may have run
     pub fn unsure(status: u16, code: &'static str, message: impl Into<String>) -> Fault {
-        Fault { verdict: Verdict::MayHaveRun, ..Fault::refused(status, code, message) }
+        Fault {
+            verdict: Verdict::MayHaveRun,
+            ..Fault::refused(status, code, message)
+        }
     }
 
     /// the same with the time to come back
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -57,7 +57,9 @@
     take.expect("the name stands once");
     let locate = module.register_method(LOCATE, |params, slot, _| {
         let locate: Locate = params.one()?;
-        ready(slot).map(|context| Located { holding: holding(&context, &locate.id) })
+        ready(slot).map(|context| Located {
+            holding: holding(&context, &locate.id),
+        })
     });
     locate.expect("the name stands once");
     module
@@ -100,14 +102,22 @@
     let copy = context.standby.take(&wire.id, now);
     let journal = Arc::new(Journal::resume(wire, now));
     context.journals.insert(&journal);
-    context.metrics.handovers.with_label_values(&["taken"]).inc();
+    context
+        .metrics
+        .handovers
+        .with_label_values(&["taken"])
+        .inc();
     let origin = &journal.origin;
     let note = format!("tokens={}", journal.count());
-    context.spans.add(&origin.id, &origin.trace, "hand_over", now, &note);
+    context.spans.add(origin.hop(), "hand_over", now, &note);
     if journal.ended().is_some() {
         return true;
     }
-    let job = Job { journal, pick: None, permit: None };
+    let job = Job {
+        journal,
+        pick: None,
+        permit: None,
+    };
     if context.submit(job).is_ok() {
         return true;
     }
@@ -124,7 +134,9 @@
     for member in candidates(context, id) {
         let params = Locate { id: id.to_owned() };
         let answer: Result<Located, _> =
-            context.node.call_blocking(&member, LOCATE, &params, LOCATE_TIMEOUT);
+            context
+                .node
+                .call_blocking(&member, LOCATE, &params, LOCATE_TIMEOUT);
         let holding = match answer {
             Ok(located) => located.holding,
             Err(_) => Holding::Nothing,
@@ -140,7 +152,9 @@
 
 /// daemons that may hold a request, likeliest first
 fn candidates(context: &Context, id: &str) -> Vec<Member> {
-    let data_centre = id.split_once('.').map_or("", |(data_centre, _)| data_centre);
+    let data_centre = id
+        .split_once('.')
+        .map_or("", |(data_centre, _)| data_centre);
     let me = context.node.me().instance;
     let members = context.node.members();
     let mut near: Vec<Member> = members
@@ -188,14 +202,22 @@
     for journal in &held {
         if kept.iter().any(|kept| Arc::ptr_eq(kept, journal)) {
             journal.unhold();
-            let job = Job { journal: Arc::clone(journal), pick: None, permit: None };
+            let job = Job {
+                journal: Arc::clone(journal),
+                pick: None,
+                permit: None,
+            };
             if context.submit(job).is_err() {
                 tracing::warn!(event = "hand_over_lost", request = journal.origin.id);
             }
             continue;
         }
         journal.end(End::Moved, now);
-        context.metrics.handovers.with_label_values(&["given"]).inc();
+        context
+            .metrics
+            .handovers
+            .with_label_values(&["given"])
+            .inc();
     }
     kept
 }
@@ -208,7 +230,8 @@
         let mut broken = Vec::new();
         for member in &members {
             let (mine, others): (Vec<_>, Vec<_>) = left.into_iter().partition(|journal| {
-                successor(&members, &journal.origin.id).is_some_and(|s| s.instance == member.instance)
+                successor(&members, &journal.origin.id)
+                    .is_some_and(|s| s.instance == member.instance)
             });
             left = others;
             let refused = send_to(context, member, &mine, copy);
@@ -234,9 +257,14 @@
     for batch in batches(journals) {
         let now = Instant::now();
         let wires = batch.iter().map(|journal| journal.export(now)).collect();
-        let params = Handover { journals: wires, copy };
+        let params = Handover {
+            journals: wires,
+            copy,
+        };
         let answer: Result<Taken, _> =
-            context.node.call_blocking(member, TAKE, &params, TAKE_TIMEOUT);
+            context
+                .node
+                .call_blocking(member, TAKE, &params, TAKE_TIMEOUT);
         let taken = answer.map_or(0, |taken| taken.count as usize);
         let event = if copy { "copied" } else { "handed_over" };
         tracing::info!(event, to = member.vm, requests = batch.len(), taken);
--- a/crates/entry/src/http/exchange.rs
+++ b/crates/entry/src/http/exchange.rs
@@ -44,7 +44,14 @@
             Some((path, query)) => (path.to_owned(), query.to_owned()),
             None => (inner.url().to_owned(), String::new()),
         };
-        let exchange = Exchange { inner, method, path, query, headers, bounds };
+        let exchange = Exchange {
+            inner,
+            method,
+            path,
+            query,
+            headers,
+            bounds,
+        };
         match fault {
             Some(fault) => {
                 exchange.fail(&fault);
@@ -64,7 +71,11 @@
             let message = format!("The body is larger than {most} bytes.");
             Fault::refused(413, "body_size", message)
         };
-        if self.inner.body_length().is_some_and(|length| length as u64 > most) {
+        if self
+            .inner
+            .body_length()
+            .is_some_and(|length| length as u64 > most)
+        {
             return Err(large());
         }
         let mut body = Vec::new();
@@ -75,7 +86,11 @@
         if body.len() as u64 > most {
             return Err(large());
         }
-        if self.inner.body_length().is_some_and(|length| length != body.len()) {
+        if self
+            .inner
+            .body_length()
+            .is_some_and(|length| length != body.len())
+        {
             return Err(Fault::refused(400, "body", "The body did not come whole."));
         }
         Ok(body)
@@ -101,7 +116,8 @@
     pub fn respond(self, status: u16, headers: &[Header], body: &[u8]) {
         let mut response = Response::from_data(body).with_status_code(StatusCode(status));
         for header in headers {
-            let parsed = tiny_http::Header::from_bytes(header.name.as_bytes(), header.value.as_bytes());
+            let parsed =
+                tiny_http::Header::from_bytes(header.name.as_bytes(), header.value.as_bytes());
             if let Ok(header) = parsed {
                 response.add_header(header);
             }
--- a/crates/entry/src/http/headers.rs
+++ b/crates/entry/src/http/headers.rs
@@ -45,7 +45,10 @@
 
     /// value of a header
     pub fn get(&self, name: &str) -> Option<&str> {
-        self.0.iter().find(|header| header.name == name).map(|header| header.value.as_str())
+        self.0
+            .iter()
+            .find(|header| header.name == name)
+            .map(|header| header.value.as_str())
     }
 
     /// all headers
@@ -62,7 +65,9 @@
             return Ok(None);
         };
         let message = || format!("The header {name} must be a whole number, not {value:?}.");
-        let number = value.parse().map_err(|_| Fault::refused(400, "header", message()))?;
+        let number = value
+            .parse()
+            .map_err(|_| Fault::refused(400, "header", message()))?;
         Ok(Some(number))
     }
 
--- a/crates/entry/src/http/sse.rs
+++ b/crates/entry/src/http/sse.rs
@@ -22,14 +22,22 @@
         request: &str,
         chunked: bool,
     ) -> io::Result<Sse> {
-        let framing = if chunked { "Transfer-Encoding: chunked\r\n" } else { "Connection: close\r\n" };
+        let framing = if chunked {
+            "Transfer-Encoding: chunked\r\n"
+        } else {
+            "Connection: close\r\n"
+        };
         write!(
             writer,
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n\
              X-Request-Id: {request}\r\n{framing}\r\n"
         )?;
         writer.flush()?;
-        Ok(Sse { writer, chunked, pending: String::new() })
+        Ok(Sse {
+            writer,
+            chunked,
+            pending: String::new(),
+        })
     }
 
     /// adds an event; it leaves with the next flush
--- a/crates/entry/src/journal/record.rs
+++ b/crates/entry/src/journal/record.rs
@@ -10,6 +10,7 @@
 
 use super::End;
 use crate::lock;
+use crate::span::Hop;
 
 /// what a request asks for; fixed for its life
 #[apply(data!)]
@@ -70,10 +71,24 @@
     held: bool,
 }
 
+impl Origin {
+    /// the request its spans belong to
+    pub fn hop(&self) -> Hop<'_> {
+        Hop {
+            request: &self.id,
+            trace: &self.trace,
+        }
+    }
+}
+
 impl Journal {
     /// a new request
     pub fn new(origin: Origin) -> Journal {
-        Journal { origin, state: Mutex::default(), changed: Condvar::new() }
+        Journal {
+            origin,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        }
     }
 
     /// a request taken over from another daemon
@@ -91,14 +106,22 @@
             trace: journal.trace.clone(),
         };
         let state = State {
-            tokens: journal.tokens.iter().map(|text| text.as_str().into()).collect(),
+            tokens: journal
+                .tokens
+                .iter()
+                .map(|text| text.as_str().into())
+                .collect(),
             end: journal.finish.clone().map(End::Finished),
             attempt: journal.attempt,
             stream: journal.stream.clone(),
             unread_since: Some(now),
             ..State::default()
         };
-        Journal { origin, state: Mutex::new(state), changed: Condvar::new() }
+        Journal {
+            origin,
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+        }
     }
 
     /// what another daemon needs to go on
@@ -222,7 +245,11 @@
 
     /// tokens so far
     pub fn tokens(&self) -> Vec<String> {
-        self.state().tokens.iter().map(|text| text.to_string()).collect()
+        self.state()
+            .tokens
+            .iter()
+            .map(|text| text.to_string())
+            .collect()
     }
 
     /// the stream of the current attempt
@@ -237,7 +264,10 @@
         let waited = self.changed.wait_timeout_while(state, longest, idle);
         let (state, _) = waited.unwrap_or_else(std::sync::PoisonError::into_inner);
         let tokens = state.tokens.get(from..).unwrap_or_default().to_vec();
-        Progress { tokens, end: state.end.clone() }
+        Progress {
+            tokens,
+            end: state.end.clone(),
+        }
     }
 
     /// counts a reader in
--- a/crates/entry/src/journal/table.rs
+++ b/crates/entry/src/journal/table.rs
@@ -34,7 +34,9 @@
     /// requests that have not ended
     pub fn open(&self) -> Vec<Arc<Journal>> {
         let all: Vec<Arc<Journal>> = lock(&self.journals).values().cloned().collect();
-        all.into_iter().filter(|journal| journal.ended().is_none()).collect()
+        all.into_iter()
+            .filter(|journal| journal.ended().is_none())
+            .collect()
     }
 
     /// ends requests that nobody reads and forgets those ended long ago
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -6,8 +6,9 @@
 };
 
 /// bounds of the histogram of first tokens, seconds
-const FIRST_TOKEN_BOUNDS: [f64; 12] =
-    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.46, 0.8, 1.5, 3.0, 10.0, 60.0];
+const FIRST_TOKEN_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.46, 0.8, 1.5, 3.0, 10.0, 60.0,
+];
 /// bounds of the histogram between tokens, seconds
 const BETWEEN_BOUNDS: [f64; 10] = [0.001, 0.005, 0.01, 0.02, 0.032, 0.05, 0.1, 0.5, 2.0, 10.0];
 
@@ -46,12 +47,26 @@
     /// Never: the names are fixed and valid.
     pub fn new() -> Metrics {
         let registry = Registry::new();
-        let requests = counters("agateloom_requests_total", "requests", &["service", "workspace", "verdict"]);
-        let attempts = counters("agateloom_attempts_total", "attempts", &["service", "outcome"]);
-        let first_token =
-            histogram("agateloom_first_token_seconds", "first token", &FIRST_TOKEN_BOUNDS);
-        let between_tokens =
-            histogram("agateloom_between_tokens_seconds", "between tokens", &BETWEEN_BOUNDS);
+        let requests = counters(
+            "agateloom_requests_total",
+            "requests",
+            &["service", "workspace", "verdict"],
+        );
+        let attempts = counters(
+            "agateloom_attempts_total",
+            "attempts",
+            &["service", "outcome"],
+        );
+        let first_token = histogram(
+            "agateloom_first_token_seconds",
+            "first token",
+            &FIRST_TOKEN_BOUNDS,
+        );
+        let between_tokens = histogram(
+            "agateloom_between_tokens_seconds",
+            "between tokens",
+            &BETWEEN_BOUNDS,
+        );
         let generated = counter("agateloom_generated_tokens_total", "tokens generated");
         let recomputed = counter("agateloom_recomputed_tokens_total", "tokens computed again");
         let handovers = counters("agateloom_handovers_total", "hand-overs", &["direction"]);
@@ -107,5 +122,7 @@
 }
 
 fn register<C: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: &C) {
-    registry.register(Box::new(metric.clone())).expect("each name stands once");
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("each name stands once");
 }
--- a/crates/entry/src/openai.rs
+++ b/crates/entry/src/openai.rs
@@ -53,7 +53,9 @@
         let parsed: Body = serde_json::from_slice(body)
             .map_err(|error| bad(format!("The body is not a valid request: {error}.")))?;
         if parsed.n.is_some_and(|n| n != 1) {
-            return Err(bad("Only one answer per request is supported: n must be 1."));
+            return Err(bad(
+                "Only one answer per request is supported: n must be 1.",
+            ));
         }
         let max_tokens = parsed.max_tokens.or(parsed.max_completion_tokens);
         let max_tokens = max_tokens.unwrap_or(DEFAULT_TOKENS);
@@ -67,7 +69,13 @@
             (true, _, _) => return Err(bad("The field messages must hold at least one message.")),
         };
         let (model, stream) = (parsed.model, parsed.stream);
-        Ok(Ask { model, prompt, max_tokens, stream, chat })
+        Ok(Ask {
+            model,
+            prompt,
+            max_tokens,
+            stream,
+            chat,
+        })
     }
 }
 
@@ -102,7 +110,11 @@
     /// the counts of an answer
     pub fn new(prompt: u32, completion: u32) -> Usage {
         let total_tokens = prompt + completion;
-        Usage { prompt_tokens: prompt, completion_tokens: completion, total_tokens }
+        Usage {
+            prompt_tokens: prompt,
+            completion_tokens: completion,
+            total_tokens,
+        }
     }
 }
 
@@ -162,7 +174,10 @@
     }
 
     fn write(&self, part: Part, text: &str, finish: Option<&str>, usage: Option<Usage>) -> String {
-        let message = Delta { role: "assistant", content: text };
+        let message = Delta {
+            role: "assistant",
+            content: text,
+        };
         let (text, delta, message) = match (self.chat, part) {
             (false, _) => (Some(text), None, None),
             (true, Part::Delta) => (None, Some(message), None),
@@ -173,8 +188,20 @@
             (true, Part::Delta) => "chat.completion.chunk",
             (true, Part::Whole) => "chat.completion",
         };
-        let choice = Choice { index: 0, text, delta, message, finish_reason: finish };
-        let reply = Reply { id: self.id, object, model: self.model, choices: [choice], usage };
+        let choice = Choice {
+            index: 0,
+            text,
+            delta,
+            message,
+            finish_reason: finish,
+        };
+        let reply = Reply {
+            id: self.id,
+            object,
+            model: self.model,
+            choices: [choice],
+            usage,
+        };
         serde_json::to_string(&reply).unwrap_or_default()
     }
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -36,7 +36,9 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Error::Listen(cause) => write!(f, "The callers' address can't be listened on: {cause}."),
+            Error::Listen(cause) => {
+                write!(f, "The callers' address can't be listened on: {cause}.")
+            }
             Error::Thread(cause) => write!(f, "A thread can't be started: {cause}."),
         }
     }
@@ -63,7 +65,11 @@
         let address = listener.local_addr().map_err(listen)?;
         let inner = tiny_http::Server::from_listener(listener, None)
             .map_err(|error| Error::Listen(error.to_string()))?;
-        Ok(Server { inner: Arc::new(inner), address, bounds })
+        Ok(Server {
+            inner: Arc::new(inner),
+            address,
+            bounds,
+        })
     }
 
     /// address it listens on
@@ -81,7 +87,9 @@
             let context = Arc::clone(context);
             let receiver = receiver.clone();
             let bounds = self.bounds;
-            spawn(&format!("worker-{number}"), move || work(&context, &receiver, bounds))?;
+            spawn(&format!("worker-{number}"), move || {
+                work(&context, &receiver, bounds)
+            })?;
         }
         for number in 0..ACCEPTORS {
             let inner = Arc::clone(&self.inner);
@@ -110,7 +118,9 @@
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), Error> {
-    let builder = thread::Builder::new().name(name.to_owned()).stack_size(STACK_BYTES);
+    let builder = thread::Builder::new()
+        .name(name.to_owned())
+        .stack_size(STACK_BYTES);
     builder.spawn(run).map(drop).map_err(Error::Thread)
 }
 
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -31,7 +31,11 @@
                 }
             }
         }
-        Snapshot { revision, declaration, keys }
+        Snapshot {
+            revision,
+            declaration,
+            keys,
+        }
     }
 
     /// nothing declared yet
@@ -60,12 +64,18 @@
 
     /// the service of this name
     pub fn service(&self, name: &str) -> Option<&Service> {
-        self.declaration.services.iter().find(|service| service.name == name)
+        self.declaration
+            .services
+            .iter()
+            .find(|service| service.name == name)
     }
 
     /// the preset in force
     pub fn preset(&self) -> Option<&Preset> {
         let name = &self.declaration.preset;
-        self.declaration.presets.iter().find(|preset| &preset.name == name)
+        self.declaration
+            .presets
+            .iter()
+            .find(|preset| &preset.name == name)
     }
 }
--- a/crates/entry/src/span.rs
+++ b/crates/entry/src/span.rs
@@ -28,6 +28,15 @@
     pub note: String,
 }
 
+/// the request that a span belongs to
+#[derive(Debug, Clone, Copy)]
+pub struct Hop<'a> {
+    /// request id
+    pub request: &'a str,
+    /// W3C trace parent
+    pub trace: &'a str,
+}
+
 /// spans of the last requests, by request id
 #[derive(Debug, Default)]
 pub struct Log {
@@ -42,7 +51,7 @@
 
 impl Log {
     /// adds a span that began at `start` and ends now
-    pub fn add(&self, request: &str, trace: &str, name: &'static str, start: Instant, note: &str) {
+    pub fn add(&self, hop: Hop<'_>, name: &'static str, start: Instant, note: &str) {
         let duration = start.elapsed();
         let span = Span {
             name,
@@ -53,17 +62,21 @@
         tracing::info!(
             event = "span",
             span = name,
-            request,
-            trace = trace_id(trace),
+            request = hop.request,
+            trace = trace_id(hop.trace),
             duration_us = span.duration_us,
             detail = note,
         );
-        lock(&self.requests).add(request, span);
+        lock(&self.requests).add(hop.request, span);
     }
 
     /// spans of a request
     pub fn get(&self, request: &str) -> Vec<Span> {
-        lock(&self.requests).spans.get(request).cloned().unwrap_or_default()
+        lock(&self.requests)
+            .spans
+            .get(request)
+            .cloned()
+            .unwrap_or_default()
     }
 }
 
@@ -91,7 +104,9 @@
 }
 
 fn since_epoch() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
 }
 
 fn micros(time: Duration) -> u64 {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,3 @@
-//! placeholder
+//! Decisions on capacity, and the client of the cloud API.
+
+pub mod cloud;
