--- /dev/null
+++ b/crates/store/tests/common/mod.rs
@@ -0,0 +1,73 @@
+//! What the tests share: a stand-in of the store and a declaration.
+
+#![allow(dead_code, missing_docs)]
+
+use std::time::{Duration, Instant};
+
+use schema::config::{Declaration, Preset};
+use schema::objects::{Counts, Faults};
+use standin::objects::{Options, Server};
+use store::{Client, Limits};
+
+pub const DEADLINE: Duration = Duration::from_secs(13);
+
+pub fn server() -> Server {
+    Server::start(&Options::default()).expect("the stand-in starts")
+}
+
+pub fn client(server: &Server) -> Client {
+    let limits = Limits {
+        connect: Duration::from_secs(1),
+        call: Duration::from_secs(2),
+    };
+    Client::new(&server.url(), "").limits(limits)
+}
+
+pub fn no_faults() -> Faults {
+    Faults {
+        delay_ms: None,
+        lose_answers: None,
+        lose_percent: None,
+        outage: None,
+        seed: None,
+        silent_watches: None,
+        stale_reads: None,
+    }
+}
+
+pub fn set(server: &Server, faults: &Faults) {
+    let url = format!("{}/control/faults", server.url());
+    let body = serde_json::to_vec(faults).expect("faults are JSON");
+    let answer = attohttpc::post(url).bytes(body).send();
+    assert!(answer.expect("the stand-in answers").is_success());
+}
+
+pub fn counts(server: &Server) -> Counts {
+    let url = format!("{}/control/counts", server.url());
+    let answer = attohttpc::get(url).send().expect("the stand-in answers");
+    let bytes = answer.bytes().expect("a body");
+    serde_json::from_slice(&bytes).expect("counts")
+}
+
+pub fn declaration(preset: &str) -> Declaration {
+    let named = |name: &str| Preset {
+        name: name.to_owned(),
+        admit_priority: 0,
+        capacity: Vec::new(),
+    };
+    Declaration {
+        services: Vec::new(),
+        upstreams: Vec::new(),
+        workspaces: Vec::new(),
+        presets: vec![named("ordinary"), named("peak"), named("maintenance")],
+        preset: preset.to_owned(),
+    }
+}
+
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + DEADLINE;
+    while !holds() {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- /dev/null
+++ b/crates/store/tests/watcher.rs
@@ -0,0 +1,155 @@
+//! Following the configuration through outages, stale reads and silent connections.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::{DEADLINE, client, counts, declaration, no_faults, server, set, wait_until};
+use crossbeam::channel::{Receiver, unbounded};
+use schema::objects::Faults;
+use standin::objects::Server;
+use store::config::{Outcome, Revision, Source, Timing, Watcher, apply, use_preset};
+
+fn follow(server: &Server, timing: Timing) -> (Watcher, Receiver<Arc<Revision>>) {
+    let (sender, revisions) = unbounded();
+    let watcher = Watcher::start_with(client(server), sender, timing);
+    (watcher, revisions)
+}
+
+fn next(revisions: &Receiver<Arc<Revision>>) -> Arc<Revision> {
+    revisions
+        .recv_timeout(DEADLINE)
+        .expect("a revision within the target")
+}
+
+fn change(server: &Server, preset: &str) -> u64 {
+    let source = Source {
+        author: "ann",
+        expected: None,
+    };
+    match use_preset(&client(server), preset, source).unwrap() {
+        Outcome::Applied(edit) => edit.revision,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn declare(server: &Server) {
+    apply(&client(server), &declaration("ordinary"), Source::default()).unwrap();
+}
+
+#[test]
+fn hands_on_each_revision_as_it_comes() {
+    let server = server();
+    let (_watcher, revisions) = follow(&server, Timing::default());
+    declare(&server);
+    assert_eq!(next(&revisions).number(), 1);
+    wait_until("a watch is open", || counts(&server).open_watches == 1);
+    let begun = Instant::now();
+    let number = change(&server, "peak");
+    let seen = next(&revisions);
+    assert_eq!(
+        (seen.number(), seen.declaration.preset.as_str()),
+        (number, "peak")
+    );
+    assert!(begun.elapsed() < Duration::from_secs(1), "not by the watch");
+}
+
+#[test]
+fn never_reverts_on_stale_reads() {
+    let server = server();
+    declare(&server);
+    let timing = Timing {
+        watch: Duration::from_secs(1),
+        read: Duration::from_millis(20),
+        ..Timing::default()
+    };
+    let (_watcher, revisions) = follow(&server, timing);
+    let mut highest = next(&revisions).number();
+    for round in 0..10 {
+        set(
+            &server,
+            &Faults {
+                stale_reads: Some(0),
+                ..no_faults()
+            },
+        );
+        let preset = if round % 2 == 0 { "peak" } else { "ordinary" };
+        let number = change(&server, preset);
+        set(
+            &server,
+            &Faults {
+                stale_reads: Some(3),
+                ..no_faults()
+            },
+        );
+        while highest < number {
+            let seen = next(&revisions).number();
+            assert!(seen > highest, "{seen} after {highest}");
+            highest = seen;
+        }
+    }
+    assert!(revisions.try_recv().is_err());
+}
+
+#[test]
+fn catches_up_after_an_outage() {
+    let server = server();
+    declare(&server);
+    let (_watcher, revisions) = follow(&server, Timing::default());
+    assert_eq!(next(&revisions).number(), 1);
+    set(
+        &server,
+        &Faults {
+            outage: Some(true),
+            ..no_faults()
+        },
+    );
+    let refused = counts(&server).refused;
+    wait_until("reads are refused", || {
+        counts(&server).refused > refused + 2
+    });
+    set(
+        &server,
+        &Faults {
+            outage: Some(false),
+            ..no_faults()
+        },
+    );
+    let number = change(&server, "peak");
+    assert_eq!(next(&revisions).number(), number);
+}
+
+#[test]
+fn notices_a_silent_watch_within_the_target() {
+    let server = server();
+    declare(&server);
+    let (_watcher, revisions) = follow(&server, Timing::default());
+    assert_eq!(next(&revisions).number(), 1);
+    wait_until("a watch is open", || counts(&server).open_watches == 1);
+    set(
+        &server,
+        &Faults {
+            silent_watches: Some(true),
+            ..no_faults()
+        },
+    );
+    let number = change(&server, "peak");
+    assert_eq!(next(&revisions).number(), number);
+}
+
+#[test]
+fn outlasts_lost_answers_and_a_slow_store() {
+    let server = server();
+    declare(&server);
+    let (_watcher, revisions) = follow(&server, Timing::default());
+    assert_eq!(next(&revisions).number(), 1);
+    let faults = Faults {
+        delay_ms: Some(300),
+        lose_answers: Some(1),
+        ..no_faults()
+    };
+    set(&server, &faults);
+    let number = change(&server, "peak");
+    assert_eq!(next(&revisions).number(), number);
+}
