Add the cloud and proxy stand-ins

Cause: reclaims, refused starts, lost answers, cut and silent links have to be brought about in tests and trials. Change: `standin::cloud` (list that lags, named starts, notices, prices, bill; started VMs can run engines), `standin::proxy` (delay, shared bandwidth, cut, freeze, blackhole, lost answers) and `standin::Port`, which keeps a port for a process that is not up.

--- /dev/null
+++ b/crates/standin/src/cloud/server.rs
@@ -0,0 +1,278 @@
+//! The cloud API's HTTP server.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use schema::cloud::{Notices, Prices, Start};
+use serde::Serialize;
+use tiny_http::{Method, Request};
+
+use super::control::{Bill, Faults, Reclaim, Registration};
+use super::options::Options;
+use super::state::{Forward, Rejection, State};
+use crate::engine;
+use crate::http::{Listener, Stop, Target, answer, close, fail, read_json};
+
+/// period of the clock that makes VMs live and takes them
+const TICK: Duration = Duration::from_millis(10);
+
+/// longest wait for a notice
+const LONGEST_WAIT_MS: u64 = 60_000;
+
+/// longest wait for a VM that gets its notice passed on
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// a running cloud API; stops on drop
+#[derive(Debug)]
+pub struct Server {
+    listener: Listener,
+    shared: Arc<Shared>,
+    ticks: Option<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    stop: Stop,
+    state: Mutex<State>,
+    noticed: Condvar,
+}
+
+impl Server {
+    /// starts a cloud API
+    pub fn start(options: Options) -> io::Result<Self> {
+        Self::start_with(options, engine::Options::default())
+    }
+
+    /// starts a cloud API whose started VMs run engines with these settings
+    pub fn start_with(options: Options, engine: engine::Options) -> io::Result<Self> {
+        let stop = Stop::default();
+        let listen = options.listen.clone();
+        let state = Mutex::new(State::new(options, engine));
+        let shared = Arc::new(Shared {
+            stop: stop.clone(),
+            state,
+            noticed: Condvar::new(),
+        });
+        let handler = Arc::clone(&shared);
+        let listener = Listener::start(&listen, &stop, move |request| route(&handler, request))?;
+        let ticker = Arc::clone(&shared);
+        let ticks = thread::Builder::new()
+            .name("ticks".to_owned())
+            .spawn(move || {
+                while !ticker.stop.wait_for(TICK) {
+                    ticker.lock().advance();
+                }
+            })?;
+        Ok(Self {
+            listener,
+            shared,
+            ticks: Some(ticks),
+        })
+    }
+
+    /// where it listens
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// blocks until it stops
+    pub fn wait(&self) {
+        self.shared.stop.wait();
+    }
+
+    /// adds a VM that the caller runs itself
+    pub fn register(&self, registration: Registration) {
+        self.shared.lock().register(registration);
+    }
+
+    /// gives reclaim notices
+    pub fn reclaim(&self, reclaim: &Reclaim) {
+        self.shared.reclaim(reclaim);
+    }
+
+    /// replaces the faults
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.lock().faults = faults;
+    }
+
+    /// sets prices
+    pub fn set_prices(&self, prices: Prices) {
+        self.shared.lock().set_prices(prices);
+    }
+
+    /// what everything cost so far
+    pub fn bill(&self) -> Bill {
+        self.shared.lock().bill()
+    }
+
+    /// asks the engine of a started VM; none if there is none
+    pub fn with_engine<T>(&self, vm: &str, run: impl FnOnce(&engine::Server) -> T) -> Option<T> {
+        self.shared.lock().with_engine(vm, run)
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.shared.stop.set();
+        if let Some(ticks) = self.ticks.take() {
+            let _ = ticks.join();
+        }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("state lock")
+    }
+
+    fn reclaim(&self, reclaim: &Reclaim) {
+        let forwards = self.lock().reclaim(reclaim);
+        self.noticed.notify_all();
+        for forward in forwards {
+            thread::spawn(move || pass_on(&forward));
+        }
+    }
+
+    fn wait_notices(&self, since: u64, wait: Duration) -> Notices {
+        let none = |state: &mut State| state.notices(since).is_empty();
+        let waited = self.noticed.wait_timeout_while(self.lock(), wait, none);
+        let (state, _) = waited.expect("state lock");
+        Notices {
+            notices: state.notices(since),
+        }
+    }
+
+    /// true if the answer of a change is to be lost; uses the fault up
+    fn loses_answer(&self) -> bool {
+        let mut state = self.lock();
+        let left = state.faults.lose_answers;
+        state.faults.lose_answers = left.saturating_sub(1);
+        left > 0
+    }
+
+    /// answers a change unless its answer is to be lost
+    fn conclude<T: Serialize>(&self, request: Request, status: u16, body: &T) {
+        if self.loses_answer() {
+            return close(request);
+        }
+        answer(request, status, body);
+    }
+}
+
+fn pass_on(forward: &Forward) {
+    let notice = engine::Notice {
+        seconds: f64::from(forward.seconds),
+    };
+    let url = format!("http://{}/control/notice", forward.address);
+    let request = attohttpc::post(url).timeout(FORWARD_TIMEOUT).json(&notice);
+    if let Err(error) = request.and_then(attohttpc::RequestBuilder::send) {
+        tracing::warn!(address = forward.address, %error, "notice not passed on");
+    }
+}
+
+fn route(shared: &Shared, request: Request) {
+    let Some(target) = Target::of(&request) else {
+        return fail(400, "malformed", "the path can't be parsed", true).send(request);
+    };
+    let method = request.method().clone();
+    if let ["control", action] = target.segments().as_slice() {
+        return control(shared, request, &method, action);
+    }
+    let faults = shared.lock().faults.clone();
+    if shared.stop.wait_for(Duration::from_millis(faults.delay_ms)) {
+        return close(request);
+    }
+    if faults.outage {
+        return fail(503, "outage", "the cloud API is down", false).send(request);
+    }
+    match (method, target.segments().as_slice()) {
+        (Method::Get, ["v1", "vms"]) => {
+            let list = shared.lock().list();
+            answer(request, 200, &list);
+        }
+        (Method::Put, ["v1", "vms", name]) => start(shared, request, name),
+        (Method::Delete, ["v1", "vms", name]) => {
+            if shared.lock().remove(name) {
+                shared.conclude(request, 200, name);
+            } else {
+                fail(404, "unknown_vm", "there is no such VM", true).send(request);
+            }
+        }
+        (Method::Get, ["v1", "notices"]) => {
+            let since = target.query("since").unwrap_or(0);
+            let wait_ms = target.query("wait_ms").unwrap_or(0).min(LONGEST_WAIT_MS);
+            let notices = shared.wait_notices(since, Duration::from_millis(wait_ms));
+            answer(request, 200, &notices);
+        }
+        (Method::Get, ["v1", "prices"]) => {
+            let prices = shared.lock().prices();
+            answer(request, 200, &prices);
+        }
+        _ => fail(404, "unknown_path", "there is no such path", true).send(request),
+    }
+}
+
+fn start(shared: &Shared, mut request: Request, name: &str) {
+    let body = match read_json::<Start>(&mut request) {
+        Ok(body) => body,
+        Err(refusal) => return refusal.send(request),
+    };
+    let started = shared.lock().start(name, &body);
+    match started {
+        Ok((vm, true)) => shared.conclude(request, 201, &vm),
+        Ok((vm, false)) => shared.conclude(request, 200, &vm),
+        Err(Rejection::Capacity) => {
+            fail(503, "capacity", "there is no such VM to be had", true).send(request);
+        }
+        Err(Rejection::Different) => {
+            fail(
+                409,
+                "different",
+                "the name belongs to another kind of VM",
+                true,
+            )
+            .send(request);
+        }
+    }
+}
+
+fn control(shared: &Shared, mut request: Request, method: &Method, action: &str) {
+    match (method, action) {
+        (Method::Get, "bill") => {
+            let bill = shared.lock().bill();
+            answer(request, 200, &bill);
+        }
+        (Method::Post, "vms") => match read_json::<Registration>(&mut request) {
+            Ok(registration) => {
+                shared.lock().register(registration);
+                answer(request, 200, &());
+            }
+            Err(refusal) => refusal.send(request),
+        },
+        (Method::Post, "notice") => match read_json::<Reclaim>(&mut request) {
+            Ok(reclaim) => {
+                shared.reclaim(&reclaim);
+                answer(request, 200, &());
+            }
+            Err(refusal) => refusal.send(request),
+        },
+        (Method::Post, "prices") => match read_json::<Prices>(&mut request) {
+            Ok(prices) => {
+                shared.lock().set_prices(prices);
+                answer(request, 200, &());
+            }
+            Err(refusal) => refusal.send(request),
+        },
+        (Method::Post, "faults") => match read_json::<Faults>(&mut request) {
+            Ok(faults) => {
+                shared.lock().faults = faults;
+                answer(request, 200, &());
+            }
+            Err(refusal) => refusal.send(request),
+        },
+        _ => fail(404, "unknown_path", "there is no such control", true).send(request),
+    }
+}
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -6,7 +6,7 @@
 
 use bpaf::Bpaf;
 
-use crate::{engine, plain};
+use crate::{cloud, engine, plain, proxy};
 
 /// stand-ins of the systems that agateloom meets
 #[derive(Bpaf, Clone, Debug)]
@@ -18,6 +18,12 @@
     /// a plain service
     #[bpaf(command)]
     Plain(#[bpaf(external(plain::parser))] plain::Options),
+    /// a cloud API
+    #[bpaf(command)]
+    Cloud(#[bpaf(external(cloud::parser))] cloud::Options),
+    /// a TCP proxy
+    #[bpaf(command)]
+    Proxy(#[bpaf(external(proxy::parser))] proxy::Options),
 }
 
 /// runs the stand-in that the command line names until it ends
@@ -43,6 +49,16 @@
             announce(server.address())?;
             server.wait();
         }
+        Command::Cloud(options) => {
+            let server = cloud::Server::start(options)?;
+            announce(server.address())?;
+            server.wait();
+        }
+        Command::Proxy(options) => {
+            let server = proxy::Server::start(&options)?;
+            announce(server.address())?;
+            server.wait();
+        }
     }
     Ok(())
 }
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -81,6 +81,7 @@
 impl Drop for Server {
     fn drop(&mut self) {
         self.shared.stop.set();
+        self.shared.wake();
         if let Some(steps) = self.steps.take() {
             let _ = steps.join();
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,5 +14,7 @@
 
 mod builder;
 mod pace;
+mod port;
 
 pub use pace::Pace;
+pub use port::Port;
--- /dev/null
+++ b/crates/standin/src/port.rs
@@ -0,0 +1,42 @@
+//! A reserved TCP port.
+//!
+//! A process that learns its address from its settings needs a port that stays
+//! its own before it listens and while it is down. A socket that is bound but
+//! does not listen keeps the port from others; a listener with `SO_REUSEADDR`,
+//! the default of the usual libraries, can still take it, and a connection is
+//! refused as long as there is none.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use tokio::net::TcpSocket;
+
+/// a port of the loopback interface, free again on drop
+#[derive(Debug)]
+pub struct Port {
+    address: SocketAddr,
+    _socket: TcpSocket,
+}
+
+impl Port {
+    /// reserves any free port
+    pub fn reserve() -> io::Result<Self> {
+        Self::reserve_at((Ipv4Addr::LOCALHOST, 0).into())
+    }
+
+    /// reserves `address`; port 0 for any
+    pub fn reserve_at(address: SocketAddr) -> io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        Ok(Self {
+            address: socket.local_addr()?,
+            _socket: socket,
+        })
+    }
+
+    /// the reserved address
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
