Add the decisions on capacity, the cloud client and the steward

Cause: VMs start and go by hand. Weighed for names: service, zone and slot; but a planner that chose another zone for the slot would then get a second VM. So the zone is no part of the name: service and a slot below the ceiling, which bounds all planners together to the ceiling.

--- /dev/null
+++ b/crates/fleet/src/cloud/mod.rs
@@ -0,0 +1,11 @@
+//! The cloud API: VMs, notices and prices.
+
+mod api;
+mod client;
+mod error;
+mod transport;
+
+pub use api::Cloud;
+pub use client::Client;
+pub use error::Error;
+pub use transport::Limits;
--- /dev/null
+++ b/crates/fleet/src/cost/mod.rs
@@ -0,0 +1,5 @@
+//! What generated tokens cost.
+
+mod rate;
+
+pub use rate::{Bill, per_thousand};
--- /dev/null
+++ b/crates/fleet/src/steward/mod.rs
@@ -0,0 +1,10 @@
+//! Carries out plans against a cloud.
+
+mod act;
+mod permit;
+mod report;
+mod run;
+
+pub use permit::Permit;
+pub use report::{Failure, Input, Report};
+pub use run::Steward;
--- /dev/null
+++ b/crates/fleet/src/view/mod.rs
@@ -0,0 +1,9 @@
+//! What a plan is made from.
+
+mod demand;
+mod place;
+mod snapshot;
+
+pub use demand::{Demand, Load};
+pub use place::{Place, places};
+pub use snapshot::{Store, View};
