--- a/crates/fleet/src/state/mod.rs
+++ b/crates/fleet/src/state/mod.rs
@@ -7,5 +7,5 @@
 mod refusal;
 mod window;
 
-pub use memory::State;
 pub(crate) use memory::Running;
+pub use memory::State;
