--- a/crates/daemon/src/vms/notices.rs
+++ b/crates/daemon/src/vms/notices.rs
@@ -69,7 +69,7 @@
             }
             match self.cloud.notices(since, WAIT) {
                 Ok(notices) => {
-                    for notice in notices.notices {
+                    for notice in notices {
                         since = since.max(notice.number);
                         let seconds = u64::from(notice.seconds);
                         let leaving = Leaving {
--- a/crates/daemon/src/vms/reader.rs
+++ b/crates/daemon/src/vms/reader.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use entry::Context;
-use fleet::cloud::Client;
+use fleet::cloud::{Client, Cloud};
 use rand::Rng;
 use route::table;
 use schema::cloud::{List, State};
@@ -106,10 +106,7 @@
 
     fn read_cloud(&self) -> Option<Listed> {
         match self.cloud.list() {
-            Ok(list) => Some(Listed {
-                hash: hash(&list),
-                list: Some(list),
-            }),
+            Ok(vms) => Some(listed(List { vms })),
             Err(error) => {
                 tracing::warn!(event = "vms_read_failed", %error);
                 None
@@ -145,7 +142,11 @@
     }
 }
 
-fn hash(list: &List) -> u64 {
-    let text = serde_json::to_vec(list).unwrap_or_default();
-    xxhash_rust::xxh3::xxh3_64(&text).max(1)
+fn listed(list: List) -> Listed {
+    let text = serde_json::to_vec(&list).unwrap_or_default();
+    let hash = xxhash_rust::xxh3::xxh3_64(&text).max(1);
+    Listed {
+        hash,
+        list: Some(list),
+    }
 }
--- a/crates/standin/src/objects/mod.rs
+++ b/crates/standin/src/objects/mod.rs
@@ -15,5 +15,5 @@
 mod target;
 mod watch;
 
-pub use options::{Options, options};
+pub use options::{Options, parser};
 pub use server::Server;
