Give each request one driver at a time

Cause: a hand-over that fails gave the request a second driver while the first still read the stream, and the engine lets a new reader replace the old one, so the two would take it from each other in turn. In flight is counted at the listener, so that a drain waits for requests that no worker has taken yet. A property test found that attempt 0 was taken for a current one; attempts now count from 1.

--- a/crates/entry/src/call/completion.rs
+++ b/crates/entry/src/call/completion.rs
@@ -26,14 +26,10 @@
 /// answers a new completion
 pub(super) fn answer(context: &Context, mut exchange: Exchange, chat: bool) {
     match accept(context, &mut exchange, chat) {
-        Ok(accepted) => {
-            context.metrics.in_flight.inc();
-            match accepted.stream {
-                true => read::stream(context, exchange, &accepted.journal, 0),
-                false => read::whole(context, exchange, &accepted.journal),
-            }
-            context.metrics.in_flight.dec();
-        }
+        Ok(accepted) => match accepted.stream {
+            true => read::stream(context, exchange, &accepted.journal, 0),
+            false => read::whole(context, exchange, &accepted.journal),
+        },
         Err(fault) => {
             let labels = ["", "", read::verdict_label(fault.verdict)];
             context.metrics.requests.with_label_values(&labels).inc();
--- a/crates/entry/src/call/plain.rs
+++ b/crates/entry/src/call/plain.rs
@@ -58,7 +58,6 @@
 
 /// answers a call under `/services/`
 pub(super) fn answer(context: &Context, mut exchange: Exchange, rest: &str) {
-    context.metrics.in_flight.inc();
     let result = run(context, &mut exchange, rest);
     match result {
         Ok(answer) => {
@@ -68,7 +67,6 @@
         }
         Err(fault) => exchange.fail(&fault),
     }
-    context.metrics.in_flight.dec();
 }
 
 fn run(context: &Context, exchange: &mut Exchange, rest: &str) -> Result<Answer, Fault> {
--- a/crates/entry/src/drive/attempt.rs
+++ b/crates/entry/src/drive/attempt.rs
@@ -35,6 +35,7 @@
 pub(super) struct Attempt<'a> {
     context: &'a Context,
     journal: &'a Journal,
+    driver: u32,
     number: u32,
     reader: Stream,
     last: Instant,
@@ -75,22 +76,28 @@
     pub(super) fn open(
         context: &'a Context,
         journal: &'a Journal,
+        driver: u32,
         seat: &Seat,
-    ) -> Result<Attempt<'a>, Failure> {
-        let number = journal.begin(&seat.stream);
+    ) -> Result<Attempt<'a>, Halt> {
+        let number = journal
+            .begin(driver, &seat.stream)
+            .map_err(|_| Halt::Ended)?;
         let address = &seat.stream.address;
-        let reader = match seat.running {
+        let opened = match seat.running {
             true => context
                 .engines
-                .attach(address, &seat.stream.name, journal.count())?,
-            false => context.engines.open(address, &completion(journal, seat))?,
+                .attach(address, &seat.stream.name, journal.count()),
+            false => context.engines.open(address, &completion(journal, seat)),
         };
+        let reader = opened.map_err(Halt::Lost)?;
+        let last = Instant::now();
         Ok(Attempt {
             context,
             journal,
+            driver,
             number,
             reader,
-            last: Instant::now(),
+            last,
         })
     }
 
@@ -105,7 +112,7 @@
             if let Some(halt) = halt {
                 return halt;
             }
-            if !self.journal.is_open() {
+            if !self.journal.is_driven(self.driver) {
                 return Halt::Ended;
             }
             if (!warned && seat.is_leaving()) || stop() {
@@ -125,7 +132,7 @@
                         self.measure(known);
                         None
                     }
-                    Err(_) if !self.journal.is_open() => Some(Halt::Ended),
+                    Err(_) if !self.journal.is_driven(self.driver) => Some(Halt::Ended),
                     Err(_) => Some(Halt::Lost(out_of_order())),
                 }
             }
--- a/crates/entry/src/drive/mod.rs
+++ b/crates/entry/src/drive/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod driver;
+mod leaving;
 mod lost;
 mod run;
 
--- a/crates/entry/src/drive/run.rs
+++ b/crates/entry/src/drive/run.rs
@@ -1,7 +1,5 @@
 //! A request's way through its attempts.
 
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
 use std::time::Duration;
 
 use engine::Failure;
@@ -9,7 +7,7 @@
 use route::retry::{self, State, Step};
 use route::table::{Ask, Outcome, Pick};
 use route::verdict;
-use schema::engine::{Finish, Import};
+use schema::engine::Finish;
 use schema::failure::Verdict;
 use tokio::time::Instant;
 
@@ -21,26 +19,27 @@
 
 /// wait before an accepted request looks for an upstream VM again
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
-/// rest of an answer that a leaving upstream VM is left to finish
-const FINISH_WITHIN: Duration = Duration::from_secs(2);
 
 /// one request and what is known of its attempts
 pub(super) struct Run<'a> {
-    context: &'a Context,
-    job: Job,
+    pub(super) context: &'a Context,
+    pub(super) job: Job,
+    driver: u32,
     blocks: Vec<u64>,
     attempts: u32,
     reconnects: u32,
-    avoid: Vec<String>,
+    pub(super) avoid: Vec<String>,
     verdict: Verdict,
 }
 
 impl<'a> Run<'a> {
     pub(super) fn new(context: &'a Context, job: Job) -> Run<'a> {
         let blocks = route::prefix::blocks(&job.journal.origin.prompt);
+        let driver = job.journal.take_up();
         Run {
             context,
             job,
+            driver,
             blocks,
             attempts: 0,
             reconnects: 0,
@@ -59,10 +58,14 @@
         }
     }
 
-    fn journal(&self) -> &Journal {
+    pub(super) fn journal(&self) -> &Journal {
         &self.job.journal
     }
 
+    pub(super) fn is_driven(&self) -> bool {
+        self.journal().is_driven(self.driver)
+    }
+
     fn first(&mut self) -> Option<Seat> {
         if let Some(pick) = self.job.pick.take() {
             return Some(Seat::fresh(self.journal(), pick, 1));
@@ -90,26 +93,26 @@
         self.attempts += 1;
         let journal = std::sync::Arc::clone(&self.job.journal);
         let context = self.context;
-        let (halt, attempt) = match Attempt::open(context, &journal, &seat) {
+        let (halt, attempt) = match Attempt::open(context, &journal, self.driver, &seat) {
             Ok(mut attempt) => (attempt.read(&seat, || false), Some(attempt)),
-            Err(failure) => (Halt::Lost(failure), None),
+            Err(halt) => (halt, None),
         };
         let halt = match (halt, attempt) {
             (Halt::Leaving, Some(attempt)) => return self.leave(seat, attempt),
-            (Halt::Lost(_), _) if !self.journal().is_open() => Halt::Ended,
+            (Halt::Lost(_), _) if !self.is_driven() => Halt::Ended,
             (halt, _) => halt,
         };
         self.note(&seat, start, &halt);
         match halt {
             Halt::Done(finish) => self.done(seat, finish),
             Halt::Ended => self.ended(seat),
-            Halt::Leaving => return self.move_on(seat, Duration::ZERO),
+            Halt::Leaving => return self.move_on(seat),
             Halt::Lost(failure) => return self.lost(seat, &failure),
         }
         None
     }
 
-    fn done(&mut self, seat: Seat, finish: Finish) {
+    pub(super) fn done(&mut self, seat: Seat, finish: Finish) {
         let recomputed = u64::from(finish.usage.recomputed_tokens);
         self.context.metrics.recomputed.inc_by(recomputed);
         let journal = self.journal();
@@ -127,7 +130,7 @@
         );
     }
 
-    fn ended(&mut self, seat: Seat) {
+    pub(super) fn ended(&mut self, seat: Seat) {
         match self.journal().ended() {
             None | Some(End::Moved) => (),
             Some(_) => self.cancel(&seat),
@@ -178,80 +181,10 @@
         }
     }
 
-    /// finishes on a leaving VM if little is missing, else moves the stream
-    fn leave(&mut self, seat: Seat, mut attempt: Attempt<'_>) -> Option<Seat> {
-        let origin = &self.journal().origin;
-        let missing = origin.max_tokens.saturating_sub(self.journal().count());
-        if self.context.pace_of(&origin.service) * missing <= FINISH_WITHIN {
-            let halt = attempt.read(&seat, || false);
-            return self.after_leaving(seat, halt);
-        }
-        self.avoid.push(seat.stream.vm.clone());
-        let Some(pick) = self.pick() else {
-            let halt = attempt.read(&seat, || false);
-            return self.after_leaving(seat, halt);
-        };
-        self.export(seat, attempt, pick)
-    }
-
-    fn after_leaving(&mut self, seat: Seat, halt: Halt) -> Option<Seat> {
-        match halt {
-            Halt::Done(finish) => self.done(seat, finish),
-            Halt::Ended => self.ended(seat),
-            Halt::Lost(_) if !self.journal().is_open() => self.ended(seat),
-            Halt::Leaving | Halt::Lost(_) => return self.move_on(seat, Duration::ZERO),
-        }
-        None
-    }
-
-    /// moves the KV cache to the successor while the old stream goes on
-    fn export(&mut self, seat: Seat, mut attempt: Attempt<'_>, pick: Pick) -> Option<Seat> {
-        let start = Instant::now();
-        let import = Import {
-            source: format!("http://{}", seat.stream.address),
-            request_id: seat.stream.name.clone(),
-        };
-        let moved = AtomicBool::new(false);
-        let halt = thread::scope(|scope| {
-            scope.spawn(|| {
-                if let Err(error) = self.context.engines.import(&pick.address, &import) {
-                    tracing::info!(event = "kv_move_failed", vm = pick.vm, %error);
-                }
-                moved.store(true, Ordering::Release);
-            });
-            attempt.read(&seat, || moved.load(Ordering::Acquire))
-        });
-        let number = attempt.number() + 1;
-        drop(attempt);
-        let note = format!("from={} to={}", seat.stream.vm, pick.vm);
-        let origin = &self.journal().origin;
-        self.context.spans.add(origin.hop(), "move", start, &note);
-        match halt {
-            Halt::Leaving | Halt::Lost(_) if self.journal().is_open() => {
-                self.cancel(&seat);
-                self.release(seat, Outcome::Failed(retry::Kind::Leaving));
-                Some(Seat::fresh(self.journal(), pick, number))
-            }
-            halt => {
-                self.context
-                    .routes
-                    .finish(pick.permit, Outcome::Cancelled, Instant::now());
-                self.after_leaving(seat, halt)
-            }
-        }
-    }
-
-    fn move_on(&mut self, seat: Seat, after: Duration) -> Option<Seat> {
-        self.avoid.push(seat.stream.vm.clone());
-        self.release(seat, Outcome::Failed(retry::Kind::Leaving));
-        self.pause(after);
-        self.look()
-    }
-
     /// looks for an upstream VM until there is one or the request ends
-    fn look(&mut self) -> Option<Seat> {
+    pub(super) fn look(&mut self) -> Option<Seat> {
         loop {
-            if self.out_of_time() || !self.journal().is_open() {
+            if self.out_of_time() || !self.is_driven() {
                 return None;
             }
             if let Some(pick) = self.pick() {
@@ -263,7 +196,7 @@
         }
     }
 
-    fn pick(&mut self) -> Option<Pick> {
+    pub(super) fn pick(&mut self) -> Option<Pick> {
         let start = Instant::now();
         let origin = &self.job.journal.origin;
         let prior = self.job.journal.count();
@@ -313,7 +246,7 @@
         true
     }
 
-    fn cancel(&self, seat: &Seat) {
+    pub(super) fn cancel(&self, seat: &Seat) {
         if let Err(error) = self
             .context
             .engines
@@ -323,7 +256,7 @@
         }
     }
 
-    fn release(&self, seat: Seat, outcome: Outcome) {
+    pub(super) fn release(&self, seat: Seat, outcome: Outcome) {
         if let Some(permit) = seat.permit {
             self.context.routes.finish(permit, outcome, Instant::now());
         }
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -201,7 +201,6 @@
     let now = Instant::now();
     for journal in &held {
         if kept.iter().any(|kept| Arc::ptr_eq(kept, journal)) {
-            journal.unhold();
             let job = Job {
                 journal: Arc::clone(journal),
                 pick: None,
--- a/crates/entry/src/journal/record.rs
+++ b/crates/entry/src/journal/record.rs
@@ -68,7 +68,14 @@
     stream: Option<wire::Stream>,
     readers: u32,
     unread_since: Option<Instant>,
-    held: bool,
+    driver: u32,
+}
+
+impl State {
+    /// attempts are numbered from 1
+    fn is_current(&self, attempt: u32) -> bool {
+        attempt != 0 && self.attempt == attempt && self.end.is_none()
+    }
 }
 
 impl Origin {
@@ -150,11 +157,17 @@
     }
 
     /// begins an attempt and returns its number; older attempts become stale
-    pub fn begin(&self, stream: &wire::Stream) -> u32 {
+    ///
+    /// # Errors
+    /// [`Stale`] when the request has ended or has another driver.
+    pub fn begin(&self, driver: u32, stream: &wire::Stream) -> Result<u32, Stale> {
         let mut state = self.state();
+        if state.end.is_some() || state.driver != driver {
+            return Err(Stale);
+        }
         state.attempt += 1;
         state.stream = Some(stream.clone());
-        state.attempt
+        Ok(state.attempt)
     }
 
     /// adds a token; one that is known already is dropped
@@ -164,7 +177,7 @@
     /// has ended, or tokens before this one are missing.
     pub fn push(&self, attempt: u32, index: u32, text: &str) -> Result<(), Stale> {
         let mut state = self.state();
-        if state.attempt != attempt || state.end.is_some() || state.held {
+        if !state.is_current(attempt) {
             return Err(Stale);
         }
         let next = state.tokens.len() as u32;
@@ -185,7 +198,7 @@
     /// [`Stale`] when the attempt is no longer the current one or the request has ended.
     pub fn finish(&self, attempt: u32, reason: &str, now: Instant) -> Result<(), Stale> {
         let mut state = self.state();
-        if state.attempt != attempt || state.end.is_some() || state.held {
+        if !state.is_current(attempt) {
             return Err(Stale);
         }
         self.close(&mut state, End::Finished(reason.to_owned()), now);
@@ -202,25 +215,28 @@
         true
     }
 
-    /// stops the attempts while the request is handed over; false if it has ended
+    /// makes the caller the request's driver; an earlier driver has to stop
+    pub fn take_up(&self) -> u32 {
+        let mut state = self.state();
+        state.driver += 1;
+        state.driver
+    }
+
+    /// stops the driver and its attempt for a hand-over; false if the request has ended
     pub fn hold(&self) -> bool {
         let mut state = self.state();
         if state.end.is_some() {
             return false;
         }
-        state.held = true;
+        state.driver += 1;
+        state.attempt += 1;
         true
     }
 
-    /// undoes [`Journal::hold`] after a hand-over that did not take place
-    pub fn unhold(&self) {
-        self.state().held = false;
-    }
-
-    /// whether attempts go on
-    pub fn is_open(&self) -> bool {
+    /// whether the request goes on under this driver
+    pub fn is_driven(&self, driver: u32) -> bool {
         let state = self.state();
-        state.end.is_none() && !state.held
+        state.end.is_none() && state.driver == driver
     }
 
     /// number of the last attempt
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -95,13 +95,16 @@
             let inner = Arc::clone(&self.inner);
             let bounds = self.bounds;
             let sender = sender.clone();
+            let context = Arc::clone(context);
             spawn(&format!("accept-{number}"), move || {
                 while let Ok(request) = inner.recv() {
+                    context.metrics.in_flight.inc();
                     match sender.try_send(request) {
-                        Ok(()) => (),
+                        Ok(()) => continue,
                         Err(TrySendError::Full(request)) => refuse(request, bounds),
                         Err(TrySendError::Disconnected(_)) => return,
                     }
+                    context.metrics.in_flight.dec();
                 }
             })?;
         }
@@ -130,6 +133,7 @@
         if let Some(exchange) = Exchange::read(request, bounds) {
             call::answer(context, exchange);
         }
+        context.metrics.in_flight.dec();
     }
 }
 
--- /dev/null
+++ b/crates/entry/tests/journal.rs
@@ -0,0 +1,143 @@
+//! Whatever attempts do, a journal holds each token once and in order.
+
+use std::time::Duration;
+
+use entry::journal::{End, Journal, Origin, Table};
+use proptest::prelude::*;
+use schema::journal::Stream;
+use tokio::time::{Instant, advance};
+
+fn origin(now: Instant) -> Origin {
+    Origin {
+        id: "a.1".to_owned(),
+        workspace: "w".to_owned(),
+        service: "m".to_owned(),
+        prompt: "one two".to_owned(),
+        max_tokens: 8,
+        chat: false,
+        priority: 5,
+        accepted: now,
+        deadline: now + Duration::from_secs(60),
+        trace: String::new(),
+    }
+}
+
+fn stream(name: &str) -> Stream {
+    Stream {
+        vm: "vm".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        name: name.to_owned(),
+    }
+}
+
+fn token(index: u32) -> String {
+    format!("t{index}")
+}
+
+/// what an attempt, late or current, does to a journal
+#[derive(Debug, Clone)]
+enum Act {
+    /// begins another attempt
+    Begin,
+    /// pushes a token by the attempt so many before the last one
+    Push { back: u32, index: u32 },
+    /// another daemon takes the request and gives it back
+    Hold,
+}
+
+fn acts() -> impl Strategy<Value = Vec<Act>> {
+    let act = prop_oneof![
+        1 => Just(Act::Begin),
+        8 => (0..3u32, 0..10u32).prop_map(|(back, index)| Act::Push { back, index }),
+        1 => Just(Act::Hold),
+    ];
+    prop::collection::vec(act, 0..80)
+}
+
+proptest! {
+    #[test]
+    fn tokens_come_once_and_in_order(acts in acts()) {
+        let journal = Journal::new(origin(Instant::now()));
+        let mut driver = journal.take_up();
+        let mut last = 0;
+        for act in acts {
+            match act {
+                Act::Begin => last = journal.begin(driver, &stream("s")).unwrap(),
+                Act::Hold => {
+                    prop_assert!(journal.hold());
+                    prop_assert!(!journal.is_driven(driver));
+                    prop_assert!(journal.begin(driver, &stream("s")).is_err());
+                    driver = journal.take_up();
+                }
+                Act::Push { back, index } => {
+                    let before = journal.count();
+                    let current = back == 0 && last == journal.attempt() && last > 0;
+                    let result = journal.push(last.wrapping_sub(back), index, &token(index));
+                    if !current {
+                        prop_assert!(result.is_err());
+                        prop_assert_eq!(journal.count(), before);
+                    }
+                }
+            }
+            let expected: Vec<String> = (0..journal.count()).map(token).collect();
+            prop_assert_eq!(journal.tokens(), expected);
+        }
+    }
+
+    #[test]
+    fn a_handed_over_journal_is_the_same(count in 0..8u32) {
+        let now = Instant::now();
+        let journal = Journal::new(origin(now));
+        let driver = journal.take_up();
+        let attempt = journal.begin(driver, &stream("s")).unwrap();
+        for index in 0..count {
+            journal.push(attempt, index, &token(index)).unwrap();
+        }
+        let wire = journal.export(now);
+        let text = serde_json::to_string(&wire).unwrap();
+        let read = serde_json::from_str(&text).unwrap();
+        let other = Journal::resume(&read, now);
+        prop_assert_eq!(other.tokens(), journal.tokens());
+        prop_assert_eq!(other.stream(), journal.stream());
+        prop_assert_eq!(&other.origin, &journal.origin);
+        let driver = other.take_up();
+        prop_assert!(other.begin(driver, &stream("next")).unwrap() > attempt);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_nobody_reads_is_cancelled_and_forgotten() {
+    let table = Table::default();
+    let journal = std::sync::Arc::new(Journal::new(origin(Instant::now())));
+    table.insert(&journal);
+    let (abandoned, keep) = (Duration::from_secs(5), Duration::from_secs(60));
+    journal.enter();
+    advance(Duration::from_secs(10)).await;
+    assert!(table.sweep(abandoned, keep, Instant::now()).is_empty());
+    journal.leave(Instant::now());
+    advance(Duration::from_secs(4)).await;
+    assert!(table.sweep(abandoned, keep, Instant::now()).is_empty());
+    advance(Duration::from_secs(2)).await;
+    assert_eq!(table.sweep(abandoned, keep, Instant::now()).len(), 1);
+    assert_eq!(journal.ended(), Some(End::Cancelled));
+    assert!(table.get("a.1").is_some());
+    advance(Duration::from_secs(61)).await;
+    table.sweep(abandoned, keep, Instant::now());
+    assert!(table.get("a.1").is_none());
+}
+
+#[test]
+fn an_answer_ends_once() {
+    let now = Instant::now();
+    let journal = Journal::new(origin(now));
+    let driver = journal.take_up();
+    let attempt = journal.begin(driver, &stream("s")).unwrap();
+    assert!(journal.push(attempt, 1, "gap").is_err());
+    journal.push(attempt, 0, "t0").unwrap();
+    journal.finish(attempt, "stop", now).unwrap();
+    assert!(journal.finish(attempt, "length", now).is_err());
+    assert!(journal.push(attempt, 1, "late").is_err());
+    assert!(!journal.end(End::Cancelled, now));
+    assert!(!journal.hold());
+    assert_eq!(journal.ended(), Some(End::Finished("stop".to_owned())));
+}
