peer: carry the protocol over persistent connections

Cause: the facade answered with stubs. Change: one jsonrpsee server and one connection to each other daemon, keys checked in constant time, message sizes bounded, bytes counted on the socket; errors say whether a call may have run; a connection that was silent during a call that timed out is replaced.

--- a/crates/peer/src/gossip/core.rs
+++ b/crates/peer/src/gossip/core.rs
@@ -10,7 +10,7 @@
 use super::{Answer, Call, Message, Target};
 use crate::Notice;
 use crate::fact::{Ledger, Queue};
-use crate::member::timing::{REJOIN, STALL, jittered};
+use crate::member::timing::{JOIN, REJOIN, STALL, STARTING, jittered};
 use crate::member::{Prober, Table};
 
 /// wait for the answer to a probe
@@ -133,7 +133,9 @@
         if now < self.due.join {
             return;
         }
-        self.due.join = now + jittered(REJOIN, &mut self.random);
+        let young = now.saturating_duration_since(self.started) < STARTING;
+        let period = if young { JOIN } else { REJOIN };
+        self.due.join = now + jittered(period, &mut self.random);
         let absent = self.absent();
         if absent.is_empty() {
             return;
--- a/crates/peer/src/gossip/serve.rs
+++ b/crates/peer/src/gossip/serve.rs
@@ -108,10 +108,10 @@
         self.push_urgent(now);
     }
 
-    /// a connection to a member broke: probes it at once
-    pub fn disconnected(&mut self, instance: u64, now: Instant) {
-        let known = self.table.others().any(|r| r.member.instance == instance);
-        if known {
+    /// the connection to a control address broke: probes the member there at once
+    pub fn disconnected(&mut self, control: &str, now: Instant) {
+        let member = self.table.others().find(|r| r.member.control == control);
+        if let Some(instance) = member.map(|record| record.member.instance) {
             let steps = self.prober.hurry(instance, now);
             self.follow(&steps, now);
         }
--- a/crates/peer/src/gossip/view.rs
+++ b/crates/peer/src/gossip/view.rs
@@ -30,6 +30,16 @@
         data_centre == self.me.data_centre || self.ledger.current(&key, now).is_some()
     }
 
+    /// instances believed gone that are still remembered
+    pub fn buried(&self) -> Vec<u64> {
+        self.table
+            .entries()
+            .map(|entry| &entry.record.member)
+            .filter(|member| member.state == State::Gone)
+            .map(|member| member.instance)
+            .collect()
+    }
+
     /// highest revision known
     pub fn revision(&self) -> u64 {
         self.ledger.revision()
--- a/crates/peer/src/member/timing.rs
+++ b/crates/peer/src/member/timing.rs
@@ -31,6 +31,11 @@
 /// time between two attempts to reach a seed or a member that is gone
 pub const REJOIN: Duration = Duration::from_secs(2);
 
+/// time between two such attempts of a daemon that starts
+pub const JOIN: Duration = Duration::from_millis(200);
+/// time for which a daemon counts as starting
+pub const STARTING: Duration = Duration::from_secs(5);
+
 /// a period less a random part of up to [`JITTER_PERCENT`]
 pub fn jittered(period: Duration, random: &mut impl Rng) -> Duration {
     let spread = period * JITTER_PERCENT / 100;
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -2,6 +2,8 @@
 
 mod error;
 mod handle;
+mod inner;
+mod methods;
 mod settings;
 mod view;
 
--- /dev/null
+++ b/crates/peer/tests/node.rs
@@ -0,0 +1,394 @@
+//! Nodes with real sockets: kills, leaving, frozen connections and keys.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use jsonrpsee::RpcModule;
+use jsonrpsee::types::ErrorObjectOwned;
+use peer::{CallError, Fact, Member, Node, Settings, State};
+use schema::failure::Verdict;
+use schema::member::{Applied, Demand, Entry, Leaving, Moved, Revision};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// a killed daemon is off every list of its data centre after this time
+const DETECTION: Duration = Duration::from_secs(3);
+const JOINING: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(10);
+/// sleep of the call whose connection breaks, milliseconds; longer than all others
+const BROKEN_MS: u64 = 90_000;
+const FLEET_KEY: &str = "fleet-key-for-tests";
+const OPERATOR_KEY: &str = "operator-key-for-tests";
+
+/// longest sleep that a node was asked for, milliseconds
+static SLEEPING: AtomicU64 = AtomicU64::new(0);
+
+/// a node on a runtime of its own, so that it can be killed alone
+struct Host {
+    node: Node,
+    runtime: Runtime,
+}
+
+impl Host {
+    fn start(vm: &str, data_centre: &str, seeds: &[String]) -> Host {
+        let runtime = runtime();
+        let settings = settings(vm, data_centre, seeds);
+        let node = runtime
+            .block_on(Node::start(settings, echo()))
+            .expect("the node starts");
+        Host { node, runtime }
+    }
+
+    fn kill(self) {
+        self.runtime.shutdown_background();
+    }
+}
+
+fn runtime() -> Runtime {
+    Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime")
+}
+
+fn settings(vm: &str, data_centre: &str, seeds: &[String]) -> Settings {
+    Settings::new(vm, data_centre)
+        .region("east")
+        .control("127.0.0.1:0")
+        .callers("127.0.0.1:9")
+        .seeds(seeds)
+        .fleet_key(FLEET_KEY)
+        .operator_key(OPERATOR_KEY)
+}
+
+fn echo() -> RpcModule<()> {
+    let mut module = RpcModule::new(());
+    let answer = |params: jsonrpsee::types::Params<'_>| params.one::<String>();
+    module
+        .register_method("test_echo", move |params, (), _| answer(params))
+        .expect("a new name");
+    module
+        .register_method("operator_echo", move |params, (), _| answer(params))
+        .expect("a new name");
+    module
+        .register_method("test_fail", |_, (), _| {
+            Err::<(), _>(ErrorObjectOwned::owned(7, "it failed", None::<()>))
+        })
+        .expect("a new name");
+    module
+        .register_async_method("test_sleep", |params, _, _| async move {
+            let millis: u64 = params.one()?;
+            SLEEPING.fetch_max(millis, Ordering::SeqCst);
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            Ok::<_, ErrorObjectOwned>("slept".to_owned())
+        })
+        .expect("a new name");
+    module
+}
+
+fn cluster(data_centre: &str, size: usize, seeds: &mut Vec<String>) -> Vec<Host> {
+    let mut hosts = Vec::new();
+    for number in 0..size {
+        let host = Host::start(&format!("{data_centre}-{number}"), data_centre, seeds);
+        seeds.push(host.node.me().control.clone());
+        hosts.push(host);
+    }
+    hosts
+}
+
+fn wait_until(limit: Duration, what: &str, condition: impl Fn() -> bool) -> Duration {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < limit, "{what}: not within {limit:?}");
+        std::thread::sleep(POLL);
+    }
+    start.elapsed()
+}
+
+fn all_list(hosts: &[Host], count: usize) -> bool {
+    hosts.iter().all(|host| {
+        let members = host.node.members();
+        members.len() == count && members.iter().all(|m| m.state == State::Live)
+    })
+}
+
+#[test]
+fn a_kill_is_detected_within_three_seconds() {
+    let mut hosts = cluster("east-1", 6, &mut Vec::new());
+    wait_until(JOINING, "joining", || all_list(&hosts, 6));
+    let victim = hosts.remove(2);
+    victim.kill();
+    let took = wait_until(DETECTION, "detection", || all_list(&hosts, 5));
+    println!("detected after {took:?}");
+}
+
+#[test]
+fn leaving_is_known_within_a_second() {
+    let hosts = cluster("east-1", 6, &mut Vec::new());
+    wait_until(JOINING, "joining", || all_list(&hosts, 6));
+    let leaver = hosts[0].node.me().instance;
+    hosts[0].runtime.block_on(hosts[0].node.leave());
+    wait_until(SECOND, "leaving", || {
+        hosts.iter().all(|host| {
+            let local = host.node.local();
+            local.len() == 5 && local.iter().all(|m| m.instance != leaver)
+        })
+    });
+    let listed = hosts[1].node.members();
+    let seen = listed.iter().find(|m| m.instance == leaver);
+    assert_eq!(seen.map(|m| m.state), Some(State::Leaving));
+    hosts[0].runtime.block_on(hosts[0].node.stop());
+    wait_until(SECOND, "good-bye", || all_list(&hosts[1..], 5));
+}
+
+#[test]
+fn facts_reach_everybody() {
+    let hosts = cluster("east-1", 5, &mut Vec::new());
+    wait_until(JOINING, "joining", || all_list(&hosts, 5));
+    let notices = hosts[4].node.facts();
+    let publisher = &hosts[0].node;
+    publisher.publish(Fact::Leaving(Leaving {
+        vm: "engine-3".to_owned(),
+        seconds: 30,
+    }));
+    publisher.publish(Fact::Revision(Revision { number: 7 }));
+    publisher.publish(Fact::Revision(Revision { number: 5 }));
+    publisher.publish(Fact::Moved(Moved {
+        request: "r-1".to_owned(),
+        to: hosts[1].node.me().instance,
+    }));
+    wait_until(SECOND, "urgent facts", || {
+        hosts.iter().all(|host| {
+            let node = &host.node;
+            let moved = node.moved("r-1").map(|member| member.vm);
+            node.revision() == 7
+                && node.leaving().iter().any(|l| l.vm == "engine-3")
+                && moved.as_deref() == Some("east-1-1")
+        })
+    });
+    let first = notices.recv_timeout(SECOND).expect("a notice");
+    assert_eq!(first.origin, publisher.me().instance);
+    publisher.publish(Fact::Applied(Applied { number: 7 }));
+    wait_until(JOINING, "applied", || {
+        hosts.iter().all(|host| {
+            let applied = host.node.applied();
+            applied.len() == 1 && applied[0].revision == 7
+        })
+    });
+}
+
+#[test]
+fn demand_is_summed_over_data_centres() {
+    let mut seeds = Vec::new();
+    let mut hosts = cluster("east-1", 2, &mut seeds);
+    hosts.extend(cluster("west-1", 2, &mut seeds));
+    wait_until(JOINING, "joining", || all_list(&hosts, 4));
+    for host in &hosts {
+        let entry = Entry {
+            workspace: "press".to_owned(),
+            tokens_per_second: 100,
+            concurrent: 3,
+        };
+        let entries = vec![entry];
+        host.node.publish(Fact::Demand(Demand { entries }));
+    }
+    wait_until(JOINING, "sums", || {
+        hosts.iter().all(|host| {
+            let demand = host.node.demand("press");
+            demand.own.tokens_per_second == 100
+                && demand.data_centre.tokens_per_second == 200
+                && demand.fleet.tokens_per_second == 400
+                && demand.fleet.concurrent == 12
+        })
+    });
+}
+
+#[test]
+fn a_new_delegate_takes_over() {
+    let mut seeds = Vec::new();
+    let mut east = cluster("east-1", 3, &mut seeds);
+    let west = cluster("west-1", 3, &mut seeds);
+    wait_until(JOINING, "joining", || {
+        all_list(&east, 6) && all_list(&west, 6)
+    });
+    let duty = "exchange/west-1";
+    let delegate = east[0].node.holders(duty, 1)[0].instance;
+    let place = east.iter().position(|h| h.node.me().instance == delegate);
+    east.remove(place.expect("a host")).kill();
+    wait_until(DETECTION + 5 * SECOND, "lists", || {
+        all_list(&east, 5) && all_list(&west, 5)
+    });
+    east[0].node.publish(Fact::Revision(Revision { number: 9 }));
+    wait_until(5 * SECOND, "revision", || {
+        west.iter().all(|host| host.node.revision() == 9)
+    });
+}
+
+#[test]
+fn calls_tell_whether_they_may_have_run() {
+    let hosts = cluster("east-1", 2, &mut Vec::new());
+    let node = &hosts[0].node;
+    let other = hosts[1].node.me().clone();
+    let echoed = node.call_blocking::<_, String>(&other, "test_echo", &"hi", SECOND);
+    assert_eq!(echoed, Ok("hi".to_owned()));
+
+    let failed = node.call_blocking::<_, ()>(&other, "test_fail", &(), SECOND);
+    let error = failed.expect_err("it fails");
+    assert!(matches!(error, CallError::Failed { code: 7, .. }));
+    assert_eq!(error.verdict(), Verdict::Ran);
+
+    let unknown = node.call_blocking::<_, ()>(&other, "test_nothing", &(), SECOND);
+    assert_eq!(unknown.expect_err("unknown").verdict(), Verdict::NotRun);
+
+    let operators = node.call_blocking::<_, String>(&other, "operator_echo", &"hi", SECOND);
+    let error = operators.expect_err("it needs the operator key");
+    assert!(matches!(error, CallError::Refused { .. }));
+    assert_eq!(error.verdict(), Verdict::NotRun);
+
+    let short = Duration::from_millis(50);
+    let slow = node.call_blocking::<_, String>(&other, "test_sleep", &2000, short);
+    assert_eq!(slow, Err(CallError::Timeout));
+    assert_eq!(CallError::Timeout.verdict(), Verdict::MayHaveRun);
+
+    let absent = Member {
+        control: "127.0.0.1:1".to_owned(),
+        ..other.clone()
+    };
+    let unreachable = node.call_blocking::<_, String>(&absent, "test_echo", &"hi", SECOND);
+    assert_eq!(unreachable.expect_err("nobody").verdict(), Verdict::NotRun);
+
+    let large = "x".repeat(5 * 1024 * 1024);
+    let refused = node.call_blocking::<_, String>(&other, "test_echo", &large, SECOND);
+    assert_eq!(refused.expect_err("too large").verdict(), Verdict::NotRun);
+
+    let wrong = runtime();
+    let stranger = wrong
+        .block_on(Node::start(
+            settings("x", "east-1", &[]).fleet_key("another"),
+            RpcModule::new(()),
+        ))
+        .expect("it starts");
+    let refused = stranger.call_blocking::<_, String>(&other, "test_echo", &"hi", SECOND);
+    assert_eq!(refused.expect_err("wrong key").verdict(), Verdict::NotRun);
+}
+
+#[test]
+fn a_call_on_a_broken_connection_may_have_run() {
+    let mut hosts = cluster("east-1", 2, &mut Vec::new());
+    let other = hosts[1].node.me().clone();
+    let node = hosts[0].node.clone();
+    let call = std::thread::spawn(move || {
+        node.call_blocking::<_, String>(&other, "test_sleep", &BROKEN_MS, 10 * SECOND)
+    });
+    wait_until(10 * SECOND, "the call", || {
+        SLEEPING.load(Ordering::SeqCst) == BROKEN_MS
+    });
+    hosts.remove(1).kill();
+    let error = call.join().expect("the thread ends").expect_err("it broke");
+    assert_eq!(error.verdict(), Verdict::MayHaveRun);
+}
+
+/// forwards connections; those open when it freezes fall silent for good
+struct Freezer {
+    address: SocketAddr,
+    frozen: Arc<AtomicUsize>,
+}
+
+impl Freezer {
+    fn start(runtime: &Runtime, target: String) -> Freezer {
+        let listener = runtime
+            .block_on(TcpListener::bind("127.0.0.1:0"))
+            .expect("an address");
+        let address = listener.local_addr().expect("an address");
+        let frozen = Arc::new(AtomicUsize::new(0));
+        let opened = Arc::new(AtomicUsize::new(0));
+        let freeze = frozen.clone();
+        runtime.spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let number = opened.fetch_add(1, Ordering::SeqCst) + 1;
+                let Ok(far) = TcpStream::connect(&target).await else {
+                    continue;
+                };
+                let (near_read, near_write) = near.into_split();
+                let (far_read, far_write) = far.into_split();
+                tokio::spawn(forward(near_read, far_write, number, freeze.clone()));
+                tokio::spawn(forward(far_read, near_write, number, freeze.clone()));
+            }
+        });
+        Freezer { address, frozen }
+    }
+
+    /// freezes the first connections, so many of them
+    fn freeze(&self, count: usize) {
+        self.frozen.store(count, Ordering::SeqCst);
+    }
+}
+
+async fn forward(
+    mut from: impl AsyncReadExt + Unpin,
+    mut to: impl AsyncWriteExt + Unpin,
+    number: usize,
+    frozen: Arc<AtomicUsize>,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    while let Ok(count) = from.read(&mut buffer).await {
+        if count == 0 {
+            return;
+        }
+        if number <= frozen.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[test]
+fn a_frozen_connection_is_replaced() {
+    let hosts = cluster("east-1", 1, &mut Vec::new());
+    let helper = runtime();
+    let freezer = Freezer::start(&helper, hosts[0].node.me().control.clone());
+    let caller = Host::start("caller", "west-1", &[]);
+    let through = Member {
+        control: freezer.address.to_string(),
+        ..hosts[0].node.me().clone()
+    };
+    let call = || {
+        caller
+            .node
+            .call_blocking::<_, String>(&through, "test_echo", &"hi", SECOND)
+    };
+    assert_eq!(call(), Ok("hi".to_owned()));
+    freezer.freeze(1);
+    assert_eq!(call(), Err(CallError::Timeout));
+    assert_eq!(call(), Ok("hi".to_owned()));
+}
+
+#[test]
+fn a_slow_call_does_not_cost_the_connection() {
+    let hosts = cluster("east-1", 2, &mut Vec::new());
+    let node = hosts[0].node.clone();
+    let other = hosts[1].node.me().clone();
+    wait_until(JOINING, "joining", || all_list(&hosts, 2));
+    let before = node.traffic().connections;
+    let done = Arc::new(AtomicBool::new(false));
+    let (flag, echoing, target) = (done.clone(), node.clone(), other.clone());
+    let echoes = std::thread::spawn(move || {
+        while !flag.load(Ordering::SeqCst) {
+            let echoed = echoing.call_blocking::<_, String>(&target, "test_echo", &"a", SECOND);
+            assert_eq!(echoed, Ok("a".to_owned()));
+            std::thread::sleep(POLL);
+        }
+    });
+    let slow = node.call_blocking::<_, String>(&other, "test_sleep", &60_000, SECOND);
+    assert_eq!(slow, Err(CallError::Timeout));
+    done.store(true, Ordering::SeqCst);
+    echoes.join().expect("all echoes came back");
+    assert_eq!(node.traffic().connections, before);
+}
