--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -6,7 +6,8 @@
 
 use bpaf::Bpaf;
 
-use crate::{cloud, engine, plain, proxy};
+use crate::http::Stop;
+use crate::{cloud, engine, objects, plain, proxy};
 
 /// stand-ins of the systems that agateloom meets
 #[derive(Bpaf, Clone, Debug)]
@@ -21,6 +22,9 @@
     /// a cloud API
     #[bpaf(command)]
     Cloud(#[bpaf(external(cloud::parser))] cloud::Options),
+    /// an object API
+    #[bpaf(command)]
+    Objects(#[bpaf(external(objects::options))] objects::Options),
     /// a TCP proxy
     #[bpaf(command)]
     Proxy(#[bpaf(external(proxy::parser))] proxy::Options),
@@ -54,6 +58,11 @@
             announce(server.address())?;
             server.wait();
         }
+        Command::Objects(options) => {
+            let server = objects::Server::start(&options)?;
+            announce(server.address())?;
+            Stop::default().wait();
+        }
         Command::Proxy(options) => {
             let server = proxy::Server::start(&options)?;
             announce(server.address())?;
