Add the bench: worlds of real processes, a caller, a demo, an overhead trial

Cause: integration tests and trials need real daemons among stand-ins. Change: `bench::world` (processes, settings, declaration through the operators' tool, lines to the platform), `bench::client` (streams followed over reattachment, bookings), `bench::process`, the commands `demo` and `overhead`. The commands have not run against a daemon yet.

--- /dev/null
+++ b/crates/bench/src/client/ask.rs
@@ -0,0 +1,72 @@
+//! A completion to ask for.
+
+use std::time::Duration;
+
+use macro_rules_attribute::apply;
+use schema::data;
+
+/// a completion to ask for
+#[apply(data!)]
+pub struct Ask {
+    /// service, sent as `model`
+    pub service: String,
+    /// whole prompt
+    pub prompt: String,
+    /// tokens to generate
+    pub max_tokens: u32,
+    /// send it as a chat of one message
+    pub chat: bool,
+    /// sent as `X-Priority`
+    pub priority: Option<u8>,
+    /// sent as `X-Deadline-Ms`
+    pub deadline: Option<Duration>,
+}
+
+impl Ask {
+    /// asks `service` to go on after `prompt`
+    pub fn new(service: &str, prompt: &str, max_tokens: u32) -> Self {
+        Self {
+            service: service.to_owned(),
+            prompt: prompt.to_owned(),
+            max_tokens,
+            chat: false,
+            priority: None,
+            deadline: None,
+        }
+    }
+
+    /// asks in the form of a chat
+    pub fn chat(mut self) -> Self {
+        self.chat = true;
+        self
+    }
+
+    /// sets the priority, 0 lowest, 9 highest
+    pub fn priority(mut self, priority: u8) -> Self {
+        self.priority = Some(priority);
+        self
+    }
+
+    /// sets the time within which the answer is wanted
+    pub fn deadline(mut self, deadline: Duration) -> Self {
+        self.deadline = Some(deadline);
+        self
+    }
+
+    /// the answer that the engine stand-in gives to `prompt`
+    ///
+    /// A chat's prompt is what the daemon makes of its messages.
+    pub fn expected(&self, prompt: &str) -> String {
+        (0..self.max_tokens)
+            .map(|index| standin::engine::token(prompt, index))
+            .collect()
+    }
+
+    /// the prompt as an engine gets it
+    pub fn engine_prompt(&self) -> String {
+        match self.chat {
+            true => format!("user: {}\nassistant: ", self.prompt),
+            false => self.prompt.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/client/caller.rs
@@ -0,0 +1,266 @@
+//! Calls daemons as a caller behind a balancer does.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use attohttpc::{RequestBuilder, Response};
+use serde_json::json;
+
+use super::{Answer, Ask, Booking, Fault, Step, Stream};
+
+/// longest wait for a connection
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// longest silence of a stream; daemons send comments more often
+const SILENCE: Duration = Duration::from_secs(10);
+
+/// pause before the next daemon is tried
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// path of requests in flight
+const REQUESTS: &str = "/v1/requests";
+
+/// a caller of one workspace
+#[derive(Clone, Debug)]
+pub struct Client {
+    key: String,
+    daemons: Vec<SocketAddr>,
+    patience: Duration,
+}
+
+/// an answer on its way
+#[derive(Debug)]
+struct Part {
+    answer: Answer,
+    last_event_id: String,
+}
+
+impl Client {
+    /// a caller with a workspace's key, who knows these daemons
+    pub fn new(key: &str, daemons: &[SocketAddr]) -> Self {
+        let patience = Duration::from_secs(120);
+        Self {
+            key: key.to_owned(),
+            daemons: daemons.to_vec(),
+            patience,
+        }
+    }
+
+    /// sets the longest wait for a whole answer
+    pub fn patience(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self
+    }
+
+    /// asks the daemon `first` for a stream and follows it to its end at any daemon
+    pub fn complete(&self, first: usize, ask: &Ask) -> Result<Answer, Fault> {
+        self.complete_watching(first, ask, |_| {})
+    }
+
+    /// like [`Client::complete`]; `watch` sees the number of tokens after each
+    pub fn complete_watching(
+        &self,
+        first: usize,
+        ask: &Ask,
+        mut watch: impl FnMut(usize),
+    ) -> Result<Answer, Fault> {
+        let asked_at = Instant::now();
+        let mut stream = self.open(first, ask)?;
+        let answer = Answer {
+            request_id: String::new(),
+            text: String::new(),
+            asked_at,
+            token_times: Vec::new(),
+            reattached: 0,
+        };
+        let mut part = Part {
+            answer,
+            last_event_id: String::new(),
+        };
+        let mut daemon = first;
+        loop {
+            match part.follow(&mut stream, &mut watch) {
+                Ok(Step::Done) => return Ok(part.answer),
+                Ok(_) | Err(Fault::Broken(_)) if !part.answer.request_id.is_empty() => {}
+                Ok(_) => return Err(Fault::Malformed("no id to reattach by".to_owned())),
+                Err(fault) => return Err(fault),
+            }
+            daemon += 1;
+            stream = self.reattach(&mut daemon, &part)?;
+            part.answer.reattached += 1;
+        }
+    }
+
+    /// opens a stream at one daemon
+    pub fn open(&self, daemon: usize, ask: &Ask) -> Result<Stream, Fault> {
+        Stream::new(
+            self.post(daemon, ask, true)?,
+            Instant::now() + self.patience,
+        )
+    }
+
+    /// asks for an unstreamed answer and follows a redirect to any daemon; gives the text
+    pub fn complete_whole(&self, first: usize, ask: &Ask) -> Result<String, Fault> {
+        let mut response = self.post(first, ask, false)?;
+        let deadline = Instant::now() + self.patience;
+        let mut daemon = first;
+        while response.status().as_u16() == 303 {
+            if Instant::now() > deadline {
+                return Err(Fault::Late);
+            }
+            let location = response
+                .headers()
+                .get("location")
+                .and_then(|l| l.to_str().ok());
+            let location = location.unwrap_or_default().to_owned();
+            daemon += 1;
+            let url = self.url(daemon, &location);
+            let sent = self
+                .prepare(attohttpc::get(url))
+                .read_timeout(self.patience)
+                .send();
+            match sent {
+                Ok(next) => response = next,
+                Err(_) => thread::sleep(PAUSE),
+            }
+        }
+        let body = read(response)?;
+        let value: serde_json::Value = serde_json::from_str(&body.body)
+            .map_err(|error| Fault::Malformed(error.to_string()))?;
+        let choice = &value["choices"][0];
+        let text = choice["text"]
+            .as_str()
+            .or_else(|| choice["message"]["content"].as_str());
+        text.map(str::to_owned)
+            .ok_or_else(|| Fault::Malformed(body.body.clone()))
+    }
+
+    /// calls a plain service by POST; an empty key sends none
+    pub fn book(&self, daemon: usize, path: &str, key: &str, body: &str) -> Result<Booking, Fault> {
+        let url = self.url(daemon, &format!("/services/{path}"));
+        let mut request = self
+            .prepare(attohttpc::post(url))
+            .read_timeout(self.patience);
+        if !key.is_empty() {
+            request = request.header("Idempotency-Key", key);
+        }
+        read(request.text(body).send()?)
+    }
+
+    /// the answer of a daemon to a GET
+    pub fn get(&self, daemon: usize, path: &str) -> Result<Booking, Fault> {
+        let request = self.prepare(attohttpc::get(self.url(daemon, path)));
+        read(request.read_timeout(self.patience).send()?)
+    }
+
+    fn post(&self, daemon: usize, ask: &Ask, stream: bool) -> Result<Response, Fault> {
+        let path = if ask.chat {
+            "/v1/chat/completions"
+        } else {
+            "/v1/completions"
+        };
+        let mut body = json!({
+            "model": ask.service,
+            "max_tokens": ask.max_tokens,
+            "stream": stream,
+        });
+        match ask.chat {
+            true => body["messages"] = json!([{ "role": "user", "content": ask.prompt }]),
+            false => body["prompt"] = json!(ask.prompt),
+        }
+        let silence = if stream { SILENCE } else { self.patience };
+        let request = attohttpc::post(self.url(daemon, path));
+        let mut request = self.prepare(request).read_timeout(silence);
+        if let Some(priority) = ask.priority {
+            request = request.header("X-Priority", priority.to_string());
+        }
+        if let Some(deadline) = ask.deadline {
+            request = request.header("X-Deadline-Ms", deadline.as_millis().to_string());
+        }
+        Ok(request.json(&body)?.send()?)
+    }
+
+    /// tries one daemon after the other until the stream goes on
+    fn reattach(&self, daemon: &mut usize, part: &Part) -> Result<Stream, Fault> {
+        let deadline = part.answer.asked_at + self.patience;
+        loop {
+            let opened = self.fetch(*daemon, part);
+            let fault = match opened {
+                Ok(stream) => return Ok(stream),
+                Err(fault) => fault,
+            };
+            if Instant::now() > deadline {
+                return Err(fault);
+            }
+            *daemon += 1;
+            thread::sleep(PAUSE);
+        }
+    }
+
+    fn fetch(&self, daemon: usize, part: &Part) -> Result<Stream, Fault> {
+        let url = self.url(daemon, &format!("{REQUESTS}/{}", part.answer.request_id));
+        let mut request = self.prepare(attohttpc::get(url)).read_timeout(SILENCE);
+        request = request.header("Accept", "text/event-stream");
+        if !part.last_event_id.is_empty() {
+            request = request.header("Last-Event-ID", &part.last_event_id);
+        }
+        Stream::new(request.send()?, part.answer.asked_at + self.patience)
+    }
+
+    fn url(&self, daemon: usize, path: &str) -> String {
+        let address = self.daemons[daemon % self.daemons.len()];
+        format!("http://{address}{path}")
+    }
+
+    fn prepare(&self, request: RequestBuilder) -> RequestBuilder {
+        request
+            .connect_timeout(CONNECT_TIMEOUT)
+            .follow_redirects(false)
+            .bearer_auth(&self.key)
+    }
+}
+
+impl Part {
+    /// takes tokens until the answer is done or moves
+    fn follow(
+        &mut self,
+        stream: &mut Stream,
+        watch: &mut impl FnMut(usize),
+    ) -> Result<Step, Fault> {
+        self.note(stream);
+        loop {
+            let step = stream.next_step();
+            self.note(stream);
+            match step? {
+                Step::Token { text, at } => {
+                    self.answer.text.push_str(&text);
+                    self.answer.token_times.push(at);
+                    watch(self.answer.token_times.len());
+                }
+                step => return Ok(step),
+            }
+        }
+    }
+
+    fn note(&mut self, stream: &Stream) {
+        if !stream.request_id.is_empty() {
+            self.answer.request_id.clone_from(&stream.request_id);
+        }
+        if !stream.last_event_id.is_empty() {
+            self.last_event_id.clone_from(&stream.last_event_id);
+        }
+    }
+}
+
+fn read(response: Response) -> Result<Booking, Fault> {
+    let status = response.status().as_u16();
+    let body = response.text()?;
+    if status >= 400 {
+        return Err(Fault::Refused {
+            status,
+            body: serde_json::from_str(&body).ok(),
+        });
+    }
+    Ok(Booking { status, body })
+}
--- /dev/null
+++ b/crates/bench/src/command.rs
@@ -0,0 +1,35 @@
+//! The command line of the bench.
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+use crate::{demo, overhead};
+
+/// runs agateloom among stand-ins on this machine
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, generate(command), private)]
+enum Command {
+    /// Show what agateloom does when VMs are reclaimed
+    #[bpaf(command)]
+    Demo,
+    /// Measure what a daemon adds to a direct call of an engine
+    #[bpaf(command)]
+    Overhead(#[bpaf(external(overhead::options))] overhead::Options),
+}
+
+/// runs the command that the command line names
+pub fn run() -> ExitCode {
+    let result = match command().run() {
+        Command::Demo => demo::run(),
+        Command::Overhead(options) => overhead::run(&options),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("the bench failed: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/demo/scenes.rs
@@ -0,0 +1,147 @@
+//! The scenes of the demo.
+
+use std::io;
+use std::time::Duration;
+
+use super::report::Report;
+use crate::client::{Answer, Ask, Fault};
+use crate::poll_until;
+use crate::world::{Engine, World};
+
+/// model service of the demo
+pub const MODEL: &str = "homily-models";
+
+/// plain service of the demo
+pub const DESK: &str = "archive-desk";
+
+/// tokens of the long answer
+const TOKENS: u32 = 300;
+
+/// tokens after which something happens to it
+const EVENT_AT: usize = 100;
+
+/// notice of a reclaim, seconds
+const NOTICE_SECONDS: u32 = 3;
+
+/// longest wait for what follows from a notice
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// an upstream VM is reclaimed while it streams
+pub fn reclaim_upstream(world: &World, report: &mut Report) {
+    let ask = Ask::new(
+        MODEL,
+        "Summarise the sermon of the first Sunday in May.",
+        TOKENS,
+    );
+    let mut reclaimed = None;
+    let answer = world.client().complete_watching(0, &ask, |count| {
+        if count == EVENT_AT {
+            reclaimed = running_engine(world).map(|engine| engine.machine.vm.clone());
+            if let Some(vm) = &reclaimed {
+                world.reclaim(vm, NOTICE_SECONDS);
+            }
+        }
+    });
+    let vm = reclaimed.unwrap_or_default();
+    add_answer(
+        report,
+        "a stream survives the reclaim of its upstream",
+        &ask,
+        &answer,
+    );
+    let is_gone = || {
+        let engine = world.engine(&vm)?;
+        engine.machine.child.ended()
+    };
+    let died = poll_until(PATIENCE, is_gone).is_some();
+    report.add("that upstream is gone", format!("{vm} died: {died}"), died);
+}
+
+/// a daemon is stopped while it streams
+pub fn stop_daemon(world: &World, report: &mut Report) {
+    let ask = Ask::new(MODEL, "Draft an outline of the evening service.", TOKENS);
+    let daemon = &world.daemons()[1];
+    let mut stopped = Ok(());
+    let answer = world.client().complete_watching(1, &ask, |count| {
+        if count == EVENT_AT {
+            stopped = daemon.terminate();
+        }
+    });
+    add_answer(
+        report,
+        "a stream survives the planned stop of its daemon",
+        &ask,
+        &answer,
+    );
+    let ended = daemon.with(|child| Ok(child.wait(PATIENCE)));
+    let status = ended.ok().flatten();
+    let clean = stopped.is_ok() && status.is_some_and(|status| status.success());
+    report.add("the daemon ends by itself", format!("{status:?}"), clean);
+}
+
+/// the same booking goes to daemons of two data centres
+pub fn book_twice(world: &World, report: &mut Report) -> io::Result<()> {
+    let last = world.daemons().len() - 1;
+    let path = format!("{DESK}/dedications");
+    let first = world
+        .client()
+        .book(0, &path, "dedication-7", "a lantern for two");
+    let second = world
+        .client()
+        .book(last, &path, "dedication-7", "a lantern for two");
+    let seen = format!("{} / {}", show(&first), show(&second));
+    let same = matches!((&first, &second), (Ok(a), Ok(b)) if a.body == b.body);
+    report.add(
+        "a booking repeated under its key gets the same answer",
+        seen,
+        same,
+    );
+    let mut executions = 0;
+    for plain in world.plains() {
+        let record = plain.record().map_err(io::Error::other)?;
+        executions += record
+            .iter()
+            .filter(|call| call.path.ends_with("/dedications"))
+            .count();
+    }
+    report.add(
+        "it ran once",
+        format!("ran {executions} times"),
+        executions == 1,
+    );
+    Ok(())
+}
+
+fn add_answer(report: &mut Report, expected: &str, ask: &Ask, answer: &Result<Answer, Fault>) {
+    match answer {
+        Ok(answer) => {
+            let whole = answer.text == ask.expected(&ask.engine_prompt());
+            let gap = answer.gaps().into_iter().max().unwrap_or_default();
+            let seen = format!(
+                "{} of {} tokens, longest gap {} ms, reattached {} times",
+                answer.token_times.len(),
+                ask.max_tokens,
+                gap.as_millis(),
+                answer.reattached
+            );
+            report.add(expected, seen, whole);
+        }
+        Err(fault) => report.add(expected, fault.to_string(), false),
+    }
+}
+
+/// the engine that generates now
+fn running_engine(world: &World) -> Option<&Engine> {
+    let is_running = |engine: &&Engine| {
+        let record = engine.record().unwrap_or_default();
+        record.iter().any(|run| !run.ended)
+    };
+    world.engines().iter().find(is_running)
+}
+
+fn show<T: std::fmt::Debug>(result: &Result<T, Fault>) -> String {
+    match result {
+        Ok(value) => format!("{value:?}"),
+        Err(fault) => fault.to_string(),
+    }
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,7 @@
-//! placeholder
+//! Runs one of the bench's commands.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bench::command::run()
+}
--- /dev/null
+++ b/crates/bench/src/overhead/load.rs
@@ -0,0 +1,150 @@
+//! Streams at the same time, direct or through a daemon.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use schema::engine::{Chunk, Completion};
+
+use super::options::Options;
+use super::sample::Sample;
+use crate::client::{Ask, Client, Event, Events, Fault};
+
+/// longest silence of a direct stream
+const SILENCE: Duration = Duration::from_secs(10);
+
+/// makes prompts and request ids differ
+static NEXT: AtomicU64 = AtomicU64::new(0);
+
+/// where streams are opened
+pub trait Target: Sync {
+    /// asks for an answer; gives the time of each token
+    fn stream(&self, ask: &Ask) -> Result<Vec<Instant>, Fault>;
+}
+
+/// an engine, without a daemon
+pub struct Direct {
+    /// where it listens
+    pub address: SocketAddr,
+}
+
+/// a daemon
+pub struct Through {
+    /// a caller of it
+    pub client: Client,
+}
+
+impl Target for Direct {
+    fn stream(&self, ask: &Ask) -> Result<Vec<Instant>, Fault> {
+        let completion = Completion {
+            model: ask.service.clone(),
+            prompt: ask.prompt.clone(),
+            max_tokens: ask.max_tokens,
+            request_id: format!("direct-{}", NEXT.fetch_add(1, Ordering::Relaxed)),
+            priority: 5,
+            prior: Vec::new(),
+            stream: true,
+        };
+        let response = attohttpc::post(format!("http://{}/v1/completions", self.address))
+            .read_timeout(SILENCE)
+            .json(&completion)?
+            .send()?;
+        if !response.is_success() {
+            return Err(Fault::Refused {
+                status: response.status().as_u16(),
+                body: None,
+            });
+        }
+        let (_, _, body) = response.split();
+        read_direct(&mut Events::new(body), ask)
+    }
+}
+
+fn read_direct<R: std::io::Read>(events: &mut Events<R>, ask: &Ask) -> Result<Vec<Instant>, Fault> {
+    let mut times = Vec::new();
+    let mut text = String::new();
+    loop {
+        let event = events
+            .next_event()
+            .map_err(|error| Fault::Broken(error.to_string()))?;
+        let Some(Event { name, data, .. }) = event else {
+            return Err(Fault::Broken("the answer ended early".to_owned()));
+        };
+        if name == "finish" {
+            break;
+        }
+        if data.is_empty() {
+            continue;
+        }
+        let chunk: Chunk =
+            serde_json::from_str(&data).map_err(|error| Fault::Malformed(error.to_string()))?;
+        times.push(Instant::now());
+        text.push_str(&chunk.text);
+    }
+    check(&text, ask)?;
+    Ok(times)
+}
+
+impl Target for Through {
+    fn stream(&self, ask: &Ask) -> Result<Vec<Instant>, Fault> {
+        let answer = self.client.complete(0, ask)?;
+        check(&answer.text, ask)?;
+        Ok(answer.token_times)
+    }
+}
+
+fn check(text: &str, ask: &Ask) -> Result<(), Fault> {
+    if text == ask.expected(&ask.prompt) {
+        return Ok(());
+    }
+    Err(Fault::Malformed("the answer is another one".to_owned()))
+}
+
+/// keeps `streams` streams open for one round
+pub fn round<T: Target>(target: &T, service: &str, streams: u32, options: &Options) -> Sample {
+    let end = Instant::now() + Duration::from_secs(options.seconds);
+    let mut sample = Sample::new();
+    thread::scope(|scope| {
+        let workers: Vec<_> = (0..streams)
+            .map(|_| scope.spawn(|| work(target, service, options, end)))
+            .collect();
+        for worker in workers {
+            sample.merge(&worker.join().expect("a worker"));
+        }
+    });
+    sample
+}
+
+fn work<T: Target>(target: &T, service: &str, options: &Options, end: Instant) -> Sample {
+    let mut sample = Sample::new();
+    let mut random = rand::rng();
+    while Instant::now() < end {
+        // Streams that start in step with each other would all wait for the same engine step.
+        thread::sleep(Duration::from_millis(random.random_range(0..100)));
+        let ask = Ask::new(service, &prompt(options.words), options.tokens);
+        let asked_at = Instant::now();
+        match target.stream(&ask) {
+            Ok(times) if !times.is_empty() => {
+                let gaps: Vec<_> = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
+                sample.add(times[0] - asked_at, &gaps);
+            }
+            Ok(_) => sample.failed += 1,
+            Err(fault) => {
+                if sample.failed == 0 {
+                    eprintln!("a stream failed: {fault}");
+                }
+                sample.failed += 1;
+            }
+        }
+    }
+    sample
+}
+
+/// a prompt that no cache has
+fn prompt(words: u32) -> String {
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let words: Vec<String> = (0..words).map(|word| format!("{number}-{word}")).collect();
+    words.join(" ")
+}
--- /dev/null
+++ b/crates/bench/src/world/builder.rs
@@ -0,0 +1,177 @@
+//! The plan of a world.
+
+use std::io;
+use std::time::Duration;
+
+use schema::config::{Capacity, Preset};
+use schema::settings::{Limits, Policy, Timing};
+use standin::{cloud, engine, objects, plain};
+
+use super::centre::Centre;
+use super::running::World;
+use super::workspace::Workspace;
+
+/// what a world is made of
+#[derive(Clone, Debug)]
+pub struct Builder {
+    pub(super) centres: Vec<Centre>,
+    pub(super) workspaces: Vec<Workspace>,
+    pub(super) presets: Vec<Preset>,
+    pub(super) capacity: Vec<Capacity>,
+    pub(super) engine: engine::Options,
+    pub(super) plain: plain::Options,
+    pub(super) cloud: cloud::Options,
+    pub(super) objects: objects::Options,
+    pub(super) timing: Timing,
+    pub(super) limits: Limits,
+    pub(super) policy: Policy,
+    pub(super) log: String,
+    pub(super) first_token_ms: u32,
+    pub(super) between_tokens_ms: u32,
+    pub(super) deadline_ms: u64,
+    pub(super) platform_region: Option<String>,
+    pub(super) region_delay: Duration,
+    pub(super) region_bandwidth: u64,
+    pub(super) upstream_proxies: bool,
+}
+
+impl Default for Builder {
+    fn default() -> Self {
+        Self {
+            centres: Vec::new(),
+            workspaces: Vec::new(),
+            presets: Vec::new(),
+            capacity: Vec::new(),
+            engine: engine::Options::default(),
+            plain: plain::Options::default(),
+            cloud: cloud::Options::default(),
+            objects: objects::Options::default(),
+            timing: Timing::default(),
+            limits: Limits {
+                workers: 256,
+                ..Limits::default()
+            },
+            policy: Policy::Affinity,
+            log: "info".to_owned(),
+            first_token_ms: 460,
+            between_tokens_ms: 32,
+            deadline_ms: 120_000,
+            platform_region: None,
+            region_delay: Duration::ZERO,
+            region_bandwidth: 0,
+            upstream_proxies: false,
+        }
+    }
+}
+
+impl Builder {
+    /// adds a data centre; the first one's region has the platform
+    pub fn centre(mut self, centre: Centre) -> Self {
+        self.centres.push(centre);
+        self
+    }
+
+    /// adds a workspace; without any there is one called `bench`
+    pub fn workspace(mut self, workspace: Workspace) -> Self {
+        self.workspaces.push(workspace);
+        self
+    }
+
+    /// adds a preset beside the one in force
+    pub fn preset(mut self, preset: Preset) -> Self {
+        self.presets.push(preset);
+        self
+    }
+
+    /// sets the capacity of a service; without any, VMs are neither started nor removed
+    pub fn capacity(mut self, capacity: Capacity) -> Self {
+        self.capacity.push(capacity);
+        self
+    }
+
+    /// sets what the engines are like
+    pub fn engine(mut self, options: engine::Options) -> Self {
+        self.engine = options;
+        self
+    }
+
+    /// sets what the plain services are like
+    pub fn plain(mut self, options: plain::Options) -> Self {
+        self.plain = options;
+        self
+    }
+
+    /// sets what the cloud API is like
+    pub fn cloud(mut self, options: cloud::Options) -> Self {
+        self.cloud = options;
+        self
+    }
+
+    /// sets what the object API is like
+    pub fn objects(mut self, options: objects::Options) -> Self {
+        self.objects = options;
+        self
+    }
+
+    /// sets the daemons' time-outs and periods
+    pub fn timing(mut self, timing: Timing) -> Self {
+        self.timing = timing;
+        self
+    }
+
+    /// sets the daemons' limits
+    pub fn limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// sets how the daemons choose an upstream VM
+    pub fn policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// sets the daemons' log filter
+    pub fn log(mut self, filter: &str) -> Self {
+        filter.clone_into(&mut self.log);
+        self
+    }
+
+    /// sets the longest time for a request
+    pub fn deadline(mut self, deadline: Duration) -> Self {
+        self.deadline_ms = deadline.as_millis() as u64;
+        self
+    }
+
+    /// sets the region of the platform's services
+    pub fn platform_region(mut self, region: &str) -> Self {
+        self.platform_region = Some(region.to_owned());
+        self
+    }
+
+    /// sets delay and bandwidth (bytes per second, 0 for no limit) of each way between regions
+    pub fn region_link(mut self, delay: Duration, bytes_per_second: u64) -> Self {
+        self.region_delay = delay;
+        self.region_bandwidth = bytes_per_second;
+        self
+    }
+
+    /// puts a proxy in front of each upstream VM
+    pub fn upstream_proxies(mut self) -> Self {
+        self.upstream_proxies = true;
+        self
+    }
+
+    /// starts everything and waits until all daemons are ready
+    pub fn start(mut self) -> io::Result<World> {
+        if self.workspaces.is_empty() {
+            self.workspaces.push(Workspace::new("bench"));
+        }
+        World::start(self)
+    }
+
+    pub(super) fn region_of_platform(&self) -> String {
+        let first = self.centres.first().map(|centre| centre.region.clone());
+        self.platform_region.clone().or(first).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/world/declaration.rs
@@ -0,0 +1,101 @@
+//! The declaration of a world.
+
+use std::collections::BTreeMap;
+
+use schema::config::{Capacity, Declaration, Fencing, Kind, Preset, Service, Upstream};
+
+use super::builder::Builder;
+
+/// name of the preset in force
+const PRESET: &str = "ordinary";
+
+/// class of all VMs
+pub const CLASS: &str = "bench";
+
+/// slots of a plain service's VM
+const PLAIN_SLOTS: u32 = 256;
+
+/// most VMs of a service, far above any world's
+const CEILING: u32 = 100;
+
+/// writes the declaration of a plan; VMs come from the cloud's list
+pub fn declare(plan: &Builder) -> Declaration {
+    let services: BTreeMap<String, Service> = services(plan);
+    let held = services.keys().map(|name| hold(name)).collect();
+    let capacity = if plan.capacity.is_empty() {
+        held
+    } else {
+        plan.capacity.clone()
+    };
+    let mut presets = plan.presets.clone();
+    presets.push(Preset {
+        name: PRESET.to_owned(),
+        admit_priority: 0,
+        capacity,
+    });
+    Declaration {
+        services: services.into_values().collect(),
+        upstreams: upstreams(plan),
+        workspaces: plan.workspaces.iter().map(|w| w.declared.clone()).collect(),
+        presets,
+        preset: PRESET.to_owned(),
+    }
+}
+
+fn services(plan: &Builder) -> BTreeMap<String, Service> {
+    let mut services = BTreeMap::new();
+    for group in plan.centres.iter().flat_map(|centre| &centre.groups) {
+        let service = Service {
+            name: group.service.clone(),
+            kind: group.kind,
+            first_token_ms: plan.first_token_ms,
+            between_tokens_ms: plan.between_tokens_ms,
+            deadline_ms: plan.deadline_ms,
+            repeatable: Vec::new(),
+        };
+        services.insert(group.service.clone(), service);
+    }
+    services
+}
+
+fn upstreams(plan: &Builder) -> Vec<Upstream> {
+    let mut upstreams = Vec::new();
+    for centre in &plan.centres {
+        for group in &centre.groups {
+            let slots = if group.kind == Kind::Model {
+                plan.engine.slots
+            } else {
+                PLAIN_SLOTS
+            };
+            let is_checked = group.kind == Kind::Model;
+            upstreams.push(Upstream {
+                name: group.upstream(&centre.name),
+                service: group.service.clone(),
+                data_centre: centre.name.clone(),
+                region: centre.region.clone(),
+                class: CLASS.to_owned(),
+                slots,
+                fencing: if is_checked {
+                    plan.engine.fencing
+                } else {
+                    Fencing::Ignored
+                },
+                addresses: Vec::new(),
+            });
+        }
+    }
+    upstreams
+}
+
+/// a capacity that starts and removes no VM
+fn hold(service: &str) -> Capacity {
+    Capacity {
+        service: service.to_owned(),
+        floor: 0,
+        ceiling: CEILING,
+        spare: 0,
+        load_percent: 70,
+        on_demand_percent: 0,
+        hold: true,
+    }
+}
