--- a/crates/daemon/src/vms/reader.rs
+++ b/crates/daemon/src/vms/reader.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use entry::Context;
-use fleet::cloud::Client;
+use fleet::cloud::{Client, Cloud};
 use rand::Rng;
 use route::table;
 use schema::cloud::{List, State};
@@ -33,8 +33,15 @@
     /// # Errors
     /// When the thread can't be started.
     pub fn start(context: Arc<Context>, cloud: Client) -> std::io::Result<Arc<Reader>> {
-        let kept = Mutex::new(Listed { hash: 0, list: None });
-        let reader = Arc::new(Reader { context, cloud, kept });
+        let kept = Mutex::new(Listed {
+            hash: 0,
+            list: None,
+        });
+        let reader = Arc::new(Reader {
+            context,
+            cloud,
+            kept,
+        });
         let running = Arc::clone(&reader);
         let builder = thread::Builder::new().name("vms".to_owned());
         builder.spawn(move || running.run())?;
@@ -45,7 +52,10 @@
     pub fn answer(&self, ask: &Ask) -> Listed {
         let kept = self.kept();
         match kept.hash == ask.have {
-            true => Listed { hash: kept.hash, list: None },
+            true => Listed {
+                hash: kept.hash,
+                list: None,
+            },
             false => kept.clone(),
         }
     }
@@ -81,7 +91,10 @@
         }
         let holder = self.context.node.holders(DUTY, 1).into_iter().next()?;
         let ask = Ask { have };
-        let answer = self.context.node.call_blocking(&holder, LIST, &ask, PULL_TIMEOUT);
+        let answer = self
+            .context
+            .node
+            .call_blocking(&holder, LIST, &ask, PULL_TIMEOUT);
         match answer {
             Ok(listed) => Some(listed),
             Err(error) => {
@@ -93,7 +106,7 @@
 
     fn read_cloud(&self) -> Option<Listed> {
         match self.cloud.list() {
-            Ok(list) => Some(Listed { hash: hash(&list), list: Some(list) }),
+            Ok(vms) => Some(listed(List { vms })),
             Err(error) => {
                 tracing::warn!(event = "vms_read_failed", %error);
                 None
@@ -129,7 +142,11 @@
     }
 }
 
-fn hash(list: &List) -> u64 {
-    let text = serde_json::to_vec(list).unwrap_or_default();
-    xxhash_rust::xxh3::xxh3_64(&text).max(1)
+fn listed(list: List) -> Listed {
+    let text = serde_json::to_vec(&list).unwrap_or_default();
+    let hash = xxhash_rust::xxh3::xxh3_64(&text).max(1);
+    Listed {
+        hash,
+        list: Some(list),
+    }
 }
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -6,7 +6,6 @@
 
 use bpaf::Bpaf;
 
-use crate::http::Stop;
 use crate::{cloud, engine, objects, plain, proxy};
 
 /// stand-ins of the systems that agateloom meets
@@ -24,7 +23,7 @@
     Cloud(#[bpaf(external(cloud::parser))] cloud::Options),
     /// an object API
     #[bpaf(command)]
-    Objects(#[bpaf(external(objects::options))] objects::Options),
+    Objects(#[bpaf(external(objects::parser))] objects::Options),
     /// a TCP proxy
     #[bpaf(command)]
     Proxy(#[bpaf(external(proxy::parser))] proxy::Options),
@@ -61,7 +60,9 @@
         Command::Objects(options) => {
             let server = objects::Server::start(&options)?;
             announce(server.address())?;
-            Stop::default().wait();
+            loop {
+                std::thread::park();
+            }
         }
         Command::Proxy(options) => {
             let server = proxy::Server::start(&options)?;
--- a/crates/standin/src/objects/options.rs
+++ b/crates/standin/src/objects/options.rs
@@ -7,6 +7,7 @@
 
 /// how the stand-in listens and how much it bears
 #[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(parser))]
 pub struct Options {
     /// address to listen on, `ip:port`; port 0 takes a free one
     #[bpaf(argument("ADDRESS"), fallback(loopback()))]
