--- /dev/null
+++ b/crates/cli/src/actions/apply.rs
@@ -0,0 +1,28 @@
+//! `agateloom apply`
+
+use std::path::Path;
+
+use store::config::{self, Outcome, Source};
+
+use super::{declaration, platform};
+use crate::error::Error;
+use crate::output::{self, Applied};
+use crate::settings::Settings;
+
+/// checks a declaration and puts it in force
+pub(super) fn run(path: &Path, source: Source<'_>, settings: &Settings) -> Result<String, Error> {
+    let declaration = declaration::read(path)?;
+    let client = platform::client(settings)?;
+    let outcome = config::apply(&client, &declaration, source);
+    let applied = match outcome.map_err(|error| platform::explain(&error))? {
+        Outcome::Applied(edit) => Applied::new(&edit, &declaration.preset),
+        Outcome::Conflict(edit) => return Err(platform::conflict(&edit)),
+        Outcome::UnknownPreset => {
+            return Err(Error::Failed(format!(
+                "no preset {} is declared",
+                declaration.preset
+            )));
+        }
+    };
+    output::render(&applied, settings.output)
+}
--- a/crates/cli/src/actions/run.rs
+++ b/crates/cli/src/actions/run.rs
@@ -1,7 +1,9 @@
 //! Hands a command to its action.
 
-use super::{check, completion, drain, key, status, trace};
-use crate::args::{Command, Key};
+use store::config::Source;
+
+use super::{apply, check, completion, drain, get, key, preset, status, trace};
+use crate::args::{Change, Command, Key, Preset};
 use crate::error::Error;
 use crate::settings::Settings;
 
@@ -12,9 +14,14 @@
 pub fn run(command: &Command, settings: &Settings) -> Result<String, Error> {
     match command {
         Command::Check { path, .. } => check::run(path, settings),
-        Command::Apply { .. } | Command::Get { .. } | Command::Preset { .. } => {
-            Err(Error::Failed("not wired to the store yet".to_owned()))
-        }
+        Command::Apply { change, path, .. } => apply::run(path, source(change), settings),
+        Command::Get { .. } => get::run(settings),
+        Command::Preset {
+            preset: Preset::List { .. },
+        } => preset::list(settings),
+        Command::Preset {
+            preset: Preset::Use { change, name, .. },
+        } => preset::choose(name, source(change), settings),
         Command::Status { .. } => status::run(settings),
         Command::Drain { vm, .. } => drain::run(vm, settings),
         Command::Trace { id, .. } => trace::run(id, settings),
@@ -24,3 +31,10 @@
         Command::Completion { shell } => completion::run(*shell),
     }
 }
+
+fn source(change: &Change) -> Source<'_> {
+    Source {
+        author: &change.author,
+        expected: change.expect,
+    }
+}
--- a/crates/cli/src/args/command.rs
+++ b/crates/cli/src/args/command.rs
@@ -26,9 +26,9 @@
         /// options after the command
         #[bpaf(external)]
         target: Target,
-        /// Apply only if this revision is the one in force; 0 for none yet
-        #[bpaf(long, argument("REVISION"), optional)]
-        expect: Option<u64>,
+        /// about the change
+        #[bpaf(external)]
+        change: Change,
         /// YAML file, or a folder whose YAML files make one declaration
         #[bpaf(positional("FILE"))]
         path: PathBuf,
@@ -90,6 +90,17 @@
     },
 }
 
+/// options of a change to the configuration
+#[derive(Debug, Clone, Bpaf)]
+pub struct Change {
+    /// Make the change only if this revision is the one in force; 0 for none yet
+    #[bpaf(long, argument("REVISION"), optional)]
+    pub expect: Option<u64>,
+    /// Who makes the change, for others to see
+    #[bpaf(long, argument("NAME"), env("USER"), fallback("unknown".to_owned()))]
+    pub author: String,
+}
+
 /// what to do with presets
 #[derive(Debug, Clone, Bpaf)]
 pub enum Preset {
@@ -106,6 +117,9 @@
         /// options after the command
         #[bpaf(external)]
         target: Target,
+        /// about the change
+        #[bpaf(external)]
+        change: Change,
         /// Name of the preset
         #[bpaf(positional("NAME"))]
         name: String,
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -5,6 +5,6 @@
 mod options;
 mod target;
 
-pub use command::{Command, Key, Preset, Shell};
+pub use command::{Change, Command, Key, Preset, Shell};
 pub use options::{Options, options};
 pub use target::Target;
--- a/crates/cli/src/output/mod.rs
+++ b/crates/cli/src/output/mod.rs
@@ -1,14 +1,18 @@
 //! Prints results, as text for people or as JSON for programs.
 
+mod applied;
 mod capacity;
 mod key;
+mod presets;
 mod render;
 mod status;
 mod summary;
 mod table;
 mod trace;
 
+pub use applied::Applied;
 pub use key::KeyPair;
+pub use presets::Presets;
 pub use render::{Render, print, render};
 pub use summary::Summary;
 pub use table::Table;
--- /dev/null
+++ b/crates/cli/tests/tool/main.rs
@@ -0,0 +1,6 @@
+//! Runs the tool as operators do.
+
+mod daemon;
+mod offline;
+mod platform;
+mod support;
