Add tickets: keyed calls that need no object API

A daemon that is cut off from the object API could only refuse keyed calls. A ticket binds the call to the daemon that issued it; others pass it on, and a dead issuer means that the call may have run.

--- a/crates/engine/src/plain.rs
+++ b/crates/engine/src/plain.rs
@@ -86,11 +86,11 @@
         let flag = sent::Flag::new(size);
         let answer = request.body(sent::Bytes::new(call.body, &flag)).send();
         let answer = answer.map_err(|error| Failure::from_http(&error, flag.get()))?;
-        read(answer)
+        read(answer, call.method == "HEAD")
     }
 }
 
-fn read(answer: Response) -> Result<Answer, Failure> {
+fn read(answer: Response, is_head: bool) -> Result<Answer, Failure> {
     let status = answer.status().as_u16();
     let headers: Vec<Header> = answer
         .headers()
@@ -121,7 +121,8 @@
             "the answer is too large",
         ));
     }
-    if declared(&headers).is_some_and(|length| length != body.len() as u64) {
+    let length = declared(&headers).filter(|_| !is_head);
+    if length.is_some_and(|length| length != body.len() as u64) {
         let detail = "the answer is cut off";
         return Err(Failure::new(Kind::Broken, Verdict::MayHaveRun, detail));
     }
--- a/crates/entry/src/call/claimed.rs
+++ b/crates/entry/src/call/claimed.rs
@@ -33,14 +33,8 @@
     match claim {
         Ok(Claim::Mine(held)) => send(plain, &held),
         Ok(Claim::Done(outcome)) => Ok(replay(outcome)),
-        Ok(Claim::Busy { .. }) => {
-            let message = "A call with this key is under way, or its outcome is not known.";
-            Err(Fault::unsure(409, "key_in_use", message).after(UNDER_WAY))
-        }
-        Ok(Claim::Mismatch) => {
-            let message = "The key was used for another call.";
-            Err(Fault::refused(422, "key_mismatch", message))
-        }
+        Ok(Claim::Busy { .. }) => Err(in_use()),
+        Ok(Claim::Mismatch) => Err(mismatch()),
         Err(error) => {
             tracing::warn!(event = "claim_failed", request = plain.id, %error);
             let message = "The key can't be claimed now, so the call was not sent.";
@@ -85,15 +79,31 @@
     }
 }
 
+/// the call of a key is under way, or nobody knows its outcome
+pub(super) fn in_use() -> Fault {
+    let message = "A call with this key is under way, or its outcome is not known.";
+    Fault::unsure(409, "key_in_use", message).after(UNDER_WAY)
+}
+
+/// the key stands for another call
+pub(super) fn mismatch() -> Fault {
+    Fault::refused(422, "key_mismatch", "The key was used for another call.")
+}
+
+/// marks the answer to a repeat
+pub(super) fn replayed(mut answer: Answer) -> Answer {
+    answer.headers.push(Header::new(REPLAYED, "true"));
+    answer
+}
+
 fn replay(outcome: Outcome) -> Answer {
     let kept = outcome.headers.into_iter();
-    let mut headers: Vec<Header> = kept
+    let headers: Vec<Header> = kept
         .map(|kept| Header::new(kept.name, kept.value))
         .collect();
-    headers.push(Header::new(REPLAYED, "true"));
-    Answer {
+    replayed(Answer {
         status: outcome.status,
         headers,
         body: outcome.body.unwrap_or_default(),
-    }
+    })
 }
--- a/crates/entry/src/call/mod.rs
+++ b/crates/entry/src/call/mod.rs
@@ -10,5 +10,6 @@
 mod reattach;
 mod remote;
 mod router;
+mod ticketed;
 
 pub(crate) use router::answer;
--- a/crates/entry/src/call/plain.rs
+++ b/crates/entry/src/call/plain.rs
@@ -15,17 +15,18 @@
 use tokio::time::Instant;
 
 use super::admit::{self, Urgency};
-use super::{auth, claimed, read};
+use super::{auth, claimed, read, remote, ticketed};
 use crate::context::Context;
 use crate::drive;
 use crate::fault::Fault;
 use crate::http::Exchange;
 use crate::span::Hop;
+use crate::ticket::Name;
 
 /// methods that may be repeated by their definition
 const REPEATABLE: [&str; 5] = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"];
 /// headers that concern one connection only, or the caller's standing here
-const DROPPED: [&str; 14] = [
+const DROPPED: [&str; 15] = [
     "authorization",
     "connection",
     "content-length",
@@ -38,6 +39,7 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
+    "x-agateloom-hop",
     "x-not-run",
     "x-workspace",
 ];
@@ -54,6 +56,8 @@
     pub(super) call: Call<'a>,
     pub(super) trace: &'a str,
     pub(super) id: &'a str,
+    pub(super) authorization: &'a str,
+    pub(super) passed_on: bool,
 }
 
 /// answers a call under `/services/`
@@ -102,9 +106,14 @@
         },
         trace: exchange.headers.get("traceparent").unwrap_or_default(),
         id: &id,
+        authorization: exchange.headers.get("authorization").unwrap_or_default(),
+        passed_on: exchange.headers.get(remote::HOP).is_some(),
     };
     let result = match exchange.headers.get("idempotency-key") {
-        Some(key) if !plain.repeatable => claimed::run(&plain, key),
+        Some(key) if !plain.repeatable => match Name::parse(key) {
+            Some(ticket) => ticketed::run(&plain, &ticket),
+            None => claimed::run(&plain, key),
+        },
         _ => plain.send(),
     };
     plain.count(&result, start);
--- a/crates/entry/src/call/router.rs
+++ b/crates/entry/src/call/router.rs
@@ -4,7 +4,7 @@
 use crate::fault::Fault;
 use crate::http::Exchange;
 
-use super::{completion, info, plain, reattach};
+use super::{completion, info, plain, reattach, ticketed};
 
 /// prefix of the paths of requests in flight
 const REQUESTS: &str = "/v1/requests/";
@@ -24,6 +24,7 @@
     match (method.as_str(), path.as_str()) {
         ("POST", "/v1/completions") => completion::answer(context, exchange, false),
         ("POST", "/v1/chat/completions") => completion::answer(context, exchange, true),
+        ("POST", "/v1/tickets") => ticketed::issue(context, exchange),
         ("GET", "/v1/models") => info::models(context, exchange),
         ("GET", "/healthz") => info::health(exchange),
         ("GET", "/readyz") => info::ready(context, exchange),
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -23,6 +23,7 @@
 use crate::span;
 use crate::stage::Stage;
 use crate::standby;
+use crate::ticket;
 
 /// first-token target of a service that is not declared
 const FIRST_TOKEN: Duration = Duration::from_millis(460);
@@ -43,6 +44,8 @@
     pub journals: journal::Table,
     /// copies of requests of leaving daemons
     pub standby: standby::Table,
+    /// tickets that this daemon issued
+    pub tickets: ticket::Book,
     /// client of the upstreams
     pub engines: Client,
     /// this daemon among the others
@@ -97,6 +100,7 @@
             gate: Gate::new(),
             journals: journal::Table::default(),
             standby: standby::Table::default(),
+            tickets: ticket::Book::default(),
             engines: self.engines,
             node: self.node,
             claims: self.claims,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod span;
 mod stage;
 pub mod standby;
+pub mod ticket;
 
 pub use context::{Builder, Context};
 pub use drive::{Driver, Job};
