Span every hop, join by trace id, find daemons by the list of VMs

Spans for accept and queue were missing and the trace id was not passed to upstreams; a caller without a trace parent gets a new one. A starting daemon takes the daemons of the platform's list as further addresses to join by, since fixed ones go stale when VMs are replaced.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -7,6 +7,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use engine::{Client, Pace};
 use entry::{Bounds, Builder, Context, Driver, Job, Server, handover};
+use fleet::cloud::Cloud;
 use jsonrpsee::RpcModule;
 use peer::Node;
 use route::table::{Place, Table};
@@ -68,8 +69,9 @@
     let server = Server::bind(&settings.listen.callers, bounds).map_err(Error::Server)?;
     let slot: handover::Slot = Arc::new(OnceLock::new());
     let parts: operator::Slot = Arc::new(OnceLock::new());
-    let node = node(settings, &server, &runtime, methods(&slot, &parts))?;
     let platform = platform(settings)?;
+    let seeds = seeds(settings, &platform);
+    let node = node(settings, &server, &runtime, seeds, methods(&slot, &parts))?;
     let (jobs, queue) = bounded(settings.limits.waiting as usize);
     let context = Arc::new(context(settings, node, &platform, jobs, &runtime));
     if slot.set(Arc::clone(&context)).is_err() {
@@ -117,6 +119,7 @@
     settings: &Daemon,
     server: &Server,
     runtime: &Runtime,
+    seeds: Vec<String>,
     methods: RpcModule<()>,
 ) -> Result<Node, Error> {
     let fleet_key = secret::read(&settings.keys.fleet_file)?;
@@ -125,7 +128,7 @@
         .region(&settings.region)
         .control(&settings.listen.control)
         .callers(&server.address().to_string())
-        .seeds(&settings.peers)
+        .seeds(&seeds)
         .fleet_key(&fleet_key)
         .operator_key(&operator_key);
     runtime
@@ -133,6 +136,25 @@
         .map_err(Error::Node)
 }
 
+/// control addresses to join by: those of the settings and, as a hint, of the list of VMs
+fn seeds(settings: &Daemon, platform: &Platform) -> Vec<String> {
+    let mut seeds = settings.peers.clone();
+    match platform.cloud.list() {
+        Ok(vms) => {
+            let daemons = vms.into_iter().filter(|vm| vm.upstream.is_empty());
+            seeds.extend(
+                daemons
+                    .map(|vm| vm.address)
+                    .filter(|address| !address.is_empty()),
+            );
+        }
+        Err(error) => tracing::warn!(event = "seeds_not_listed", %error),
+    }
+    seeds.sort();
+    seeds.dedup();
+    seeds
+}
+
 fn platform(settings: &Daemon) -> Result<Platform, Error> {
     let token = match &settings.platform.token_file {
         Some(path) => secret::read(path)?,
@@ -186,10 +208,7 @@
     Poller::start(context, Duration::from_millis(settings.timing.poll_ms))?;
     Spread::start(Arc::clone(context))?;
     share::start(Arc::clone(context))?;
-    sweep::start(
-        Arc::clone(context),
-        Duration::from_secs(settings.limits.keep_seconds),
-    )?;
+    sweep::start(Arc::clone(context), &settings.limits)?;
     Ok(Parts {
         context: Arc::clone(context),
         keeper,
--- a/crates/daemon/src/sweep.rs
+++ b/crates/daemon/src/sweep.rs
@@ -5,22 +5,23 @@
 use std::time::Duration;
 
 use entry::Context;
+use schema::settings::Limits;
 use tokio::time::Instant;
 
 /// period of sweeping
 const PERIOD: Duration = Duration::from_millis(500);
-/// time after which a request that nobody reads is cancelled
-const ABANDONED: Duration = Duration::from_secs(10);
 
 /// starts to sweep
 ///
 /// # Errors
 /// When the thread can't be started.
-pub fn start(context: Arc<Context>, keep: Duration) -> std::io::Result<()> {
+pub fn start(context: Arc<Context>, limits: &Limits) -> std::io::Result<()> {
+    let abandoned = Duration::from_secs(limits.abandon_seconds);
+    let keep = Duration::from_secs(limits.keep_seconds);
     let builder = thread::Builder::new().name("sweep".to_owned());
     let run = move || loop {
         let now = Instant::now();
-        for journal in context.journals.sweep(ABANDONED, keep, now) {
+        for journal in context.journals.sweep(abandoned, keep, now) {
             tracing::info!(event = "abandoned", request = journal.origin.id);
         }
         context.standby.sweep(now);
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use attohttpc::header::HeaderValue;
 use attohttpc::{Method, RequestBuilder, Response};
 use schema::engine::{Completion, Events, Import, Imported, Load, Order};
 use schema::failure::Verdict;
@@ -42,13 +43,21 @@
         Client { pace }
     }
 
-    /// starts a stream on the engine at `address`
+    /// starts a stream on the engine at `address`, under a W3C trace parent
     ///
     /// # Errors
     /// [`Kind::Refused`] when the engine states that it ran nothing.
-    pub fn open(&self, address: &str, completion: &Completion) -> Result<Stream, Failure> {
+    pub fn open(
+        &self,
+        address: &str,
+        completion: &Completion,
+        trace: &str,
+    ) -> Result<Stream, Failure> {
         let body = encode(completion)?;
-        let request = self.request(Method::POST, address, "/v1/completions", self.pace.silence);
+        let mut request = self.request(Method::POST, address, "/v1/completions", self.pace.silence);
+        if let Ok(trace) = HeaderValue::from_str(trace) {
+            request = request.header("traceparent", trace);
+        }
         Stream::new(send(request, &body, 0)?)
     }
 
--- a/crates/entry/src/call/completion.rs
+++ b/crates/entry/src/call/completion.rs
@@ -13,6 +13,7 @@
 use crate::http::Exchange;
 use crate::journal::{End, Journal, Origin};
 use crate::openai::Ask;
+use crate::span;
 
 /// bytes of randomness in a request id
 const ID_BYTES: usize = 16;
@@ -61,11 +62,7 @@
         priority: urgency.priority,
         accepted: now,
         deadline: urgency.deadline,
-        trace: exchange
-            .headers
-            .get("traceparent")
-            .unwrap_or_default()
-            .to_owned(),
+        trace: span::parent(exchange.headers.get("traceparent")),
     };
     let journal = Arc::new(Journal::new(origin));
     start(context, &journal)?;
@@ -90,15 +87,17 @@
         deadline: origin.deadline,
         first_token: context.first_token_of(&origin.service),
     };
+    context
+        .spans
+        .add(origin.hop(), "accept", origin.accepted, "");
+    let start = Instant::now();
     let admitted = admit::admit(context, &origin.workspace, &ask)?;
     let note = format!(
         "vm={} estimate_ms={}",
         admitted.pick.vm,
         admitted.pick.estimate.as_millis()
     );
-    context
-        .spans
-        .add(origin.hop(), "admit", origin.accepted, &note);
+    context.spans.add(origin.hop(), "admit", start, &note);
     context.earn_retry();
     context.journals.insert(journal);
     let job = Job {
--- a/crates/entry/src/call/plain.rs
+++ b/crates/entry/src/call/plain.rs
@@ -20,13 +20,13 @@
 use crate::drive;
 use crate::fault::Fault;
 use crate::http::Exchange;
-use crate::span::Hop;
+use crate::span::{self, Hop};
 use crate::ticket::Name;
 
 /// methods that may be repeated by their definition
 const REPEATABLE: [&str; 5] = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"];
 /// headers that concern one connection only, or the caller's standing here
-const DROPPED: [&str; 15] = [
+const DROPPED: [&str; 16] = [
     "authorization",
     "connection",
     "content-length",
@@ -36,6 +36,7 @@
     "proxy-authorization",
     "proxy-connection",
     "te",
+    "traceparent",
     "trailer",
     "transfer-encoding",
     "upgrade",
@@ -90,7 +91,8 @@
         "" => format!("/{path}"),
         query => format!("/{path}?{query}"),
     };
-    let headers = passed(exchange, workspace);
+    let trace = span::parent(exchange.headers.get("traceparent"));
+    let headers = passed(exchange, workspace, &trace);
     let id = hex::encode(rand::random::<[u8; 8]>());
     let plain = Plain {
         context,
@@ -104,7 +106,7 @@
             headers: &headers,
             body: &body,
         },
-        trace: exchange.headers.get("traceparent").unwrap_or_default(),
+        trace: &trace,
         id: &id,
         authorization: exchange.headers.get("authorization").unwrap_or_default(),
         passed_on: exchange.headers.get(remote::HOP).is_some(),
@@ -120,10 +122,11 @@
     result
 }
 
-fn passed(exchange: &Exchange, workspace: &Workspace) -> Vec<Header> {
+fn passed(exchange: &Exchange, workspace: &Workspace, trace: &str) -> Vec<Header> {
     let mut headers: Vec<Header> = exchange.headers.all().to_vec();
     headers.retain(|header| !DROPPED.contains(&header.name.as_str()));
     headers.push(Header::new("x-workspace", workspace.name.as_str()));
+    headers.push(Header::new("traceparent", trace));
     headers
 }
 
--- a/crates/entry/src/drive/attempt.rs
+++ b/crates/entry/src/drive/attempt.rs
@@ -87,7 +87,11 @@
             true => context
                 .engines
                 .attach(address, &seat.stream.name, journal.count()),
-            false => context.engines.open(address, &completion(journal, seat)),
+            false => {
+                context
+                    .engines
+                    .open(address, &completion(journal, seat), &journal.origin.trace)
+            }
         };
         let reader = opened.map_err(Halt::Lost)?;
         let last = Instant::now();
--- a/crates/entry/src/drive/run.rs
+++ b/crates/entry/src/drive/run.rs
@@ -50,6 +50,10 @@
 
     /// fills the journal and gives back what the request holds
     pub(super) fn run(mut self) {
+        let origin = &self.job.journal.origin;
+        self.context
+            .spans
+            .add(origin.hop(), "queue", origin.accepted, "");
         if let Some(first) = self.first() {
             self.follow(first);
         }
--- a/crates/entry/src/span.rs
+++ b/crates/entry/src/span.rs
@@ -37,7 +37,7 @@
     pub trace: &'a str,
 }
 
-/// spans of the last requests, by request id
+/// spans of the last requests, by request id and by trace id
 #[derive(Debug, Default)]
 pub struct Log {
     requests: Mutex<Requests>,
@@ -47,6 +47,7 @@
 struct Requests {
     spans: HashMap<String, Vec<Span>>,
     order: VecDeque<String>,
+    traces: HashMap<String, Vec<String>>,
 }
 
 impl Log {
@@ -67,34 +68,67 @@
             duration_us = span.duration_us,
             detail = note,
         );
-        lock(&self.requests).add(hop.request, span);
+        lock(&self.requests).add(hop, span);
     }
 
-    /// spans of a request
-    pub fn get(&self, request: &str) -> Vec<Span> {
-        lock(&self.requests)
-            .spans
-            .get(request)
-            .cloned()
-            .unwrap_or_default()
+    /// spans of a request, or of all requests of a trace
+    pub fn get(&self, id: &str) -> Vec<Span> {
+        lock(&self.requests).get(id)
     }
 }
 
 impl Requests {
-    fn add(&mut self, request: &str, span: Span) {
-        if let Some(spans) = self.spans.get_mut(request) {
+    fn get(&self, id: &str) -> Vec<Span> {
+        let own = self.spans.get(id).into_iter();
+        let traced = self.traces.get(id).into_iter().flatten();
+        let others = traced.filter_map(|request| self.spans.get(request));
+        own.chain(others).flatten().cloned().collect()
+    }
+
+    fn add(&mut self, hop: Hop<'_>, span: Span) {
+        if let Some(spans) = self.spans.get_mut(hop.request) {
             if spans.len() < MOST_SPANS {
                 spans.push(span);
             }
             return;
         }
-        if self.order.len() >= MOST_REQUESTS
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.spans.remove(&oldest);
+        if self.order.len() >= MOST_REQUESTS {
+            self.forget_oldest();
+        }
+        self.order.push_back(hop.request.to_owned());
+        self.spans.insert(hop.request.to_owned(), vec![span]);
+        let trace = trace_id(hop.trace).to_owned();
+        if !trace.is_empty() {
+            self.traces
+                .entry(trace)
+                .or_default()
+                .push(hop.request.to_owned());
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some(oldest) = self.order.pop_front() else {
+            return;
+        };
+        self.spans.remove(&oldest);
+        self.traces.retain(|_, requests| {
+            requests.retain(|request| *request != oldest);
+            !requests.is_empty()
+        });
+    }
+}
+
+/// the trace parent of a caller, or a new one
+pub fn parent(header: Option<&str>) -> String {
+    let known =
+        header.filter(|header| header.split('-').count() >= 4 && !trace_id(header).is_empty());
+    match known {
+        Some(header) => header.to_owned(),
+        None => {
+            let trace: [u8; 16] = rand::random();
+            let span: [u8; 8] = rand::random();
+            format!("00-{}-{}-01", hex::encode(trace), hex::encode(span))
         }
-        self.order.push_back(request.to_owned());
-        self.spans.insert(request.to_owned(), vec![span]);
     }
 }
 
