--- a/crates/peer/tests/sim/mod.rs
+++ b/crates/peer/tests/sim/mod.rs
@@ -85,6 +85,8 @@
     pub weather: Weather,
     /// whether sides are cut off from each other
     pub cut: bool,
+    /// bytes by kind of message
+    pub kinds: BTreeMap<&'static str, u64>,
     random: ChaCha8Rng,
     addresses: BTreeMap<String, usize>,
     order: BinaryHeap<Reverse<(Instant, u64)>>,
@@ -99,6 +101,7 @@
             now: Instant::now() + Duration::from_secs(100),
             weather,
             cut: false,
+            kinds: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             addresses: BTreeMap::new(),
             order: BinaryHeap::new(),
@@ -238,6 +241,7 @@
                 self.daemons[to].received += bytes;
                 let answer = self.daemons[to].core.serve(&call.message, now);
                 self.daemons[to].sent += answer_bytes(&answer);
+                *self.kinds.entry(kind(&call.message)).or_default() += answer_bytes(&answer);
                 let ticket = call.ticket;
                 if let Some(delay) = self.passage(to, from) {
                     self.at(
@@ -278,6 +282,7 @@
         let ticket = call.ticket;
         self.daemons[from].sent += request_bytes(&call.message);
         self.daemons[from].calls += 1;
+        *self.kinds.entry(kind(&call.message)).or_default() += request_bytes(&call.message);
         let to = self.addresses.get(&call.to.control).copied();
         let reachable = to.filter(|to| self.daemons[*to].up);
         match reachable {
@@ -364,6 +369,18 @@
 /// bytes of both around a result
 const ANSWER_ENVELOPE: u64 = 45;
 
+fn kind(message: &Message) -> &'static str {
+    match message {
+        Message::Probe(_) => "probe",
+        Message::Check(_) => "check",
+        Message::Confirm(_) => "confirm",
+        Message::Push(_) => "push",
+        Message::Sync(_) => "sync",
+        Message::Report(_) => "report",
+        Message::Exchange(_) => "exchange",
+    }
+}
+
 fn request_bytes(message: &Message) -> u64 {
     let json = match message {
         Message::Probe(probe) => serde_json::to_vec(probe),
