--- /dev/null
+++ b/crates/store/examples/claims.rs
@@ -0,0 +1,173 @@
+//! Measures calls to the object API for each keyed call, and their latency.
+//!
+//! `cargo run --release -p store --example claims -- [seconds]` runs 8 daemons
+//! with 100 keyed calls a second together, over 5 workspaces of which one has half of the
+//! calls, against a stand-in that takes 3 ms for a call.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use standin::objects::{Options as StoreOptions, Server};
+use store::Client;
+use store::claim::{Claim, Claims, Fingerprint, Options, Outcome, shard};
+
+const DAEMONS: usize = 8;
+const CALLS_PER_SECOND: f64 = 100.0;
+const STORE_DELAY: Duration = Duration::from_millis(3);
+const RUN: Duration = Duration::from_millis(50);
+const WORKSPACES: [&str; 8] = ["a", "a", "a", "a", "b", "c", "d", "e"];
+
+/// one way to keep claims
+struct Setup {
+    name: &'static str,
+    options: Options,
+    /// whether calls of one shard go to one daemon
+    routed: bool,
+}
+
+/// latencies, microseconds
+struct Figures {
+    claim: Histogram<u64>,
+    finish: Histogram<u64>,
+    failed: u64,
+}
+
+fn main() {
+    let seconds = std::env::args().nth(1).and_then(|arg| arg.parse().ok());
+    let time = Duration::from_secs(seconds.unwrap_or(20));
+    println!(
+        "setup                        calls  fail  writes/call reads/call  KB/s in  claim p50 p95 p99 ms  finish p50 p95 p99 ms"
+    );
+    for setup in setups().into_iter().skip(4).take(1) {
+        run(&setup, time);
+    }
+}
+
+fn setups() -> Vec<Setup> {
+    let setup = |name, shards, batch, linger_ms, routed| Setup {
+        name,
+        options: Options {
+            shards,
+            batch,
+            linger: Duration::from_millis(linger_ms),
+            ..Options::default()
+        },
+        routed,
+    };
+    vec![
+        setup("single, 16 shards, any", 16, 1, 0, false),
+        setup("single, 16 shards, routed", 16, 1, 0, true),
+        setup("batch 10 ms, 16, any", 16, 256, 10, false),
+        setup("batch 10 ms, 16, routed", 16, 256, 10, true),
+        setup("batch 10 ms, 2, any", 2, 256, 10, false),
+        setup("batch 10 ms, 2, routed", 2, 256, 10, true),
+        setup("batch 50 ms, 2, routed", 2, 256, 50, true),
+        setup("batch 50 ms, 1, routed", 1, 256, 50, true),
+    ]
+}
+
+fn run(setup: &Setup, time: Duration) {
+    let server = Server::start(&StoreOptions::default().delay(STORE_DELAY)).expect("a stand-in");
+    let daemons: Vec<Claims> = (0..DAEMONS)
+        .map(|_| Claims::start(Client::new(&server.url(), ""), setup.options))
+        .collect();
+    let figures = Arc::new(Mutex::new(Figures {
+        claim: Histogram::new(3).expect("a histogram"),
+        finish: Histogram::new(3).expect("a histogram"),
+        failed: 0,
+    }));
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let begun = Instant::now();
+    let mut due = begun;
+    let mut calls = Vec::new();
+    while due < begun + time {
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        let workspace = WORKSPACES[random.random_range(0..WORKSPACES.len())];
+        let key = format!("key {}", calls.len());
+        let daemon = if setup.routed {
+            home(&shard(workspace, &key, setup.options.shards))
+        } else {
+            random.random_range(0..DAEMONS)
+        };
+        let (claims, figures) = (daemons[daemon].clone(), Arc::clone(&figures));
+        calls.push(thread::spawn(move || {
+            call(&claims, workspace, &key, &figures)
+        }));
+        let gap = -random.random_range(f64::MIN_POSITIVE..1.0).ln() / CALLS_PER_SECOND;
+        due += Duration::from_secs_f64(gap);
+    }
+    let count = calls.len();
+    for call in calls {
+        call.join().expect("a call");
+    }
+    report(setup, &server, &figures, count, begun.elapsed());
+}
+
+fn home(shard: &str) -> usize {
+    let sum = xxhash_rust::xxh3::xxh3_64(shard.as_bytes());
+    usize::try_from(sum % DAEMONS as u64).unwrap_or(0)
+}
+
+fn call(claims: &Claims, workspace: &str, key: &str, figures: &Mutex<Figures>) {
+    let request = Fingerprint::new("POST", "/deposits", key.as_bytes());
+    let outcome = Outcome {
+        status: 201,
+        headers: Vec::new(),
+        body: Some(vec![b'x'; 200]),
+    };
+    let begun = Instant::now();
+    let claim = claims.claim(workspace, key, &request, "vm");
+    let claimed = begun.elapsed();
+    let mut finished = None;
+    if let Err(error) = &claim {
+        eprintln!("claim: {error}");
+    }
+    if let Ok(Claim::Mine(held)) = claim {
+        thread::sleep(RUN);
+        let begun = Instant::now();
+        match claims.finish(&held, &outcome) {
+            Ok(()) => finished = Some(begun.elapsed()),
+            Err(error) => eprintln!("finish: {error}"),
+        }
+    }
+    let mut figures = figures.lock().unwrap_or_else(PoisonError::into_inner);
+    match finished {
+        Some(finished) => {
+            figures.claim.record(micros(claimed)).expect("it grows");
+            figures.finish.record(micros(finished)).expect("it grows");
+        }
+        None => figures.failed += 1,
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn report(setup: &Setup, server: &Server, figures: &Mutex<Figures>, calls: usize, time: Duration) {
+    let url = format!("{}/control/counts", server.url());
+    let body = attohttpc::get(url).send().and_then(|answer| answer.bytes());
+    let counts: schema::objects::Counts =
+        serde_json::from_slice(&body.expect("an answer")).expect("counts");
+    let figures = figures.lock().unwrap_or_else(PoisonError::into_inner);
+    let share = |count: u64| count as f64 / calls as f64;
+    let at = |histogram: &Histogram<u64>| {
+        let ms = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+        format!("{:5.0} {:5.0} {:5.0}", ms(0.5), ms(0.95), ms(0.99))
+    };
+    println!(
+        "{:28} {:5} {:5}  {:11.2} {:10.2} {:8.1}  {}     {}",
+        setup.name,
+        calls,
+        figures.failed,
+        share(counts.writes),
+        share(counts.reads),
+        counts.bytes_in as f64 / 1000.0 / time.as_secs_f64(),
+        at(&figures.claim),
+        at(&figures.finish),
+    );
+}
--- a/crates/store/src/claim/answer.rs
+++ b/crates/store/src/claim/answer.rs
@@ -41,7 +41,10 @@
     }
     let object = Object::new(nonce, answer);
     // The name is the claim's nonce, so whatever is there is this answer.
-    create_settled(client, &object, Instant::now() + SETTLE, |_| true)?;
+    match create_settled(client, &object, Instant::now() + SETTLE, |_| true) {
+        Ok(_) | Err(Error::Exists) => {}
+        Err(error) => return Err(error),
+    }
     Ok(Answer {
         apart: Some(nonce.to_owned()),
         body: None,
--- a/crates/store/src/claim/claims.rs
+++ b/crates/store/src/claim/claims.rs
@@ -41,7 +41,7 @@
             writers: 4,
             linger: Duration::from_millis(10),
             batch: 256,
-            patience: Duration::from_secs(3),
+            patience: Duration::from_secs(2),
             clock: wall_ms,
         }
     }
@@ -91,8 +91,8 @@
     /// claims a key for a request before the request runs
     ///
     /// # Errors
-    /// When the store can't decide. The request must not run then, so that its
-    /// verdict is `NotRun`; a claim that was entered all the same is taken out later.
+    /// [`Error::Unclaimed`] when the store can't decide. The request must not run
+    /// then; a claim that was entered all the same is taken out later.
     pub fn claim(
         &self,
         workspace: &str,
@@ -105,12 +105,13 @@
             request: request.as_str().to_owned(),
             owner: owner.to_owned(),
         };
-        match self.ask(&held, op)? {
+        let reply = self.ask(&held, op);
+        match reply.map_err(|error| Error::Unclaimed(error.to_string()))? {
             Reply::Mine => Ok(Claim::Mine(held)),
             Reply::Done(answer) => fetch(&self.client, *answer).map(Claim::Done),
             Reply::Busy { owner } => Ok(Claim::Busy { owner }),
             Reply::Mismatch => Ok(Claim::Mismatch),
-            _ => Err(Error::TooLarge(0)),
+            _ => Err(Error::Unclaimed("The shard is full.".to_owned())),
         }
     }
 
--- a/crates/store/src/claim/writer.rs
+++ b/crates/store/src/claim/writer.rs
@@ -27,6 +27,8 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// longest time of a sweep of one shard
 const SWEEP_TIME: Duration = Duration::from_secs(1);
+/// failures after which a batch is given up
+const MOST_FAILURES: u32 = 5;
 /// most bytes of remembered shards of one writer
 const MAX_REMEMBERED_BYTES: usize = 8 << 20;
 
@@ -63,6 +65,7 @@
     jobs: Vec<Job>,
     deadline: Instant,
     uncertain: bool,
+    failures: u32,
     base: u64,
 }
 
@@ -133,6 +136,7 @@
             deadline: latest.unwrap_or_else(|| Instant::now() + SWEEP_TIME),
             jobs,
             uncertain: false,
+            failures: 0,
             base: 0,
         };
         let mut backoff = Backoff::new(FIRST_DELAY, MOST_DELAY);
@@ -147,13 +151,26 @@
             }
             let delay = backoff.delay();
             let late = Instant::now() + delay >= batch.deadline;
-            if late || !is_repeatable(&error, batch.uncertain) || !self.client.budget().spend() {
+            if late || !self.may_repeat(&mut batch, &error) {
                 return self.fail(batch, &error);
             }
             thread::sleep(delay);
         }
     }
 
+    /// whether another round may help; a store that is out is reported at once,
+    /// a conflict means that somebody else got on and is no failure
+    fn may_repeat(&self, batch: &mut Batch<'_>, error: &Error) -> bool {
+        match error {
+            Error::Conflict | Error::Exists | Error::Missing => return true,
+            Error::Stale | Error::Limited => {}
+            other if batch.uncertain && other.is_passing() => {}
+            _ => return false,
+        }
+        batch.failures += 1;
+        batch.failures < MOST_FAILURES && self.client.budget().spend()
+    }
+
     /// one round: read if needed, decide, write
     fn attempt(&mut self, batch: &mut Batch<'_>) -> Result<Vec<Reply>, Error> {
         let mut page = self.remembered(batch.shard)?;
@@ -340,11 +357,3 @@
         Reply::Busy { .. } | Reply::Mismatch | Reply::Forgotten | Reply::Full
     )
 }
-
-/// whether another round may help; a store that is out is reported at once
-fn is_repeatable(error: &Error, uncertain: bool) -> bool {
-    match error {
-        Error::Conflict | Error::Exists | Error::Missing | Error::Stale | Error::Limited => true,
-        other => uncertain && other.is_passing(),
-    }
-}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -49,6 +49,8 @@
     Unsettled(String),
     /// the deadline passed before the change was sent
     Late,
+    /// a key could not be claimed; its request does not run
+    Unclaimed(String),
 }
 
 impl Error {
@@ -84,6 +86,7 @@
                 | Error::Stale
                 | Error::Unsettled(_)
                 | Error::Late
+                | Error::Unclaimed(_)
         )
     }
 }
@@ -120,6 +123,7 @@
             Error::Unsettled(cause) => {
                 write!(f, "It is unknown whether the change took effect: {cause}")
             }
+            Error::Unclaimed(cause) => write!(f, "The key can't be claimed: {cause}"),
             Error::Late => f.write_str("The store did not get to the change in time."),
         }
     }
