--- a/crates/bench/src/demo/run.rs
+++ b/crates/bench/src/demo/run.rs
@@ -23,8 +23,8 @@
                 .plains(DESK, 1),
         )
         .start()?;
-    println!("{}", world.operator().run(&["status"])?);
     let mut report = Report::default();
+    scenes::show_status(&world, &mut report);
     println!("an upstream is reclaimed");
     scenes::reclaim_upstream(&world, &mut report);
     println!("a booking is sent twice");
--- a/crates/bench/src/demo/scenes.rs
+++ b/crates/bench/src/demo/scenes.rs
@@ -26,6 +26,20 @@
 /// longest wait for what follows from a notice
 const PATIENCE: Duration = Duration::from_secs(15);
 
+/// an operator asks for the status
+pub fn show_status(world: &World, report: &mut Report) {
+    let status = world.operator().run(&["status"]);
+    let text = status.unwrap_or_else(|error| error.to_string());
+    println!("{text}");
+    let missing = world
+        .daemons()
+        .iter()
+        .filter(|daemon| !text.contains(daemon.vm()))
+        .count();
+    let seen = format!("{missing} of {} are missing", world.daemons().len());
+    report.add("the operators' tool shows all daemons", seen, missing == 0);
+}
+
 /// an upstream VM is reclaimed while it streams
 pub fn reclaim_upstream(world: &World, report: &mut Report) {
     let ask = Ask::new(
