--- a/crates/bench/src/demo/run.rs
+++ b/crates/bench/src/demo/run.rs
@@ -29,6 +29,8 @@
     scenes::reclaim_upstream(&world, &mut report);
     println!("a booking is sent twice");
     scenes::book_twice(&world, &mut report)?;
+    println!("a daemon's VM is reclaimed");
+    scenes::reclaim_daemon(&world, &mut report);
     println!("a daemon is stopped");
     scenes::stop_daemon(&world, &mut report);
     recomputed(&world, &mut report);
--- a/crates/bench/src/demo/scenes.rs
+++ b/crates/bench/src/demo/scenes.rs
@@ -71,12 +71,36 @@
     report.add("that upstream is gone", format!("{vm} died: {died}"), died);
 }
 
+/// a daemon's VM is reclaimed while it streams
+pub fn reclaim_daemon(world: &World, report: &mut Report) {
+    let ask = Ask::new(MODEL, "Prepare a guide to the botanicals.", TOKENS);
+    let daemon = &world.daemons()[1];
+    let answer = world.client().complete_watching(1, &ask, |count| {
+        if count == EVENT_AT {
+            world.reclaim(daemon.vm(), NOTICE_SECONDS);
+        }
+    });
+    let moved = answer.as_ref().is_ok_and(|answer| answer.reattached > 0);
+    add_answer(
+        report,
+        "a stream survives the reclaim of its daemon",
+        &ask,
+        &answer,
+    );
+    report.add(
+        "its caller came back to another daemon",
+        format!("{moved}"),
+        moved,
+    );
+}
+
 /// a daemon is stopped while it streams
 pub fn stop_daemon(world: &World, report: &mut Report) {
     let ask = Ask::new(MODEL, "Draft an outline of the evening service.", TOKENS);
-    let daemon = &world.daemons()[1];
+    let last = world.daemons().len() - 1;
+    let daemon = &world.daemons()[last];
     let mut stopped = Ok(());
-    let answer = world.client().complete_watching(1, &ask, |count| {
+    let answer = world.client().complete_watching(last, &ask, |count| {
         if count == EVENT_AT {
             stopped = daemon.terminate();
         }
--- a/crates/bench/src/world/build.rs
+++ b/crates/bench/src/world/build.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io;
 use std::path::Path;
+use std::time::Duration;
 
 use schema::cloud::{Market, State, Vm};
 use schema::config::Kind;
@@ -17,6 +18,7 @@
 use super::network::Network;
 use super::upstream::{Engine, Machine, Names, Plain};
 use super::workspace::random_key;
+use crate::poll_until;
 
 /// file with the key between daemons
 pub const FLEET_KEY: &str = "fleet.key";
@@ -24,6 +26,9 @@
 /// file with the operators' key
 pub const OPERATOR_KEY: &str = "operator.key";
 
+/// longest wait for the cloud's list
+const LIST_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// daemons that a daemon joins by
 const SEEDS: usize = 3;
 
@@ -112,6 +117,13 @@
     });
 }
 
+/// waits until the lagging list shows that many VMs
+pub fn wait_listed(cloud: &Server, count: usize) -> io::Result<()> {
+    let is_listed = || (cloud.list().vms.len() >= count).then_some(());
+    let listed = poll_until(LIST_TIMEOUT, is_listed);
+    listed.ok_or_else(|| io::Error::other("the cloud's list does not show the VMs"))
+}
+
 fn vm(name: &str, upstream: &str, centre: &str, address: String) -> Vm {
     Vm {
         name: name.to_owned(),
--- a/crates/bench/src/world/running.rs
+++ b/crates/bench/src/world/running.rs
@@ -75,6 +75,8 @@
         for daemon in &daemons {
             build::list_daemon(&cloud, daemon);
         }
+        let listed = engines.len() + plains.len() + daemons.len();
+        build::wait_listed(&cloud, listed)?;
         let control = daemons
             .first()
             .map_or(store.address(), |daemon| daemon.control);
--- a/crates/standin/src/cloud/server.rs
+++ b/crates/standin/src/cloud/server.rs
@@ -6,7 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use schema::cloud::{Notices, Prices, Start};
+use schema::cloud::{List, Notices, Prices, Start};
 use serde::Serialize;
 use tiny_http::{Method, Request};
 
@@ -88,6 +88,11 @@
         self.shared.lock().register(registration);
     }
 
+    /// the list as its readers see it now
+    pub fn list(&self) -> List {
+        self.shared.lock().list()
+    }
+
     /// gives reclaim notices
     pub fn reclaim(&self, reclaim: &Reclaim) {
         self.shared.reclaim(reclaim);
