--- a/crates/bench/src/demo/run.rs
+++ b/crates/bench/src/demo/run.rs
@@ -23,12 +23,14 @@
                 .plains(DESK, 1),
         )
         .start()?;
-    println!("{}", world.operator().run(&["status"])?);
     let mut report = Report::default();
+    scenes::show_status(&world, &mut report);
     println!("an upstream is reclaimed");
     scenes::reclaim_upstream(&world, &mut report);
     println!("a booking is sent twice");
     scenes::book_twice(&world, &mut report)?;
+    println!("a daemon's VM is reclaimed");
+    scenes::reclaim_daemon(&world, &mut report);
     println!("a daemon is stopped");
     scenes::stop_daemon(&world, &mut report);
     recomputed(&world, &mut report);
