--- a/crates/fleet/src/plan/decide.rs
+++ b/crates/fleet/src/plan/decide.rs
@@ -8,15 +8,16 @@
 use super::action::{Action, Start};
 use super::mix::{Mix, Search};
 use super::need::Need;
-use super::stock::{self, Stock, Unit};
+use super::shrink::Shrink;
+use super::stock::{self, Stock};
 use crate::state::State;
 use crate::view::{Store, View};
 
 /// time after which every daemon knows that a VM drains
 const DRAIN_SETTLE: Duration = Duration::from_secs(10);
 
-/// share of the VMs that is drained in one plan, as a divisor
-const DRAIN_SHARE: usize = 5;
+/// demand beyond the peak that what is left has to serve after a removal, percent
+const SHRINK_HEADROOM: u32 = 10;
 
 /// plans one service: what to start, drain and remove now
 ///
@@ -30,17 +31,27 @@
     let stock = Stock::take(view, state, now);
     let have = stock.by_place(view.places.len());
     let most = most(view, capacity, state, &stock);
-    let need = Need::new(&state.peak(), capacity, most);
     let closed: Vec<bool> = view
         .places
         .iter()
         .map(|place| state.is_waiting(place, now))
         .collect();
-    let mix = Search::new(view.places, &have, &closed, &need).best();
+    let best = |need: &Need| Search::new(view.places, &have, &closed, need).best();
+    let need = Need::new(&state.peak(), capacity, most);
+    let mut mix = best(&need);
+    if stock.live() > mix.total as usize {
+        // what runs is kept until it is clearly too much
+        mix = best(&need.with_headroom(SHRINK_HEADROOM, stock.running()));
+    }
     let mut actions = starts(view, capacity, &stock, &have, &mix);
     if view.store == Store::Reachable {
-        let room = drain_room(&stock, &mix, most, state.may_shrink(now));
-        actions.extend(drains(view, &stock, &have, &mix, room));
+        let shrink = Shrink {
+            view,
+            stock: &stock,
+            mix: &mix,
+            need: &need,
+        };
+        actions.extend(shrink.drains(most, state.may_shrink(now)));
         actions.extend(removals(view, state, now));
     }
     actions
@@ -62,7 +73,7 @@
     have: &[u32],
     mix: &Mix,
 ) -> Vec<Action> {
-    let running = u32::try_from(stock.units.len()).unwrap_or(u32::MAX);
+    let running = stock.running();
     let taken = running.saturating_add(stock.going);
     let mut room = capacity.ceiling.saturating_sub(taken);
     if view.store == Store::Out {
@@ -89,54 +100,6 @@
     actions
 }
 
-/// how many VMs may be drained now
-fn drain_room(stock: &Stock<'_>, mix: &Mix, most: u32, may_shrink: bool) -> usize {
-    let above_ceiling = stock.units.len().saturating_sub(most as usize);
-    if !may_shrink {
-        return above_ceiling;
-    }
-    // what replaces a VM has to be live before that one goes
-    let unneeded = stock.live().saturating_sub(mix.total as usize);
-    let at_once = (stock.units.len() / DRAIN_SHARE).max(1);
-    unneeded.min(at_once).max(above_ceiling)
-}
-
-fn drains(view: &View<'_>, stock: &Stock<'_>, have: &[u32], mix: &Mix, room: usize) -> Vec<Action> {
-    let mut strays: Vec<Action> = Vec::new();
-    if room > 0 {
-        strays.extend(
-            stock
-                .strays
-                .iter()
-                .map(|name| Action::Drain((*name).to_owned())),
-        );
-    }
-    let in_flight = stock::in_flight(view);
-    let mut units: Vec<&Unit<'_>> = stock.units.iter().filter(|unit| unit.own).collect();
-    units.sort_by_key(|unit| {
-        let busy = in_flight.get(unit.name).copied().unwrap_or(u32::MAX);
-        let slot = stock::slot(view.service, unit.name).unwrap_or_default();
-        (unit.live, busy, std::cmp::Reverse(slot))
-    });
-    let mut surplus: Vec<u32> = have
-        .iter()
-        .zip(&mix.counts)
-        .map(|(have, want)| have.saturating_sub(*want))
-        .collect();
-    let mut chosen = Vec::new();
-    for unit in units {
-        if chosen.len() == room {
-            break;
-        }
-        if surplus[unit.place] > 0 {
-            surplus[unit.place] -= 1;
-            chosen.push(Action::Drain(unit.name.to_owned()));
-        }
-    }
-    strays.extend(chosen);
-    strays
-}
-
 /// drained VMs that have nothing left to do
 fn removals(view: &View<'_>, state: &State, now: Instant) -> Vec<Action> {
     let in_flight = stock::in_flight(view);
--- a/crates/fleet/src/plan/mod.rs
+++ b/crates/fleet/src/plan/mod.rs
@@ -10,6 +10,7 @@
 mod decide;
 mod mix;
 mod need;
+mod shrink;
 mod stock;
 
 pub use action::{Action, Start};
--- a/crates/fleet/src/plan/need.rs
+++ b/crates/fleet/src/plan/need.rs
@@ -42,4 +42,16 @@
             on_demand_percent: capacity.on_demand_percent,
         }
     }
+
+    /// the need for some percent more demand, with no more than `most` VMs
+    pub(super) fn with_headroom(&self, percent: u32, most: u32) -> Self {
+        let factor = WHOLE + u64::from(percent);
+        let mut need = self.clone();
+        for slots in need.regions.values_mut() {
+            *slots = (*slots * factor).div_ceil(WHOLE);
+        }
+        need.slots = need.regions.values().sum();
+        need.most = self.most.min(most);
+        need
+    }
 }
--- a/crates/fleet/src/plan/stock.rs
+++ b/crates/fleet/src/plan/stock.rs
@@ -52,6 +52,14 @@
         }
         for (name, pending) in state.pending() {
             stock.taken.insert(name);
+            match state.running_by_name(name, now) {
+                Running::Yes => {}
+                Running::Leaving => {
+                    stock.going += 1;
+                    continue;
+                }
+                Running::No => continue,
+            }
             let place = view.places.iter().position(|place| {
                 place.upstream == pending.place.upstream
                     && place.zone == pending.place.zone
@@ -71,11 +79,12 @@
     }
 
     fn add_listed(&mut self, view: &View<'a>, state: &State, vm: &'a Vm, now: Instant) {
+        // a name that is still listed is not free, even if its VM is gone
+        self.taken.insert(&vm.name);
         let running = state.running(vm, now);
         if running == Running::No {
             return;
         }
-        self.taken.insert(&vm.name);
         if running == Running::Leaving || state.drains().contains_key(&vm.name) {
             self.going += 1;
             return;
@@ -109,6 +118,11 @@
         counts
     }
 
+    /// VMs that serve or will
+    pub(super) fn running(&self) -> u32 {
+        u32::try_from(self.units.len()).unwrap_or(u32::MAX)
+    }
+
     /// VMs that serve
     pub(super) fn live(&self) -> usize {
         self.units.iter().filter(|unit| unit.live).count()
--- a/crates/fleet/src/state/memory.rs
+++ b/crates/fleet/src/state/memory.rs
@@ -1,6 +1,6 @@
 //! The memory of one service's planner.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use schema::cloud::{State as Life, Vm};
@@ -39,6 +39,8 @@
     pending: BTreeMap<String, Pending>,
     drains: BTreeMap<String, Instant>,
     removed: BTreeMap<String, Instant>,
+    // names that were leaving in the last list
+    leaving: BTreeSet<String>,
     // when each VM with a notice is taken
     notices: BTreeMap<String, Instant>,
     since: Instant,
@@ -55,6 +57,7 @@
             pending: BTreeMap::new(),
             drains: BTreeMap::new(),
             removed: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             notices: BTreeMap::new(),
             since: now,
             count_before_outage: 0,
@@ -68,21 +71,19 @@
 
     /// takes in the cloud's list; call it before each plan
     pub fn see(&mut self, view: &View<'_>, now: Instant) {
-        for vm in view.vms {
-            let pending = self.pending.get(&vm.name);
-            let known = pending.is_some() && vm.state != Life::Leaving;
-            if known || vm.state == Life::Live {
-                self.pending.remove(&vm.name);
-            }
-        }
+        // a name is used again only when it has left the list, so what is listed is the new VM
+        let listed: BTreeSet<&str> = view.vms.iter().map(|vm| vm.name.as_str()).collect();
+        let is_listed = |name: &str| listed.contains(name);
         self.pending
-            .retain(|_, pending| now < pending.at + LIST_LAG);
+            .retain(|name, pending| !is_listed(name) && now < pending.at + LIST_LAG);
         for load in view.loads.iter().filter(|load| load.draining) {
-            self.drained(&load.vm, now);
+            if is_listed(&load.vm) {
+                self.drained(&load.vm, now);
+            }
         }
-        let listed = |name: &String| view.vms.iter().any(|vm| vm.name == *name);
         self.drains
-            .retain(|name, at| listed(name) || now < *at + LIST_LAG);
+            .retain(|name, at| is_listed(name) || now < *at + LIST_LAG);
+        self.see_reclaims(view, now);
         self.removed.retain(|_, at| now < *at + LIST_LAG);
         self.notices.retain(|_, taken| now < *taken + LIST_LAG);
         self.refusals.forget(now);
@@ -95,11 +96,22 @@
         }
     }
 
-    /// takes in a reclaim notice
-    pub fn notice(&mut self, vm: &Vm, seconds: u32, now: Instant) {
+    /// notes zones that take VMs back, each VM once
+    fn see_reclaims(&mut self, view: &View<'_>, now: Instant) {
+        let leaving = |vm: &&Vm| self.running(vm, now) == Running::Leaving;
+        let leaving: Vec<&Vm> = view.vms.iter().filter(leaving).collect();
+        for vm in &leaving {
+            if !self.leaving.contains(&vm.name) {
+                self.refusals.reclaimed(&vm.zone, &vm.class, now);
+            }
+        }
+        self.leaving = leaving.iter().map(|vm| vm.name.clone()).collect();
+    }
+
+    /// takes in a reclaim notice; until the list shows it, only the notice tells
+    pub fn notice(&mut self, name: &str, seconds: u32, now: Instant) {
         let taken = now + Duration::from_secs(seconds.into());
-        self.notices.entry(vm.name.clone()).or_insert(taken);
-        self.refusals.reclaimed(&vm.zone, &vm.class, now);
+        self.notices.entry(name.to_owned()).or_insert(taken);
     }
 
     /// notes that the cloud took a start
@@ -108,13 +120,11 @@
         self.removed.remove(name);
         self.drains.remove(name);
         self.notices.remove(name);
-        self.pending.insert(
-            name.to_owned(),
-            Pending {
-                place: place.clone(),
-                at: now,
-            },
-        );
+        let pending = Pending {
+            place: place.clone(),
+            at: now,
+        };
+        self.pending.insert(name.to_owned(), pending);
     }
 
     /// notes that the cloud had no such VM to give
@@ -161,17 +171,21 @@
 
     /// how a listed VM counts
     pub(crate) fn running(&self, vm: &Vm, now: Instant) -> Running {
-        if self.removed.contains_key(&vm.name) {
-            return Running::No;
+        match (self.running_by_name(&vm.name, now), vm.state) {
+            (Running::Yes, Life::Leaving) => Running::Leaving,
+            (running, _) => running,
         }
-        match self.notices.get(&vm.name) {
-            Some(taken) if now >= *taken => return Running::No,
-            Some(_) => return Running::Leaving,
-            None => {}
+    }
+
+    /// how a VM counts from what was done to it and heard of it
+    pub(crate) fn running_by_name(&self, name: &str, now: Instant) -> Running {
+        if self.removed.contains_key(name) {
+            return Running::No;
         }
-        match vm.state {
-            Life::Leaving => Running::Leaving,
-            Life::Starting | Life::Live => Running::Yes,
+        match self.notices.get(name) {
+            Some(taken) if now >= *taken => Running::No,
+            Some(_) => Running::Leaving,
+            None => Running::Yes,
         }
     }
 }
--- a/crates/fleet/src/steward/run.rs
+++ b/crates/fleet/src/steward/run.rs
@@ -43,9 +43,6 @@
 
     /// takes in a reclaim notice, from whichever source it came first
     pub fn notice(&mut self, vm: &str, seconds: u32, now: Instant) {
-        let Some(vm) = self.vms.iter().find(|known| known.name == vm) else {
-            return;
-        };
         for state in self.states.values_mut() {
             state.notice(vm, seconds, now);
         }
--- /dev/null
+++ b/crates/fleet/tests/capacity/bounds.rs
@@ -0,0 +1,182 @@
+//! Floor and ceiling under everything that can happen at once.
+
+use std::collections::BTreeSet;
+
+use fleet::{Action, Store};
+use proptest::prelude::*;
+use schema::cloud::{Market, State as Life};
+
+use crate::cloud::{Cloud, LAG};
+use crate::planner::{Planner, capacity};
+
+/// something that happens between two steps
+#[derive(Debug, Clone)]
+enum Event {
+    Demand(u32),
+    Reclaim { zone: usize, heard: bool },
+    Refuse { zone: usize, on_demand: bool },
+    Accept,
+    Price { zone: usize, micros: u64 },
+    Store(bool),
+    Pass(usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0..300u32).prop_map(Event::Demand),
+        (0..3usize, any::<bool>()).prop_map(|(zone, heard)| Event::Reclaim { zone, heard }),
+        (0..3usize, any::<bool>()).prop_map(|(zone, on_demand)| Event::Refuse { zone, on_demand }),
+        Just(Event::Accept),
+        (0..3usize, 50_000..900_000u64).prop_map(|(zone, micros)| Event::Price { zone, micros }),
+        any::<bool>().prop_map(Event::Store),
+        (1..80usize).prop_map(Event::Pass),
+    ]
+}
+
+/// lets an event happen; gives the steps that pass after it
+fn happen(event: &Event, cloud: &mut Cloud, planners: &mut [Planner], requests: &mut u32) -> usize {
+    match event {
+        Event::Demand(number) => *requests = *number,
+        Event::Reclaim { zone, heard } => {
+            let noticed = cloud.reclaim(*zone);
+            if *heard {
+                planners
+                    .iter_mut()
+                    .for_each(|planner| planner.hear(cloud, &noticed));
+            }
+        }
+        Event::Refuse {
+            zone,
+            on_demand: true,
+        } => cloud.refusing.push((*zone, Market::OnDemand)),
+        Event::Refuse { zone, .. } => cloud.refusing.push((*zone, Market::Reclaimable)),
+        Event::Accept => cloud.refusing.clear(),
+        Event::Price { zone, micros } => cloud.reclaimable_micros[*zone] = *micros,
+        Event::Store(reachable) => {
+            let store = if *reachable {
+                Store::Reachable
+            } else {
+                Store::Out
+            };
+            planners
+                .iter_mut()
+                .for_each(|planner| planner.store = store);
+        }
+        Event::Pass(steps) => return *steps,
+    }
+    1
+}
+
+/// VMs that take room without serving: leaving, or gone but still listed
+fn going(cloud: &Cloud) -> usize {
+    let listed = cloud.list(LAG);
+    let all = cloud
+        .vms()
+        .chain(&listed)
+        .filter(|vm| vm.state == Life::Leaving);
+    let names: BTreeSet<&str> = all.map(|vm| vm.name.as_str()).collect();
+    let draining = cloud.vms().filter(|vm| vm.state != Life::Leaving).count() - cloud.staying();
+    names.len() + draining
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn the_ceiling_holds_whatever_happens(
+        events in prop::collection::vec(event(), 1..40),
+        floor in 0..6u32,
+        more in 0..20u32,
+    ) {
+        let capacity = capacity(floor, floor + more);
+        let mut cloud = Cloud::new();
+        let mut planners = [Planner::new(&cloud)];
+        let mut requests = 40;
+        for event in &events {
+            for _ in 0..happen(event, &mut cloud, &mut planners, &mut requests) {
+                let [planner] = &mut planners;
+                let actions = planner.step(&mut cloud, &capacity, requests);
+                prop_assert!(cloud.vms().count() <= capacity.ceiling as usize);
+                if planner.store == Store::Out {
+                    let only_starts = actions.iter().all(|a| matches!(a, Action::Start(_)));
+                    prop_assert!(only_starts, "removed while the store is out: {actions:?}");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn two_planners_together_keep_the_ceiling(
+        events in prop::collection::vec(event(), 1..40),
+        lags in prop::array::uniform2(0..30usize),
+        ceiling in 1..20u32,
+    ) {
+        let capacity = capacity(1, ceiling);
+        let mut cloud = Cloud::new();
+        let mut planners = [Planner::new(&cloud), Planner::new(&cloud)];
+        planners[0].lag = lags[0];
+        planners[1].lag = lags[1];
+        let mut requests = 40;
+        for event in &events {
+            for step in 0..happen(event, &mut cloud, &mut planners, &mut requests) {
+                // the old holder plans, the new one plans and acts, then the old one's calls arrive
+                let [old, new] = &mut planners;
+                let late = old.plan(&cloud, &capacity);
+                new.step(&mut cloud, &capacity, requests + u32::try_from(step).unwrap_or(0));
+                old.act(&mut cloud, &late);
+                prop_assert!(cloud.vms().count() <= capacity.ceiling as usize);
+            }
+        }
+    }
+
+    #[test]
+    fn the_floor_holds_while_starts_succeed(
+        events in prop::collection::vec(event(), 1..40),
+        floor in 1..8u32,
+        more in 0..20u32,
+    ) {
+        let capacity = capacity(floor, floor + more);
+        let mut cloud = Cloud::new();
+        let mut planners = [Planner::new(&cloud)];
+        let mut requests = 40;
+        for event in &events {
+            if matches!(event, Event::Refuse { .. }) {
+                continue;
+            }
+            // the list tells of a wave that nobody heard of only after its lag
+            let unheard = matches!(event, Event::Reclaim { heard: false, .. });
+            let blind = if unheard { LAG + 1 } else { 0 };
+            for step in 0..happen(event, &mut cloud, &mut planners, &mut requests).max(blind + 1) {
+                let [planner] = &mut planners;
+                planner.step(&mut cloud, &capacity, requests);
+                if step < blind {
+                    continue;
+                }
+                let room = capacity.ceiling as usize - going(&cloud);
+                let wanted = room.min(floor as usize);
+                prop_assert!(cloud.staying() >= wanted, "{} of {wanted}", cloud.staying());
+            }
+        }
+    }
+
+    #[test]
+    fn a_repeat_starts_nothing_twice(requests in 0..400u32, floor in 0..8u32, more in 0..20u32) {
+        let capacity = capacity(floor, floor + more);
+        let mut cloud = Cloud::new();
+        cloud.advance();
+        let mut first = Planner::new(&cloud);
+        let mut second = Planner::new(&cloud);
+        for planner in [&mut first, &mut second] {
+            planner.state.observe(&crate::planner::demand(requests), cloud.now);
+        }
+        let actions = first.plan(&cloud, &capacity);
+        // a planner without the first one's memory, from the same list
+        prop_assert_eq!(&second.plan(&cloud, &capacity), &actions);
+        first.act(&mut cloud, &actions);
+        second.act(&mut cloud, &actions);
+        prop_assert_eq!(cloud.vms().count(), actions.len());
+        prop_assert_eq!(cloud.starts, actions.len());
+        // the list still does not show them
+        prop_assert_eq!(first.plan(&cloud, &capacity), Vec::new());
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/capacity/orders.rs
@@ -0,0 +1,116 @@
+//! Orders to engines: level-triggered, fenced, and never from two holders at once.
+
+use std::time::Duration;
+
+use fleet::order;
+use fleet::order::{Step, Term, Wanted};
+use schema::config::Fencing;
+use schema::engine::Order;
+use tokio::time::Instant;
+
+const LEASE: Duration = Duration::from_secs(15);
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+fn wanted() -> Wanted {
+    Wanted {
+        model: "m".to_owned(),
+        adapter: String::new(),
+        version: "2".to_owned(),
+        role: "mixed".to_owned(),
+    }
+}
+
+fn seen(fence: u64, version: &str) -> Order {
+    Order {
+        fence,
+        model: "m".to_owned(),
+        adapter: String::new(),
+        version: version.to_owned(),
+        role: "mixed".to_owned(),
+    }
+}
+
+fn term(fence: u64, since: Instant) -> Term {
+    let expires = since + LEASE;
+    Term {
+        fence,
+        since,
+        expires,
+        lease: LEASE,
+        order_timeout: TIMEOUT,
+    }
+}
+
+#[test]
+fn a_lost_order_is_sent_again_and_a_repeat_does_no_harm() {
+    let now = Instant::now();
+    let term = term(7, now);
+    let step = order(&wanted(), Some(&seen(7, "1")), Fencing::Checked, &term, now);
+    assert_eq!(step, Step::Put(seen(7, "2")));
+    assert_eq!(order(&wanted(), None, Fencing::Checked, &term, now), step);
+    let step = order(&wanted(), Some(&seen(7, "2")), Fencing::Checked, &term, now);
+    assert_eq!(step, Step::Settled);
+}
+
+#[test]
+fn a_checking_engine_is_told_the_new_number_even_if_nothing_else_changes() {
+    let now = Instant::now();
+    let step = order(
+        &wanted(),
+        Some(&seen(6, "2")),
+        Fencing::Checked,
+        &term(7, now),
+        now,
+    );
+    assert_eq!(step, Step::Put(seen(7, "2")));
+}
+
+#[test]
+fn a_later_holder_ends_this_one() {
+    let now = Instant::now();
+    let step = order(
+        &wanted(),
+        Some(&seen(8, "1")),
+        Fencing::Checked,
+        &term(7, now),
+        now,
+    );
+    assert_eq!(step, Step::Superseded(8));
+}
+
+#[test]
+fn no_order_leaves_that_could_arrive_after_the_lease() {
+    let since = Instant::now();
+    let term = term(7, since);
+    let late = since + LEASE - TIMEOUT;
+    for fencing in [Fencing::Checked, Fencing::Ignored] {
+        assert_eq!(order(&wanted(), None, fencing, &term, late), Step::Renew);
+    }
+}
+
+/// whatever the holders' times: their orders to an engine that takes any can't cross
+#[test]
+fn orders_of_two_holders_do_not_cross() {
+    let start = Instant::now();
+    let mut old = term(7, start);
+    old.expires = start + 4 * LEASE;
+    // the old holder stopped renewing; the successor got the lease when it lapsed
+    let mut new = term(8, old.expires);
+    new.expires = old.expires + 4 * LEASE;
+    let mut last_arrival = start;
+    let mut first_order = None;
+    for second in 0..120 {
+        let now = start + Duration::from_secs(second);
+        if let Step::Put(_) = order(&wanted(), None, Fencing::Ignored, &old, now) {
+            last_arrival = now + TIMEOUT;
+        }
+        if now >= new.since && first_order.is_none() {
+            match order(&wanted(), None, Fencing::Ignored, &new, now) {
+                Step::Put(_) => first_order = Some(now),
+                step => assert_eq!(step, Step::Wait(new.alone_from())),
+            }
+        }
+    }
+    let first_order = first_order.expect("the successor orders at last");
+    assert!(first_order >= last_arrival + LEASE);
+}
--- /dev/null
+++ b/crates/fleet/tests/capacity/planner.rs
@@ -0,0 +1,108 @@
+//! A planner with its own memory and its own view of the cloud.
+
+use fleet::{Action, Demand, State, Store, View, places, plan};
+use schema::cloud::Vm;
+use schema::config::{Capacity, Upstream};
+
+use crate::cloud::{Cloud, LAG};
+
+/// a planner of the service `desk`
+#[derive(Debug)]
+pub struct Planner {
+    pub state: State,
+    pub lag: usize,
+    pub store: Store,
+}
+
+/// capacity with these bounds
+pub fn capacity(floor: u32, ceiling: u32) -> Capacity {
+    Capacity {
+        service: "desk".to_owned(),
+        floor,
+        ceiling,
+        spare: 1,
+        load_percent: 70,
+        on_demand_percent: 0,
+        hold: false,
+    }
+}
+
+/// requests of both regions, two thirds of them in the south
+pub fn demand(requests: u32) -> Vec<Demand> {
+    let north = requests / 3;
+    let part = |region: &str, in_flight| Demand {
+        region: region.to_owned(),
+        in_flight,
+        queued: 0,
+    };
+    vec![part("south", requests - north), part("north", north)]
+}
+
+impl Planner {
+    pub fn new(cloud: &Cloud) -> Self {
+        Planner {
+            state: State::new(1, cloud.now),
+            lag: LAG,
+            store: Store::Reachable,
+        }
+    }
+
+    /// plans from what it sees now
+    pub fn plan(&mut self, cloud: &Cloud, capacity: &Capacity) -> Vec<Action> {
+        let upstreams = Cloud::upstreams();
+        let upstreams: Vec<&Upstream> = upstreams.iter().collect();
+        let vms = cloud.list(self.lag);
+        let places = places(&upstreams, &cloud.prices(), &vms);
+        let loads = cloud.loads();
+        let view = View {
+            service: "desk",
+            vms: &vms,
+            places: &places,
+            loads: &loads,
+            store: self.store,
+        };
+        self.state.see(&view, cloud.now);
+        let actions = plan(&view, capacity, &self.state, cloud.now);
+        let again = plan(&view, capacity, &self.state, cloud.now);
+        assert_eq!(actions, again, "the same view and state give the same plan");
+        actions
+    }
+
+    /// carries a plan out
+    pub fn act(&mut self, cloud: &mut Cloud, actions: &[Action]) {
+        for action in actions {
+            let taken = cloud.take(action);
+            match action {
+                Action::Start(start) if taken => {
+                    self.state.started(&start.name, &start.place, cloud.now);
+                }
+                Action::Start(start) => self.state.refused(&start.place, cloud.now),
+                Action::Drain(name) => self.state.drained(name, cloud.now),
+                Action::Remove(name) => self.state.removed(name, cloud.now),
+            }
+        }
+    }
+
+    /// lets a step pass, plans and acts
+    pub fn step(&mut self, cloud: &mut Cloud, capacity: &Capacity, requests: u32) -> Vec<Action> {
+        cloud.advance();
+        self.state.observe(&demand(requests), cloud.now);
+        let actions = self.plan(cloud, capacity);
+        self.act(cloud, &actions);
+        actions
+    }
+
+    /// steps until nothing is left to do, or for `most` steps
+    pub fn settle(&mut self, cloud: &mut Cloud, capacity: &Capacity, requests: u32, most: usize) {
+        for _ in 0..most {
+            self.step(cloud, capacity, requests);
+        }
+    }
+
+    /// hears of notices
+    pub fn hear(&mut self, cloud: &Cloud, noticed: &[Vm]) {
+        for vm in noticed {
+            self.state.notice(&vm.name, 30, cloud.now);
+        }
+    }
+}
