--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -71,7 +71,7 @@
     let parts: operator::Slot = Arc::new(OnceLock::new());
     let platform = platform(settings)?;
     let seeds = seeds(settings, &platform);
-    let node = node(settings, &server, &runtime, seeds, methods(&slot, &parts))?;
+    let node = node(settings, &server, &runtime, &seeds, methods(&slot, &parts))?;
     let (jobs, queue) = bounded(settings.limits.waiting as usize);
     let context = Arc::new(context(settings, node, &platform, jobs, &runtime));
     if slot.set(Arc::clone(&context)).is_err() {
@@ -119,7 +119,7 @@
     settings: &Daemon,
     server: &Server,
     runtime: &Runtime,
-    seeds: Vec<String>,
+    seeds: &[String],
     methods: RpcModule<()>,
 ) -> Result<Node, Error> {
     let fleet_key = secret::read(&settings.keys.fleet_file)?;
@@ -128,7 +128,7 @@
         .region(&settings.region)
         .control(&settings.listen.control)
         .callers(&server.address().to_string())
-        .seeds(&seeds)
+        .seeds(seeds)
         .fleet_key(&fleet_key)
         .operator_key(&operator_key);
     runtime
