Enforce the deadline inside a stream

A stream ran on past its deadline, since the deadline was looked at between attempts only; and a request that had begun could be told 'not run'. Both found on reading.

--- a/crates/entry/src/drive/attempt.rs
+++ b/crates/entry/src/drive/attempt.rs
@@ -25,6 +25,8 @@
     Done(Finish),
     /// the request was ended elsewhere
     Ended,
+    /// the request's deadline has passed
+    Late,
     /// the upstream VM is leaving
     Leaving,
     /// the stream failed
@@ -119,6 +121,9 @@
             if !self.journal.is_driven(self.driver) {
                 return Halt::Ended;
             }
+            if Instant::now() >= self.journal.origin.deadline {
+                return Halt::Late;
+            }
             if (!warned && seat.is_leaving()) || stop() {
                 return Halt::Leaving;
             }
--- a/crates/entry/src/drive/leaving.rs
+++ b/crates/entry/src/drive/leaving.rs
@@ -36,6 +36,7 @@
         match halt {
             Halt::Done(finish) => self.done(seat, finish),
             Halt::Ended => self.ended(seat),
+            Halt::Late => self.late(seat),
             Halt::Lost(_) if !self.is_driven() => self.ended(seat),
             Halt::Leaving | Halt::Lost(_) => return self.move_on(seat),
         }
--- a/crates/entry/src/drive/run.rs
+++ b/crates/entry/src/drive/run.rs
@@ -36,6 +36,10 @@
     pub(super) fn new(context: &'a Context, job: Job) -> Run<'a> {
         let blocks = route::prefix::blocks(&job.journal.origin.prompt);
         let driver = job.journal.take_up();
+        let verdict = match job.journal.attempt() {
+            0 => Verdict::NotRun,
+            _ => Verdict::MayHaveRun,
+        };
         Run {
             context,
             job,
@@ -44,7 +48,7 @@
             attempts: 0,
             reconnects: 0,
             avoid: Vec::new(),
-            verdict: Verdict::NotRun,
+            verdict,
         }
     }
 
@@ -98,7 +102,10 @@
         let journal = std::sync::Arc::clone(&self.job.journal);
         let context = self.context;
         let (halt, attempt) = match Attempt::open(context, &journal, self.driver, &seat) {
-            Ok(mut attempt) => (attempt.read(&seat, || false), Some(attempt)),
+            Ok(mut attempt) => {
+                self.verdict = verdict::join(self.verdict, Verdict::MayHaveRun);
+                (attempt.read(&seat, || false), Some(attempt))
+            }
             Err(halt) => (halt, None),
         };
         let halt = match (halt, attempt) {
@@ -110,6 +117,7 @@
         match halt {
             Halt::Done(finish) => self.done(seat, finish),
             Halt::Ended => self.ended(seat),
+            Halt::Late => self.late(seat),
             Halt::Leaving => return self.move_on(seat),
             Halt::Lost(failure) => return self.lost(seat, &failure),
         }
@@ -134,6 +142,11 @@
         );
     }
 
+    pub(super) fn late(&mut self, seat: Seat) {
+        self.out_of_time();
+        self.ended(seat);
+    }
+
     pub(super) fn ended(&mut self, seat: Seat) {
         match self.journal().ended() {
             None | Some(End::Moved) => (),
@@ -276,6 +289,7 @@
         let outcome = match halt {
             Halt::Done(_) => "done",
             Halt::Ended => "ended",
+            Halt::Late => "late",
             Halt::Leaving => "leaving",
             Halt::Lost(_) => "lost",
         };
