Decide by notice and size whether a stream finishes, moves its KV cache or resumes

The time of the notice, the size per token and the rate of former moves now decide by route::resume; a move has at most 5 s.

--- a/crates/daemon/src/vms/notices.rs
+++ b/crates/daemon/src/vms/notices.rs
@@ -17,6 +17,8 @@
 const WAIT: Duration = Duration::from_secs(5);
 /// pause after a failed read, and between looks at the duty
 const PAUSE: Duration = Duration::from_millis(500);
+/// longest time of a notice that is counted, seconds
+const LONGEST_SECONDS: u64 = 24 * 3600;
 /// daemons per data centre that read the notices
 const READERS: usize = 2;
 
@@ -90,7 +92,10 @@
     }
 
     fn act(&self, leaving: &Leaving) {
-        self.context.routes.leaving(&leaving.vm, Instant::now());
+        let now = Instant::now();
+        let left = Duration::from_secs(leaving.seconds.min(LONGEST_SECONDS));
+        self.context.moves.notice(&leaving.vm, now + left);
+        self.context.routes.leaving(&leaving.vm, now);
         if leaving.vm == self.context.node.me().vm && self.own.try_send(leaving.clone()).is_err() {
             tracing::debug!(event = "notice_known", vm = leaving.vm);
         }
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -18,7 +18,7 @@
 /// longest wait for the answer of a control call
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// longest move of a KV cache between two engines
-const IMPORT_TIMEOUT: Duration = Duration::from_secs(20);
+const IMPORT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// time-outs towards upstreams
 #[derive(Debug, Clone, Copy)]
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -19,6 +19,7 @@
 use crate::journal;
 use crate::lock;
 use crate::metrics::Metrics;
+use crate::moves::Moves;
 use crate::snapshot::Snapshot;
 use crate::span;
 use crate::stage::Stage;
@@ -46,6 +47,8 @@
     pub standby: standby::Table,
     /// tickets that this daemon issued
     pub tickets: ticket::Book,
+    /// notices of VMs and the pace of KV caches
+    pub moves: Moves,
     /// client of the upstreams
     pub engines: Client,
     /// this daemon among the others
@@ -101,6 +104,7 @@
             journals: journal::Table::default(),
             standby: standby::Table::default(),
             tickets: ticket::Book::default(),
+            moves: Moves::default(),
             engines: self.engines,
             node: self.node,
             claims: self.claims,
--- a/crates/entry/src/drive/attempt.rs
+++ b/crates/entry/src/drive/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt: a stream on one upstream VM.
 
+use std::time::Duration;
+
 use engine::{Failure, Item, Stream};
 use route::table::{Permit, Pick};
 use schema::engine::Finish;
@@ -41,6 +43,8 @@
     number: u32,
     reader: Stream,
     last: Instant,
+    waited: Duration,
+    steps: u32,
 }
 
 impl Seat {
@@ -104,6 +108,8 @@
             number,
             reader,
             last,
+            waited: Duration::ZERO,
+            steps: 0,
         })
     }
 
@@ -168,6 +174,11 @@
         self.number
     }
 
+    /// mean time between tokens, once there were two
+    pub(super) fn step(&self) -> Option<Duration> {
+        self.waited.checked_div(self.steps)
+    }
+
     fn measure(&mut self, known: u32) {
         let now = Instant::now();
         let service = [self.journal.origin.service.as_str()];
@@ -185,11 +196,13 @@
                 .spans
                 .add(origin.hop(), "first_token", accepted, &note);
         } else {
-            let waited = now.saturating_duration_since(self.last).as_secs_f64();
+            let waited = now.saturating_duration_since(self.last);
+            self.waited += waited;
+            self.steps += 1;
             metrics
                 .between_tokens
                 .with_label_values(&service)
-                .observe(waited);
+                .observe(waited.as_secs_f64());
         }
         metrics.generated.inc();
         self.last = now;
--- a/crates/entry/src/drive/leaving.rs
+++ b/crates/entry/src/drive/leaving.rs
@@ -4,6 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
+use route::resume::{self, Plan, Successor};
 use route::retry;
 use route::table::{Outcome, Pick};
 use schema::engine::Import;
@@ -12,24 +13,54 @@
 use super::attempt::{Attempt, Halt, Seat};
 use super::run::Run;
 
-/// rest of an answer that a leaving upstream VM is left to finish
-const FINISH_WITHIN: Duration = Duration::from_secs(2);
-
 impl Run<'_> {
-    /// finishes on a leaving VM if little is missing, else moves the stream
+    /// finishes on a leaving VM, or moves the stream with or without its KV cache
     pub(super) fn leave(&mut self, seat: Seat, mut attempt: Attempt<'_>) -> Option<Seat> {
-        let origin = &self.journal().origin;
-        let missing = origin.max_tokens.saturating_sub(self.journal().count());
-        if self.context.pace_of(&origin.service) * missing <= FINISH_WITHIN {
-            let halt = attempt.read(&seat, || false);
-            return self.after_leaving(seat, halt);
-        }
         self.avoid.push(seat.stream.vm.clone());
         let Some(pick) = self.pick() else {
             let halt = attempt.read(&seat, || false);
             return self.after_leaving(seat, halt);
         };
-        self.export(seat, attempt, pick)
+        let plan = self.plan(&seat, &attempt, &pick);
+        tracing::info!(
+            event = "stream_leaves",
+            request = self.journal().origin.id,
+            ?plan
+        );
+        match plan {
+            Plan::Finish => {
+                self.give_back(pick);
+                let halt = attempt.read(&seat, || false);
+                self.after_leaving(seat, halt)
+            }
+            Plan::Export => self.export(seat, attempt, pick),
+            Plan::Resume => self.resume(seat, &attempt, pick),
+        }
+    }
+
+    fn plan(&self, seat: &Seat, attempt: &Attempt<'_>, pick: &Pick) -> Plan {
+        let origin = &self.journal().origin;
+        let done = self.journal().count();
+        let tokens = route::prefix::tokens(&origin.prompt) + done;
+        let step = attempt
+            .step()
+            .unwrap_or(self.context.pace_of(&origin.service));
+        let stream = resume::Stream {
+            done_tokens: done,
+            left_tokens: origin.max_tokens.saturating_sub(done),
+            step,
+        };
+        let successor = Successor {
+            queue: Duration::ZERO,
+            prefill: pick.estimate / tokens.max(1),
+            step,
+            slots: 1,
+            streams: 0,
+            link: pick.link,
+        };
+        let moves = &self.context.moves;
+        let left = moves.left(&seat.stream.vm, Instant::now());
+        resume::plan(&stream, left, &moves.kv(tokens), &successor)
     }
 
     fn after_leaving(&mut self, seat: Seat, halt: Halt) -> Option<Seat> {
@@ -46,43 +77,60 @@
     /// moves the KV cache to the successor while the old stream goes on
     fn export(&mut self, seat: Seat, mut attempt: Attempt<'_>, pick: Pick) -> Option<Seat> {
         let start = Instant::now();
-        let import = Import {
-            source: format!("http://{}", seat.stream.address),
-            request_id: seat.stream.name.clone(),
-        };
         let moved = AtomicBool::new(false);
         let halt = thread::scope(|scope| {
             scope.spawn(|| {
-                if let Err(error) = self.context.engines.import(&pick.address, &import) {
-                    tracing::info!(event = "kv_move_failed", vm = pick.vm, %error);
-                }
+                self.import(&seat, &pick);
                 moved.store(true, Ordering::Release);
             });
             attempt.read(&seat, || moved.load(Ordering::Acquire))
         });
-        let number = attempt.number() + 1;
-        drop(attempt);
         let note = format!("from={} to={}", seat.stream.vm, pick.vm);
         let origin = &self.journal().origin;
         self.context.spans.add(origin.hop(), "move", start, &note);
         match halt {
-            Halt::Leaving | Halt::Lost(_) if self.is_driven() => {
-                self.cancel(&seat);
-                self.release(seat, Outcome::Failed(retry::Kind::Leaving));
-                Some(Seat::fresh(self.journal(), pick, number))
-            }
+            Halt::Leaving | Halt::Lost(_) if self.is_driven() => self.resume(seat, &attempt, pick),
             halt => {
-                self.context
-                    .routes
-                    .finish(pick.permit, Outcome::Cancelled, Instant::now());
+                self.give_back(pick);
                 self.after_leaving(seat, halt)
             }
         }
     }
 
+    fn import(&self, seat: &Seat, pick: &Pick) {
+        let start = Instant::now();
+        let import = Import {
+            source: format!("http://{}", seat.stream.address),
+            request_id: seat.stream.name.clone(),
+        };
+        match self.context.engines.import(&pick.address, &import) {
+            Ok(imported) => {
+                let (tokens, bytes) = (imported.tokens, imported.bytes);
+                self.context.moves.learn(tokens, bytes, start.elapsed());
+                self.context.metrics.moved_bytes.inc_by(bytes);
+            }
+            Err(error) => tracing::info!(event = "kv_move_failed", vm = pick.vm, %error),
+        }
+    }
+
+    /// ends the stream on the old VM and goes on at the successor
+    fn resume(&mut self, seat: Seat, attempt: &Attempt<'_>, pick: Pick) -> Option<Seat> {
+        let number = attempt.number() + 1;
+        self.cancel(&seat);
+        self.release(seat, Outcome::Failed(retry::Kind::Leaving));
+        Some(Seat::fresh(self.journal(), pick, number))
+    }
+
     pub(super) fn move_on(&mut self, seat: Seat) -> Option<Seat> {
         self.avoid.push(seat.stream.vm.clone());
         self.release(seat, Outcome::Failed(retry::Kind::Leaving));
         self.look()
     }
+
+    fn give_back(&self, pick: Pick) {
+        let now = Instant::now();
+        self.context
+            .routes
+            .finish(pick.permit, Outcome::Cancelled, now);
+    }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod http;
 pub mod journal;
 mod metrics;
+pub mod moves;
 mod openai;
 mod server;
 mod snapshot;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -28,6 +28,8 @@
     pub generated: IntCounter,
     /// tokens of prompts and prior answers computed by engines
     pub recomputed: IntCounter,
+    /// bytes of KV caches moved between engines
+    pub moved_bytes: IntCounter,
     /// hand-overs by direction
     pub handovers: IntCounterVec,
     /// requests in flight
@@ -69,6 +71,7 @@
         );
         let generated = counter("agateloom_generated_tokens_total", "tokens generated");
         let recomputed = counter("agateloom_recomputed_tokens_total", "tokens computed again");
+        let moved_bytes = counter("agateloom_moved_kv_bytes_total", "bytes of KV caches moved");
         let handovers = counters("agateloom_handovers_total", "hand-overs", &["direction"]);
         let in_flight = IntGauge::new("agateloom_in_flight", "requests in flight");
         let in_flight = in_flight.expect("the name is valid");
@@ -78,6 +81,7 @@
         register(&registry, &between_tokens);
         register(&registry, &generated);
         register(&registry, &recomputed);
+        register(&registry, &moved_bytes);
         register(&registry, &handovers);
         register(&registry, &in_flight);
         Metrics {
@@ -88,6 +92,7 @@
             between_tokens,
             generated,
             recomputed,
+            moved_bytes,
             handovers,
             in_flight,
         }
