--- a/crates/store/src/claim/writer.rs
+++ b/crates/store/src/claim/writer.rs
@@ -23,6 +23,9 @@
 
 const FIRST_DELAY: Duration = Duration::from_millis(5);
 const MOST_DELAY: Duration = Duration::from_millis(200);
+/// delays after a conflict: short, since the loser must read and write before the next winner
+const FIRST_CONFLICT_DELAY: Duration = Duration::from_millis(1);
+const MOST_CONFLICT_DELAY: Duration = Duration::from_millis(16);
 /// how often claims that nobody waits for are taken out
 const SWEEP: Duration = Duration::from_secs(1);
 /// longest time of a sweep of one shard
@@ -140,6 +143,7 @@
             base: 0,
         };
         let mut backoff = Backoff::new(FIRST_DELAY, MOST_DELAY);
+        let mut conflicts = Backoff::new(FIRST_CONFLICT_DELAY, MOST_CONFLICT_DELAY);
         self.client.budget().earn();
         loop {
             let error = match self.attempt(&mut batch) {
@@ -149,7 +153,10 @@
             if error.verdict() != Verdict::NotRun {
                 batch.uncertain = true;
             }
-            let delay = backoff.delay();
+            let delay = match error {
+                Error::Conflict | Error::Exists => conflicts.delay(),
+                _ => backoff.delay(),
+            };
             let late = Instant::now() + delay >= batch.deadline;
             if late || !self.may_repeat(&mut batch, &error) {
                 return self.fail(batch, &error);
