--- /dev/null
+++ b/crates/fleet/examples/cost/policy.rs
@@ -0,0 +1,101 @@
+//! Ways to run the load.
+
+use fleet::{Action, Place, State, Store, View, places, plan};
+use schema::cloud::Market;
+use schema::config::{Capacity, Upstream};
+
+use crate::cloud::{Cloud, LAG};
+use crate::planner::{capacity, demand};
+
+/// a way to run the load
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// the plan of this crate
+    Ours,
+    /// the same plan, with on-demand VMs only
+    OnDemand,
+    /// the same plan without cover for a zone, in the zone that is cheapest now
+    Cheapest,
+}
+
+/// a policy with its memory
+pub struct Policy {
+    kind: Kind,
+    state: State,
+    capacity: Capacity,
+}
+
+impl Kind {
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Ours => "ours",
+            Kind::OnDemand => "all on-demand",
+            Kind::Cheapest => "cheapest zone",
+        }
+    }
+}
+
+impl Policy {
+    pub fn new(kind: Kind, cloud: &Cloud) -> Self {
+        let mut capacity = capacity(3, 80);
+        capacity.spare = 2;
+        Policy {
+            kind,
+            state: State::new(7, cloud.now),
+            capacity,
+        }
+    }
+
+    /// plans and acts
+    pub fn step(&mut self, cloud: &mut Cloud, requests: u32) {
+        let now = cloud.now;
+        let upstreams = Cloud::upstreams();
+        let upstreams: Vec<&Upstream> = upstreams.iter().collect();
+        let vms = cloud.list(LAG);
+        let places = self.places(places(&upstreams, &cloud.prices(), &vms), cloud);
+        let loads = cloud.loads();
+        let store = Store::Reachable;
+        let view = View {
+            service: "desk",
+            vms: &vms,
+            places: &places,
+            loads: &loads,
+            store,
+        };
+        self.state.observe(&demand(requests), now);
+        self.state.see(&view, now);
+        for action in plan(&view, &self.capacity, &self.state, now) {
+            let taken = cloud.take(&action);
+            match &action {
+                Action::Start(start) if taken => {
+                    self.state.started(&start.name, &start.place, now);
+                }
+                Action::Start(start) => self.state.refused(&start.place, now),
+                Action::Drain(name) => self.state.drained(name, now),
+                Action::Remove(name) => self.state.removed(name, now),
+            }
+        }
+    }
+
+    fn places(&self, mut places: Vec<Place>, cloud: &Cloud) -> Vec<Place> {
+        match self.kind {
+            Kind::Ours => {}
+            Kind::OnDemand => places.retain(|place| place.market == Market::OnDemand),
+            Kind::Cheapest => {
+                places.retain(|place| place.market == Market::Reclaimable);
+                let cheapest = cloud.reclaimable_micros.iter().min().copied();
+                let zone = places
+                    .iter()
+                    .find(|place| Some(place.micros_per_hour) == cheapest)
+                    .map(|place| place.zone.clone());
+                for place in &mut places {
+                    // the other zones keep what they have but cost too much for new VMs
+                    if Some(&place.zone) != zone.as_ref() {
+                        place.micros_per_hour = u64::MAX / 1_000_000;
+                    }
+                }
+            }
+        }
+        places
+    }
+}
--- a/crates/fleet/tests/capacity/cloud.rs
+++ b/crates/fleet/tests/capacity/cloud.rs
@@ -171,17 +171,23 @@
 
     /// reclaims the reclaimable VMs of a zone; gives those that had a notice
     pub fn reclaim(&mut self, zone: usize) -> Vec<Vm> {
-        let mut noticed = Vec::new();
-        for machine in self.machines.values_mut() {
-            let vm = &mut machine.vm;
-            let meant = vm.zone == ZONES[zone].0 && vm.market == Market::Reclaimable;
-            if meant && machine.taken_at.is_none() {
-                vm.state = Life::Leaving;
-                machine.taken_at = Some(self.now + NOTICE);
-                noticed.push(vm.clone());
-            }
+        let here = |vm: &&Vm| vm.zone == ZONES[zone].0;
+        let names: Vec<String> = self.vms().filter(here).map(|vm| vm.name.clone()).collect();
+        names
+            .iter()
+            .filter_map(|name| self.reclaim_one(name))
+            .collect()
+    }
+
+    /// reclaims a VM, if it is reclaimable and had no notice yet
+    pub fn reclaim_one(&mut self, name: &str) -> Option<Vm> {
+        let machine = self.machines.get_mut(name)?;
+        if machine.vm.market == Market::OnDemand || machine.taken_at.is_some() {
+            return None;
         }
-        noticed
+        machine.vm.state = Life::Leaving;
+        machine.taken_at = Some(self.now + NOTICE);
+        Some(machine.vm.clone())
     }
 
     /// carries out an action; whether the cloud took it
