--- /dev/null
+++ b/crates/entry/src/span.rs
@@ -0,0 +1,148 @@
+//! Spans of requests: one per hop, joined by the trace id.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Mutex;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use macro_rules_attribute::apply;
+use schema::data;
+use tokio::time::Instant;
+
+use crate::lock;
+
+/// most requests whose spans are kept
+const MOST_REQUESTS: usize = 4096;
+/// most spans kept of one request
+const MOST_SPANS: usize = 256;
+
+/// a hop of a request
+#[apply(data!)]
+pub struct Span {
+    /// accept, admit, queue, choose, attempt, first_token, hand_over
+    pub name: &'static str,
+    /// start, microseconds since 1970
+    pub start_us: u64,
+    /// length, microseconds
+    pub duration_us: u64,
+    /// key=value pairs
+    pub note: String,
+}
+
+/// the request that a span belongs to
+#[derive(Debug, Clone, Copy)]
+pub struct Hop<'a> {
+    /// request id
+    pub request: &'a str,
+    /// W3C trace parent
+    pub trace: &'a str,
+}
+
+/// spans of the last requests, by request id and by trace id
+#[derive(Debug, Default)]
+pub struct Log {
+    requests: Mutex<Requests>,
+}
+
+#[derive(Debug, Default)]
+struct Requests {
+    spans: HashMap<String, Vec<Span>>,
+    order: VecDeque<String>,
+    traces: HashMap<String, Vec<String>>,
+}
+
+impl Log {
+    /// adds a span that began at `start` and ends now
+    pub fn add(&self, hop: Hop<'_>, name: &'static str, start: Instant, note: &str) {
+        let duration = start.elapsed();
+        let span = Span {
+            name,
+            start_us: micros(since_epoch().saturating_sub(duration)),
+            duration_us: micros(duration),
+            note: note.to_owned(),
+        };
+        tracing::info!(
+            event = "span",
+            span = name,
+            request = hop.request,
+            trace = trace_id(hop.trace),
+            duration_us = span.duration_us,
+            detail = note,
+        );
+        lock(&self.requests).add(hop, span);
+    }
+
+    /// spans of a request, or of all requests of a trace
+    pub fn get(&self, id: &str) -> Vec<Span> {
+        lock(&self.requests).get(id)
+    }
+}
+
+impl Requests {
+    fn get(&self, id: &str) -> Vec<Span> {
+        let own = self.spans.get(id).into_iter();
+        let traced = self.traces.get(id).into_iter().flatten();
+        let others = traced.filter_map(|request| self.spans.get(request));
+        own.chain(others).flatten().cloned().collect()
+    }
+
+    fn add(&mut self, hop: Hop<'_>, span: Span) {
+        if let Some(spans) = self.spans.get_mut(hop.request) {
+            if spans.len() < MOST_SPANS {
+                spans.push(span);
+            }
+            return;
+        }
+        if self.order.len() >= MOST_REQUESTS {
+            self.forget_oldest();
+        }
+        self.order.push_back(hop.request.to_owned());
+        self.spans.insert(hop.request.to_owned(), vec![span]);
+        let trace = trace_id(hop.trace).to_owned();
+        if !trace.is_empty() {
+            self.traces
+                .entry(trace)
+                .or_default()
+                .push(hop.request.to_owned());
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some(oldest) = self.order.pop_front() else {
+            return;
+        };
+        self.spans.remove(&oldest);
+        self.traces.retain(|_, requests| {
+            requests.retain(|request| *request != oldest);
+            !requests.is_empty()
+        });
+    }
+}
+
+/// the trace parent of a caller, or a new one
+pub fn parent(header: Option<&str>) -> String {
+    let known =
+        header.filter(|header| header.split('-').count() >= 4 && !trace_id(header).is_empty());
+    match known {
+        Some(header) => header.to_owned(),
+        None => {
+            let trace: [u8; 16] = rand::random();
+            let span: [u8; 8] = rand::random();
+            format!("00-{}-{}-01", hex::encode(trace), hex::encode(span))
+        }
+    }
+}
+
+/// the trace id of a W3C trace parent
+pub fn trace_id(parent: &str) -> &str {
+    parent.split('-').nth(1).unwrap_or("")
+}
+
+fn since_epoch() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -12,4 +12,13 @@
 pub mod method;
 pub mod text;
 
-pub use generated::{client, cloud, config, engine, failure, journal, objects, operator, settings};
+pub use generated::client;
+pub use generated::cloud;
+pub use generated::config;
+pub use generated::engine;
+pub use generated::failure;
+pub use generated::journal;
+pub use generated::member;
+pub use generated::objects;
+pub use generated::operator;
+pub use generated::settings;
