--- a/crates/daemon/src/config/keeper.rs
+++ b/crates/daemon/src/config/keeper.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use entry::{Context, Phase, Snapshot};
+use entry::{Context, Snapshot};
 use schema::member::{Applied, Fact, Revision as Number};
 use store::config::{Delta, Revision, diff, patch};
 
@@ -63,7 +63,6 @@
         let number = revision.number();
         self.context.node.publish(Fact::Revision(Number { number }));
         self.context.node.publish(Fact::Applied(Applied { number }));
-        self.context.stage.advance(Phase::Serving);
         tracing::info!(
             event = "config_in_force",
             revision = number,
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -67,17 +67,17 @@
 
 fn operators(module: &mut RpcModule<Slot>) {
     let status = module.register_method(method::STATUS, |params, slot, _| {
-        let _: StatusQuery = params.one()?;
+        let _: StatusQuery = params.parse()?;
         parts(slot).map(|parts| status::status(&parts.context))
     });
     status.expect("the name stands once");
     let drain = module.register_blocking_method(method::DRAIN, |params, slot, _| {
-        let query: DrainQuery = params.one()?;
+        let query: DrainQuery = params.parse()?;
         drain::drain(parts(&slot)?, &query)
     });
     drain.expect("the name stands once");
     let trace = module.register_blocking_method(method::TRACE, |params, slot, _| {
-        let query: TraceQuery = params.one()?;
+        let query: TraceQuery = params.parse()?;
         parts(&slot).map(|parts| trace::joined(&parts.context, &query.id))
     });
     trace.expect("the name stands once");
--- a/crates/daemon/src/vms/reader.rs
+++ b/crates/daemon/src/vms/reader.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
-use entry::Context;
+use entry::{Context, Phase};
 use fleet::cloud::{Client, Cloud};
 use rand::Rng;
 use route::table;
@@ -69,6 +69,7 @@
             if changed || snapshot.revision != revision {
                 revision = snapshot.revision;
                 self.apply(&snapshot.declaration);
+                self.serve(revision);
             }
             let wait = PERIOD.mul_f64(rand::rng().random_range(0.8..1.2));
             self.pause(wait, revision);
@@ -137,6 +138,13 @@
         tracing::info!(event = "vms_listed", vms = vms.len());
     }
 
+    /// lets callers in once there are a configuration and the VMs it is about
+    fn serve(&self, revision: u64) {
+        if revision > 0 {
+            self.context.stage.advance(Phase::Serving);
+        }
+    }
+
     fn kept(&self) -> MutexGuard<'_, Listed> {
         self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
