Keep daemons with one view from herding

Change: a level now grows smoothly as slots fill; own requests in flight are counted apart; a VM above the service's mean is avoided, one below it soon counts as the mean.

--- /dev/null
+++ b/crates/route/examples/choice/model.rs
@@ -0,0 +1,322 @@
+//! The model: arrivals, daemons, engines, reports that lag.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::fmt;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use route::table::{Ask, Outcome, Place, Table, Vm};
+use schema::config::{Declaration, Fencing, Kind as Service};
+use schema::engine::{Events, Load};
+use schema::settings::Policy;
+use tokio::time::Instant;
+
+use crate::engine::{Engine, Job, SLOTS, STEP_US};
+use crate::workload::{Kind, Source};
+
+const SECOND_US: u64 = 1_000_000;
+const WARM_US: u64 = 20 * SECOND_US;
+const END_US: u64 = 80 * SECOND_US;
+const POLL_US: u64 = SECOND_US / 2;
+const REPORT_LAG_US: u64 = 20_000;
+const LEVEL_LAG_US: u64 = SECOND_US;
+const SAMPLE_US: u64 = SECOND_US / 10;
+const GAP_SHARE: f64 = 0.1;
+const FIRST_TOKEN: Duration = Duration::from_millis(460);
+
+/// one run
+pub struct Setup {
+    pub policy: Policy,
+    pub kind: Kind,
+    pub daemons: usize,
+    pub engines: usize,
+    /// requests per second over all daemons
+    pub rate: f64,
+    pub seed: u64,
+}
+
+/// what a run gave
+#[derive(Default)]
+pub struct Figures {
+    recomputed: u64,
+    generated: u64,
+    refused: u64,
+    first_us: Vec<u64>,
+    peaks: Vec<f64>,
+}
+
+enum Step {
+    Arrive,
+    Deliver(usize, Box<Job>),
+    Prefilled(usize),
+    End(usize, Box<Job>),
+    Poll(usize),
+    Report(usize, Load, Events, u64),
+    Level(usize, u8, u64),
+    Sample,
+}
+
+struct Model<'a> {
+    setup: &'a Setup,
+    rng: ChaCha8Rng,
+    base: Instant,
+    now_us: u64,
+    serial: u64,
+    order: BinaryHeap<Reverse<(u64, u64)>>,
+    steps: BTreeMap<u64, Step>,
+    tables: Vec<Table>,
+    names: Vec<String>,
+    engines: Vec<Engine>,
+    source: Source,
+    figures: Figures,
+}
+
+/// runs the model to its end
+pub fn run(setup: &Setup) -> Figures {
+    let mut model = Model::new(setup);
+    while let Some(Reverse((at_us, serial))) = model.order.pop() {
+        if at_us > END_US {
+            break;
+        }
+        model.now_us = at_us;
+        if let Some(step) = model.steps.remove(&serial) {
+            model.step(step);
+        }
+    }
+    model.figures
+}
+
+impl<'a> Model<'a> {
+    fn new(setup: &'a Setup) -> Model<'a> {
+        let names: Vec<String> = (0..setup.engines)
+            .map(|place| format!("vm-{place}"))
+            .collect();
+        let mut model = Model {
+            setup,
+            rng: ChaCha8Rng::seed_from_u64(setup.seed),
+            base: Instant::now(),
+            now_us: 0,
+            serial: 0,
+            order: BinaryHeap::new(),
+            steps: BTreeMap::new(),
+            tables: (0..setup.daemons).map(|_| table(setup, &names)).collect(),
+            engines: names.iter().map(|_| Engine::default()).collect(),
+            names,
+            source: Source::new(setup.kind),
+            figures: Figures::default(),
+        };
+        model.after(0, Step::Arrive);
+        model.after(0, Step::Sample);
+        for engine in 0..setup.engines {
+            let start = model.rng.random_range(0..POLL_US);
+            model.after(start, Step::Poll(engine));
+        }
+        model
+    }
+
+    fn after(&mut self, wait_us: u64, step: Step) {
+        self.serial += 1;
+        self.order
+            .push(Reverse((self.now_us + wait_us, self.serial)));
+        self.steps.insert(self.serial, step);
+    }
+
+    fn instant(&self, at_us: u64) -> Instant {
+        self.base + Duration::from_micros(at_us)
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Arrive => self.arrive(),
+            Step::Deliver(engine, job) => {
+                self.engines[engine].queue.push_back(*job);
+                self.start(engine);
+            }
+            Step::Prefilled(engine) => self.prefilled(engine),
+            Step::End(engine, job) => self.end(engine, *job),
+            Step::Poll(engine) => self.poll(engine),
+            Step::Report(engine, load, events, at_us) => self.report(engine, &load, &events, at_us),
+            Step::Level(engine, level, at_us) => self.level(engine, level, at_us),
+            Step::Sample => self.sample(),
+        }
+    }
+
+    fn arrive(&mut self) {
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.setup.rate;
+        self.after((gap * 1e6) as u64, Step::Arrive);
+        let request = self.source.next(&mut self.rng);
+        let daemon = self.rng.random_range(0..self.setup.daemons);
+        let now = self.instant(self.now_us);
+        let ask = Ask {
+            service: "model",
+            blocks: &request.blocks,
+            prompt_tokens: request.prompt_tokens,
+            prior_tokens: 0,
+            max_tokens: 240,
+            priority: 5,
+            avoid: &[],
+            deadline: now + Duration::from_secs(60),
+            first_token: FIRST_TOKEN,
+        };
+        let Ok(pick) = self.tables[daemon].pick(&ask, &mut self.rng, now) else {
+            self.figures.refused += 1;
+            return;
+        };
+        let engine = self
+            .names
+            .iter()
+            .position(|name| *name == pick.vm)
+            .unwrap_or(0);
+        let job = Job {
+            daemon,
+            permit: pick.permit,
+            prompt_tokens: request.prompt_tokens,
+            output_tokens: request.output_tokens,
+            blocks: request.blocks,
+            arrived_us: self.now_us,
+            cached_tokens: 0,
+        };
+        self.after(1_000, Step::Deliver(engine, Box::new(job)));
+    }
+
+    fn start(&mut self, engine: usize) {
+        if let Some(time_us) = self.engines[engine].start() {
+            self.after(time_us, Step::Prefilled(engine));
+        }
+    }
+
+    fn prefilled(&mut self, engine: usize) {
+        let Some(job) = self.engines[engine].prefilled() else {
+            return;
+        };
+        if job.arrived_us >= WARM_US {
+            self.figures.first_us.push(self.now_us - job.arrived_us);
+            self.figures.recomputed += u64::from(job.prompt_tokens - job.cached_tokens);
+            self.figures.generated += u64::from(job.output_tokens);
+        }
+        let time_us = u64::from(job.output_tokens) * STEP_US;
+        self.after(time_us, Step::End(engine, Box::new(job)));
+        self.start(engine);
+    }
+
+    fn end(&mut self, engine: usize, job: Job) {
+        self.engines[engine].running -= 1;
+        let usage = job.usage();
+        let now = self.instant(self.now_us);
+        self.tables[job.daemon].finish(job.permit, Outcome::Done { usage }, now);
+        self.start(engine);
+    }
+
+    fn poll(&mut self, engine: usize) {
+        let lost = self.rng.random::<f64>() < GAP_SHARE;
+        let load = self.engines[engine].load();
+        let events = self.engines[engine].take_events(lost);
+        let report = Step::Report(engine, load, events, self.now_us);
+        self.after(REPORT_LAG_US, report);
+        let jitter = self.rng.random_range(0..POLL_US / 5);
+        self.after(POLL_US - POLL_US / 10 + jitter, Step::Poll(engine));
+    }
+
+    fn report(&mut self, engine: usize, load: &Load, events: &Events, at_us: u64) {
+        let poller = &self.tables[engine % self.setup.daemons];
+        let at = self.instant(at_us);
+        poller.report(&self.names[engine], load, at);
+        poller.cached(&self.names[engine], events);
+        let level = poller.level(&self.names[engine]).unwrap_or(0);
+        self.after(LEVEL_LAG_US, Step::Level(engine, level, at_us));
+    }
+
+    fn level(&mut self, engine: usize, level: u8, at_us: u64) {
+        let at = self.instant(at_us);
+        for (daemon, table) in self.tables.iter().enumerate() {
+            if daemon != engine % self.setup.daemons {
+                table.coarse(&self.names[engine], level, at);
+            }
+        }
+    }
+
+    fn sample(&mut self) {
+        self.after(SAMPLE_US, Step::Sample);
+        if self.now_us < WARM_US {
+            return;
+        }
+        let loads = self
+            .engines
+            .iter()
+            .map(|engine| f64::from(engine.streams()));
+        let most = loads.clone().fold(0.0, f64::max);
+        let mean = loads.sum::<f64>() / self.engines.len() as f64;
+        self.figures.peaks.push(most / mean.max(1.0));
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut first = self.first_us.clone();
+        first.sort_unstable();
+        let at = |part: f64| first[((first.len() - 1) as f64 * part) as usize] as f64 / 1000.0;
+        let target = FIRST_TOKEN.as_micros() as u64;
+        let met = first.iter().filter(|time| **time <= target).count();
+        let peak = self.peaks.iter().sum::<f64>() / self.peaks.len() as f64;
+        write!(
+            f,
+            "recomputed_per_generated={:.3} p50_ms={:.0} p95_ms={:.0} met={:.3} peak_to_mean={:.2} refused={} requests={}",
+            self.recomputed as f64 / self.generated as f64,
+            at(0.5),
+            at(0.95),
+            met as f64 / first.len() as f64,
+            peak,
+            self.refused,
+            first.len(),
+        )
+    }
+}
+
+/// returns a daemon's table with all engines
+fn table(setup: &Setup, names: &[String]) -> Table {
+    let place = Place {
+        data_centre: "a".to_owned(),
+        region: "r".to_owned(),
+    };
+    let table = Table::new(place, setup.policy);
+    table.configure(&declaration());
+    table.daemons(setup.daemons as u32);
+    table.list(&vms(names));
+    table
+}
+
+/// returns VMs of one data centre
+pub fn vms(names: &[String]) -> Vec<Vm> {
+    let vm = |name: &String| Vm {
+        name: name.clone(),
+        address: name.clone(),
+        upstream: "engines".to_owned(),
+        service: "model".to_owned(),
+        data_centre: "a".to_owned(),
+        region: "r".to_owned(),
+        slots: SLOTS,
+        fencing: Fencing::Ignored,
+    };
+    names.iter().map(vm).collect()
+}
+
+/// returns a declaration with one service
+pub fn declaration() -> Declaration {
+    let service = schema::config::Service {
+        name: "model".to_owned(),
+        kind: Service::Model,
+        first_token_ms: 460,
+        between_tokens_ms: 32,
+        deadline_ms: 120_000,
+        repeatable: Vec::new(),
+    };
+    Declaration {
+        services: vec![service],
+        upstreams: Vec::new(),
+        workspaces: Vec::new(),
+        presets: Vec::new(),
+        preset: "ordinary".to_owned(),
+    }
+}
--- a/crates/route/src/table/backlog.rs
+++ b/crates/route/src/table/backlog.rs
@@ -1,9 +1,11 @@
 //! The queue of one VM, carried on from its last report.
 //!
 //! Prefill is a fluid queue: what was reported, plus the sends since then, less the
-//! time that has passed. Streams beyond the VM's slots wait for others to end. As the
-//! report ages, the estimate moves to the mean queue of the service, so that a VM whose
-//! reports stopped does not look idle.
+//! time that has passed. Streams hold slots: own ones are known at any time, those of
+//! other daemons are what the report had beyond the own ones. A VM that reported more of
+//! these than the service's mean is avoided, the less so the older the report. One that
+//! reported fewer soon counts as the mean: all daemons see the same reports, and would
+//! send there together before the next one.
 
 use std::time::Duration;
 
@@ -13,8 +15,11 @@
 use super::stats::Means;
 use crate::level;
 
-/// time constant with which a report loses its weight, seconds
-const REPORT_SECONDS: f64 = 5.0;
+/// time constant with which a report of a VM above the mean loses its weight, seconds
+const ABOVE_SECONDS: f64 = 8.0;
+
+/// time constant with which a report of a VM below the mean loses its weight, seconds
+const BELOW_SECONDS: f64 = 0.1;
 
 /// sends this shortly before a report may not be counted in it
 const REPORT_MARGIN: Duration = Duration::from_millis(20);
@@ -22,6 +27,9 @@
 /// time after which a report gives way to another daemon's level
 const REPORT_FRESH: Duration = Duration::from_secs(2);
 
+/// wait for a slot from which on it equals the streams beyond the slots
+const OVER_LINEAR: f64 = 30.0;
+
 /// a request sent and not yet covered by a report
 #[derive(Debug, Clone, Copy)]
 struct Sent {
@@ -36,8 +44,8 @@
     at: Option<Instant>,
     full_report: bool,
     work_us: f64,
-    running: f64,
-    waiting: f64,
+    others: f64,
+    in_flight: u32,
     slots: f64,
     prefill_us: Option<f64>,
     step_us: Option<f64>,
@@ -66,8 +74,8 @@
             at: None,
             full_report: false,
             work_us: 0.0,
-            running: 0.0,
-            waiting: 0.0,
+            others: 0.0,
+            in_flight: 0,
             slots: f64::from(slots.max(1)),
             prefill_us: None,
             step_us: None,
@@ -88,53 +96,66 @@
         self.prefill_us = Some(load.prefill_us as f64);
         self.step_us = Some(load.step_us as f64);
         self.slots = f64::from(load.slots.max(1));
-        self.running = f64::from(load.running);
-        self.waiting = f64::from(load.waiting);
         self.work_us = load.waiting_tokens as f64 * load.prefill_us as f64;
         self.full_report = true;
-        self.cover(at);
+        self.cover(f64::from(load.running) + f64::from(load.waiting), at);
         true
     }
 
     /// takes in a level from another daemon, unless an own report is fresh
-    pub fn coarse(&mut self, level: u8, at: Instant) -> bool {
+    ///
+    /// The queueing time is read as streams on the slots, from which own sends and those
+    /// of other daemons then carry on.
+    pub fn coarse(&mut self, level: u8, means: &Means, at: Instant) -> bool {
         if let Some(known) = self.at {
             let fresh = self.full_report && at < known + REPORT_FRESH;
             if fresh || known > at {
                 return false;
             }
         }
-        self.work_us = level::decode(level).as_secs_f64() * 1e6;
-        self.running = 0.0;
-        self.waiting = 0.0;
+        let queue_us = level::decode(level).as_secs_f64() * 1e6;
+        let step_us = self.step_us.unwrap_or(means.step_us);
+        let wait = queue_us * self.slots / means.slot_us(step_us);
+        self.work_us = 0.0;
         self.full_report = false;
-        self.cover(at);
+        self.cover(slot_over(wait) - 1.0 + self.slots, at);
         true
     }
 
     /// records a send
     pub fn send(&mut self, number: u64, tokens: u32, at: Instant) {
+        self.in_flight += 1;
         self.sent.push(Sent { number, at, tokens });
     }
 
     /// records that a sent request has ended
     pub fn end(&mut self, number: u64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
         self.sent.retain(|sent| sent.number != number);
     }
 
+    /// returns the own requests in flight
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// returns the streams of other daemons at the last report
+    pub fn others(&self) -> f64 {
+        self.others
+    }
+
     /// estimates the queue; `others` is the rate of other daemons' sends, per second
     pub fn queue(&self, means: &Means, others: f64, now: Instant) -> Queue {
         let prefill_us = self.prefill_us.unwrap_or(means.prefill_us);
         let step_us = self.step_us.unwrap_or(means.step_us);
         let age = self.age(now);
         let arrived = others * age.as_secs_f64();
-        let streams = self.streams(means.output_tokens * step_us, arrived, age);
+        let held_us = means.slot_us(step_us);
+        let streams = f64::from(self.in_flight) + self.others_now(means, age);
         let work_us = self.work_us(means, prefill_us, arrived, age);
-        let slot_us = self.slot_us(streams, means.output_tokens * step_us);
-        let stale = 1.0 - (-age.as_secs_f64() / REPORT_SECONDS).exp();
-        let stale = if self.at.is_some() { stale } else { 0.0 };
+        let slot_us = held_us / self.slots * slot_wait(streams + 1.0 - self.slots);
         Queue {
-            wait_us: work_us + slot_us + stale * means.queue_us,
+            wait_us: work_us + slot_us,
             prefill_us,
             step_us,
             streams,
@@ -142,8 +163,9 @@
         }
     }
 
-    /// drops the sends that a report covers
-    fn cover(&mut self, at: Instant) {
+    /// splits the streams of a report and drops the sends that it covers
+    fn cover(&mut self, streams: f64, at: Instant) {
+        self.others = (streams - f64::from(self.in_flight)).max(0.0);
         self.at = Some(at);
         self.sent.retain(|sent| sent.at + REPORT_MARGIN > at);
     }
@@ -153,12 +175,18 @@
         since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
-    /// estimates the streams that run or wait
-    fn streams(&self, stream_us: f64, arrived: f64, age: Duration) -> f64 {
-        let known = self.running + self.waiting;
-        let ending = self.running.min(self.slots) / stream_us.max(1.0);
-        let ended = (ending * age.as_micros() as f64).min(known);
-        known - ended + self.sent.len() as f64 + arrived
+    /// estimates the streams of other daemons that run or wait
+    fn others_now(&self, means: &Means, age: Duration) -> f64 {
+        if self.at.is_none() {
+            return means.others;
+        }
+        let beyond = self.others - means.others;
+        let seconds = if beyond > 0.0 {
+            ABOVE_SECONDS
+        } else {
+            BELOW_SECONDS
+        };
+        means.others + beyond * (-age.as_secs_f64() / seconds).exp()
     }
 
     /// estimates the prefill work still to do, microseconds
@@ -168,13 +196,20 @@
         let work_us = self.work_us + tokens * prefill_us;
         (work_us - age.as_micros() as f64).max(0.0)
     }
+}
 
-    /// estimates the wait for a free slot, microseconds
-    fn slot_us(&self, streams: f64, stream_us: f64) -> f64 {
-        let over = streams + 1.0 - self.slots;
-        if over <= 0.0 {
-            return 0.0;
-        }
-        over * stream_us / self.slots
+/// returns the mean wait for a free slot, in times between two ends of streams
+///
+/// It grows smoothly as the slots fill up, since ends and arrivals are random; so a
+/// queueing time tells how full a VM is even before streams wait.
+fn slot_wait(over: f64) -> f64 {
+    over.max(0.0) + (-over.abs()).exp().ln_1p()
+}
+
+/// returns the streams beyond the slots that a wait for a slot stands for
+fn slot_over(wait: f64) -> f64 {
+    if wait > OVER_LINEAR {
+        return wait;
     }
+    wait.exp_m1().max(f64::MIN_POSITIVE).ln()
 }
--- a/crates/route/src/table/belief.rs
+++ b/crates/route/src/table/belief.rs
@@ -10,8 +10,14 @@
 
 use schema::engine::Events;
 
-/// blocks in one generation; at 16 tokens a block, 65,536 tokens
-const GENERATION_BLOCKS: usize = 4096;
+/// most blocks in one generation; at 16 tokens a block, 65,536 tokens
+const GENERATION_MOST: usize = 4096;
+
+/// least blocks in one generation
+const GENERATION_LEAST: usize = 256;
+
+/// blocks remembered over all VMs
+const BLOCKS_ALL: usize = 1 << 19;
 
 /// weight of one observation in the trust
 const TRUST_WEIGHT: f64 = 0.2;
@@ -27,6 +33,7 @@
 pub(super) struct Belief {
     young: HashSet<u64>,
     old: HashSet<u64>,
+    generation: usize,
     trust: f64,
 }
 
@@ -36,10 +43,17 @@
         Belief {
             young: HashSet::new(),
             old: HashSet::new(),
+            generation: GENERATION_MOST,
             trust: 1.0,
         }
     }
 
+    /// bounds what is remembered by the number of VMs that share the memory
+    pub fn bound(&mut self, vms: usize) {
+        let generation = BLOCKS_ALL / 2 / vms.max(1);
+        self.generation = generation.clamp(GENERATION_LEAST, GENERATION_MOST);
+    }
+
     /// returns how many leading blocks are believed cached
     ///
     /// Engines cache prefixes whole, so that a binary search will do; blocks that were
@@ -96,7 +110,9 @@
 
     /// believes the cache empty, after the VM was lost
     pub fn forget(&mut self) {
-        *self = Belief::new();
+        self.young.clear();
+        self.old.clear();
+        self.trust = 1.0;
     }
 
     fn holds(&self, block: u64) -> bool {
@@ -108,7 +124,7 @@
             return;
         }
         self.old.remove(&block);
-        if self.young.len() >= GENERATION_BLOCKS {
+        if self.young.len() >= self.generation {
             self.rotate();
         }
     }
--- a/crates/route/src/table/choice.rs
+++ b/crates/route/src/table/choice.rs
@@ -34,6 +34,8 @@
     pub means: Means,
     /// other daemons
     pub others: Others,
+    /// part of the link's bytes per second that is taken
+    pub link_use: f64,
     /// the time
     pub now: Instant,
 }
@@ -104,6 +106,14 @@
         prompt + output * OUTPUT_TOKEN_BYTES
     }
 
+    /// returns the factor on a tier's price: the link gets dearer as it fills
+    fn scarcity(&self, tier: Tier) -> f64 {
+        match tier {
+            Tier::Near | Tier::Region => 1.0,
+            Tier::Link => 1.0 / (1.0 - self.link_use).max(0.01),
+        }
+    }
+
     /// looks at a VM; none if its breaker is open
     fn look(&self, candidate: &Candidate<'_>) -> Option<Look> {
         let live = candidate.node.live();
@@ -116,6 +126,7 @@
         let prefill = self.ask.prefill_tokens();
         Some(Look {
             queue: live.queue(&self.means, &self.others, self.now),
+            in_flight: live.backlog.in_flight(),
             known_tokens: known,
             prefill_tokens: prefill.saturating_sub(cached_tokens),
         })
@@ -154,7 +165,10 @@
 ) -> Option<Scored<'a>> {
     let mut best: Option<Scored<'a>> = None;
     for tier in Tier::ALL {
-        let price = policy.price(tier, scene.bytes());
+        if tier == Tier::Link && scene.link_use >= 1.0 {
+            break;
+        }
+        let price = policy.price(tier, scene.bytes()) * scene.scarcity(tier);
         if best.is_some_and(|best| best.cost <= price) {
             break;
         }
--- a/crates/route/src/table/live.rs
+++ b/crates/route/src/table/live.rs
@@ -9,6 +9,9 @@
 use super::stats::Means;
 use crate::retry::Breaker;
 
+/// own sends per second at which they count as much as the service's mean
+const SENDS_EVIDENCE: f64 = 0.2;
+
 /// the state of one VM
 #[derive(Debug)]
 pub(super) struct Live {
@@ -18,8 +21,6 @@
     pub belief: Belief,
     /// whether it is let work
     pub breaker: Breaker,
-    /// own requests that have not ended
-    pub in_flight: u32,
     /// own sends
     pub sends: Rate,
 }
@@ -29,6 +30,8 @@
 pub(super) struct Look {
     /// its queue
     pub queue: Queue,
+    /// own requests in flight
+    pub in_flight: u32,
     /// leading tokens believed cached by what this daemon knows
     pub known_tokens: u32,
     /// tokens that would be prefilled
@@ -51,7 +54,6 @@
             backlog: Backlog::new(slots),
             belief: Belief::new(),
             breaker: Breaker::new(),
-            in_flight: 0,
             sends: Rate::default(),
         }
     }
@@ -59,10 +61,19 @@
     /// estimates the queue, with sends of other daemons taken to be like own ones
     pub fn queue(&self, means: &Means, others: &Others, now: Instant) -> Queue {
         let own = self.sends.per_second(now);
-        let alike = (own + others.mean_sends) / 2.0;
+        let weight = own / (own + SENDS_EVIDENCE);
+        let alike = weight * own + (1.0 - weight) * others.mean_sends;
         self.backlog.queue(means, others.daemons * alike, now)
     }
 
+    /// estimates the wait, microseconds; none if the breaker is open
+    pub fn wait_us(&self, means: &Means, others: &Others, now: Instant) -> Option<f64> {
+        if !self.breaker.permits(now) {
+            return None;
+        }
+        Some(self.queue(means, others, now).wait_us)
+    }
+
     /// returns the leading tokens believed cached, by the trust in the belief
     pub fn cached_tokens(&self, ask: &Ask<'_>) -> u32 {
         let tokens = ask.block_tokens(self.belief.depth(ask.blocks));
@@ -71,7 +82,6 @@
 
     /// records a send
     pub fn send(&mut self, number: u64, ask: &Ask<'_>, tokens: u32, now: Instant) {
-        self.in_flight += 1;
         self.sends.count(now);
         self.backlog.send(number, tokens, now);
         self.belief.store(ask.blocks);
@@ -79,7 +89,6 @@
 
     /// records that a request has ended
     pub fn end(&mut self, number: u64) {
-        self.in_flight = self.in_flight.saturating_sub(1);
         self.backlog.end(number);
     }
 }
--- a/crates/route/src/table/permit.rs
+++ b/crates/route/src/table/permit.rs
@@ -18,6 +18,8 @@
     pub(super) known_tokens: u32,
     pub(super) home_tokens: u32,
     pub(super) jitter: f64,
+    pub(super) probe: bool,
+    pub(super) at: Instant,
 }
 
 impl Permit {
@@ -30,7 +32,7 @@
     pub(super) fn settle(self, outcome: Outcome, now: Instant) {
         match outcome {
             Outcome::Done { usage } => self.answered(&usage),
-            Outcome::Answered => self.node.live().breaker.succeed(),
+            Outcome::Answered => self.called(now),
             Outcome::Failed(kind) => self.failed(kind, now),
             Outcome::Cancelled => (),
         }
@@ -48,6 +50,12 @@
         live.breaker.succeed();
     }
 
+    fn called(&self, now: Instant) {
+        let time = now.saturating_duration_since(self.at);
+        self.node.stats.called(time.as_secs_f64() * 1e6);
+        self.node.live().breaker.succeed();
+    }
+
     fn failed(&self, kind: Kind, now: Instant) {
         let mut live = self.node.live();
         if kind.is_vm_lost() {
@@ -66,6 +74,8 @@
     fn drop(&mut self) {
         let mut live = self.node.live();
         live.end(self.number);
-        live.breaker.release();
+        if self.probe {
+            live.breaker.release();
+        }
     }
 }
--- a/crates/route/src/table/rate.rs
+++ b/crates/route/src/table/rate.rs
@@ -1,4 +1,4 @@
-//! A rate of events that forgets exponentially.
+//! A rate of events or amounts that forgets exponentially.
 
 use macro_rules_attribute::apply;
 use schema::data;
@@ -18,11 +18,16 @@
 impl Rate {
     /// records one event
     pub fn count(&mut self, now: Instant) {
-        self.sum = self.decayed(now) + 1.0;
+        self.add(1.0, now);
+    }
+
+    /// records an amount
+    pub fn add(&mut self, amount: f64, now: Instant) {
+        self.sum = self.decayed(now) + amount;
         self.at = Some(now);
     }
 
-    /// returns the events per second
+    /// returns the events, or the amount, per second
     pub fn per_second(&self, now: Instant) -> f64 {
         self.decayed(now) / WINDOW_SECONDS
     }
--- a/crates/route/src/table/rule.rs
+++ b/crates/route/src/table/rule.rs
@@ -31,7 +31,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Affinity;
 
-/// fewest requests in flight
+/// fewest own requests in flight
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Least;
 
@@ -64,7 +64,7 @@
 
 impl Rule for Least {
     fn cost(&self, look: &Look, _target_us: f64) -> f64 {
-        look.queue.streams
+        f64::from(look.in_flight)
     }
 
     fn price(&self, tier: Tier, _bytes: u64) -> f64 {
--- a/crates/route/src/table/shortlist.rs
+++ b/crates/route/src/table/shortlist.rs
@@ -61,6 +61,7 @@
     }
 }
 
+/// adds the VMs that are believed to hold the most
 fn add_holders<'a>(
     list: &mut Vec<Candidate<'a>>,
     nodes: &[&'a Arc<Node>],
--- a/crates/route/src/table/stats.rs
+++ b/crates/route/src/table/stats.rs
@@ -20,6 +20,12 @@
 /// share of a prefix found at its home before the first answer
 const HOME_HIT: f64 = 0.5;
 
+/// time to prefill one token before the first report, microseconds
+const PREFILL_US: f64 = 250.0;
+
+/// time of one step before the first report, microseconds
+const STEP_US: f64 = 30_000.0;
+
 /// moving means of one service
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Means {
@@ -29,16 +35,25 @@
     pub prefill_tokens: f64,
     /// share of a prefix that its home had cached without this daemon's knowledge
     pub home_hit: f64,
-    /// queue of a VM by its reports, microseconds
-    pub queue_us: f64,
+    /// streams that other daemons have on a VM
+    pub others: f64,
     /// time to prefill one token, microseconds
     pub prefill_us: f64,
     /// time of one step, microseconds
     pub step_us: f64,
+    /// time of one call of a plain service, microseconds; none for model engines
+    pub call_us: Option<f64>,
     /// this daemon's own sends
     pub sends: Rate,
 }
 
+impl Means {
+    /// returns the time that a request holds its slot, microseconds
+    pub fn slot_us(&self, step_us: f64) -> f64 {
+        self.call_us.unwrap_or(self.output_tokens * step_us)
+    }
+}
+
 /// statistics shared by all VMs of a service
 #[derive(Debug)]
 pub(super) struct Stats {
@@ -54,9 +69,10 @@
             output_tokens: OUTPUT_TOKENS,
             prefill_tokens: PREFILL_TOKENS,
             home_hit: HOME_HIT,
-            queue_us: 0.0,
-            prefill_us: 250.0,
-            step_us: 30_000.0,
+            others: 0.0,
+            prefill_us: PREFILL_US,
+            step_us: STEP_US,
+            call_us: None,
             sends: Rate::default(),
         };
         Stats {
@@ -76,16 +92,15 @@
     }
 
     /// records what an engine reported
-    pub fn reported(&self, queue_us: f64, prefill_us: u64, step_us: u64) {
+    pub fn reported(&self, prefill_us: u64, step_us: u64) {
         let mut means = self.lock();
-        approach(&mut means.queue_us, queue_us);
         approach(&mut means.prefill_us, prefill_us as f64);
         approach(&mut means.step_us, step_us as f64);
     }
 
-    /// records the queue of a VM that another daemon told of
-    pub fn heard(&self, queue_us: f64) {
-        approach(&mut self.lock().queue_us, queue_us);
+    /// records the streams that other daemons have on a VM
+    pub fn others(&self, streams: f64) {
+        approach(&mut self.lock().others, streams);
     }
 
     /// records the cost of an answered request
@@ -98,6 +113,14 @@
         );
     }
 
+    /// records the time of a call of a plain service
+    pub fn called(&self, call_us: f64) {
+        let mut means = self.lock();
+        let mut mean = means.call_us.unwrap_or(call_us);
+        approach(&mut mean, call_us);
+        means.call_us = Some(mean);
+    }
+
     /// records the share of a prefix that its home had cached
     pub fn home(&self, share: f64) {
         approach(&mut self.lock().home_hit, share.clamp(0.0, 1.0));
--- a/crates/route/src/table/table.rs
+++ b/crates/route/src/table/table.rs
@@ -1,7 +1,7 @@
 //! The table that all workers of a daemon share.
 
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::time::Duration;
 
 use rand::Rng;
@@ -13,10 +13,12 @@
 use super::choice::{Scene, Scored, choose};
 use super::live::Others;
 use super::node::Node;
+use super::rate::Rate;
 use super::rule::{Affinity, Least, Turns};
-use super::stats::Stats;
+use super::stats::{Means, Stats};
 use super::view::{Group, View};
 use super::{Ask, Outcome, Permit, Pick, Place, Row, Tier, Vm};
+use crate::retry::Phase;
 use crate::{Reason, Refusal, level};
 
 /// attempts to take a VM whose breaker closes in between
@@ -25,6 +27,9 @@
 /// time to come back when a service has no VM
 const NO_UPSTREAM_WAIT: Duration = Duration::from_secs(2);
 
+/// bytes per second that all daemons together may send across the link
+const LINK_BYTES_PER_SECOND: f64 = 1_500_000.0;
+
 /// the upstream VMs of all services, as this daemon knows them
 #[derive(Debug)]
 pub struct Table {
@@ -33,6 +38,7 @@
     daemons: AtomicU32,
     numbers: AtomicU64,
     link_bytes: AtomicU64,
+    link_rate: Mutex<Rate>,
     view: RwLock<View>,
 }
 
@@ -45,6 +51,7 @@
             daemons: AtomicU32::new(1),
             numbers: AtomicU64::new(0),
             link_bytes: AtomicU64::new(0),
+            link_rate: Mutex::new(Rate::default()),
             view: RwLock::new(View::default()),
         }
     }
@@ -84,11 +91,15 @@
         let Some(node) = self.find(vm) else {
             return;
         };
-        if !node.live().backlog.report(load, at) {
-            return;
-        }
-        let queue_us = self.queue(&node, at).as_secs_f64() * 1e6;
-        node.stats.reported(queue_us, load.prefill_us, load.step_us);
+        let others = {
+            let mut live = node.live();
+            if !live.backlog.report(load, at) {
+                return;
+            }
+            live.backlog.others()
+        };
+        node.stats.reported(load.prefill_us, load.step_us);
+        node.stats.others(others);
     }
 
     /// takes in a load level that another daemon told of, with the time it was made
@@ -96,16 +107,22 @@
         let Some(node) = self.find(vm) else {
             return;
         };
-        if node.live().backlog.coarse(level, at) {
-            let queue_us = level::decode(level).as_secs_f64() * 1e6;
-            node.stats.heard(queue_us);
-        }
+        let means = node.stats.means();
+        let others = {
+            let mut live = node.live();
+            if !live.backlog.coarse(level, &means, at) {
+                return;
+            }
+            live.backlog.others()
+        };
+        node.stats.others(others);
     }
 
-    /// returns the load level to tell other daemons
-    pub fn level(&self, vm: &str, now: Instant) -> Option<u8> {
+    /// returns the load level to tell other daemons, as of the last report
+    pub fn level(&self, vm: &str) -> Option<u8> {
         let node = self.find(vm)?;
-        Some(level::encode(self.queue(&node, now)))
+        let at = node.live().backlog.reported_at()?;
+        Some(level::encode(self.queue(&node, at)))
     }
 
     /// takes in a VM's cache events
@@ -150,12 +167,31 @@
         self.link_bytes.load(Ordering::Relaxed)
     }
 
-    /// returns the least queueing time of a service's VMs, or none if none takes work
+    /// returns the queueing time a new request of a service can expect
+    ///
+    /// This is the lower quartile of the nearest VMs that take work; none if there are
+    /// no such VMs.
     pub fn wait(&self, service: &str, now: Instant) -> Option<Duration> {
         let view = self.read();
-        let nodes = view.group(service)?.nodes();
-        let usable = nodes.filter(|node| !node.is_leaving() && node.live().breaker.permits(now));
-        usable.map(|node| self.queue(node, now)).min()
+        let stats = view.stats(service)?;
+        let group = view.group(service)?;
+        let means = stats.means();
+        let others = self.others(&means, group, now);
+        for tier in Tier::ALL {
+            let mut waits: Vec<f64> = group
+                .tier(tier)
+                .iter()
+                .filter(|node| !node.is_leaving())
+                .filter_map(|node| node.live().wait_us(&means, &others, now))
+                .collect();
+            if waits.is_empty() {
+                continue;
+            }
+            let quartile = waits.len() / 4;
+            let (_, wait_us, _) = waits.select_nth_unstable_by(quartile, f64::total_cmp);
+            return Some(Duration::from_secs_f64(*wait_us / 1e6));
+        }
+        None
     }
 
     /// returns the addresses of a service's VMs that are not leaving, nearest first
@@ -197,26 +233,35 @@
         now: Instant,
     ) -> Scene<'a> {
         let means = stats.means();
-        let vms = group.tier(Tier::Near).len().max(1) as f64;
-        let others = Others {
-            daemons: f64::from(self.daemons.load(Ordering::Relaxed) - 1),
-            mean_sends: means.sends.per_second(now) / vms,
-        };
+        let others = self.others(&means, group, now);
+        let link_rate = self.lock_link_rate().per_second(now);
+        let daemons = others.daemons + 1.0;
         Scene {
             ask,
             stats,
             means,
             others,
+            link_use: link_rate * daemons / LINK_BYTES_PER_SECOND,
             now,
         }
     }
 
+    fn others(&self, means: &Means, group: &Group, now: Instant) -> Others {
+        let vms = group.tier(Tier::Near).len().max(1) as f64;
+        Others {
+            daemons: f64::from(self.daemons.load(Ordering::Relaxed) - 1),
+            mean_sends: means.sends.per_second(now) / vms,
+        }
+    }
+
     /// counts the request in, unless the breaker opened or its probe is out
     fn take(&self, scored: &Scored<'_>, scene: &Scene<'_>, jitter: f64) -> Option<Pick> {
         let node = scored.node;
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let probe;
         {
             let mut live = node.live();
+            probe = live.breaker.phase(scene.now) == Phase::HalfOpen;
             if !live.breaker.acquire(scene.now) {
                 return None;
             }
@@ -225,7 +270,7 @@
         scene.stats.sent(scene.now);
         let link = node.tier == Tier::Link;
         if link {
-            self.link_bytes.fetch_add(scene.bytes(), Ordering::Relaxed);
+            self.count_link(scene.bytes(), scene.now);
         }
         Some(Pick {
             vm: node.vm.name.clone(),
@@ -239,10 +284,23 @@
                 known_tokens: scored.look.known_tokens,
                 home_tokens: scored.home_tokens,
                 jitter,
+                probe,
+                at: scene.now,
             },
         })
     }
 
+    fn count_link(&self, bytes: u64, now: Instant) {
+        self.link_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.lock_link_rate().add(bytes as f64, now);
+    }
+
+    fn lock_link_rate(&self) -> MutexGuard<'_, Rate> {
+        self.link_rate
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// estimates a VM's queueing time without sends of other daemons
     fn queue(&self, node: &Node, now: Instant) -> Duration {
         let means = node.stats.means();
@@ -258,7 +316,7 @@
             vm: node.vm.clone(),
             leaving: node.is_leaving(),
             breaker: live.breaker.phase(now),
-            in_flight: live.in_flight,
+            in_flight: live.backlog.in_flight(),
             queue,
             report_age: reported.map(|at| now.saturating_duration_since(at)),
             blocks: live.belief.len(),
--- a/crates/route/src/table/view.rs
+++ b/crates/route/src/table/view.rs
@@ -11,9 +11,12 @@
 use super::stats::Stats;
 use super::{Place, Tier, Vm};
 
-/// time for which a leaving VM that the list no longer shows is remembered
+/// time for which a notice outweighs the VM's own word that it stays
 const LEAVING_KEEP: Duration = Duration::from_secs(120);
 
+/// lists in a row without a leaving VM after which its name is free again
+const LISTS_GONE: u32 = 100;
+
 /// the VMs of one service
 #[derive(Debug, Default)]
 pub(super) struct Group {
@@ -26,6 +29,7 @@
 struct Mark {
     address: Option<String>,
     at: Instant,
+    lists_gone: u32,
 }
 
 /// all services, VMs, and the VMs known to be leaving
@@ -80,15 +84,16 @@
         for vm in vms {
             let node = self.node(vm, place);
             self.mark_node(&node);
+            node.live().belief.bound(vms.len());
             nodes.insert(vm.name.clone(), Arc::new(node));
         }
         self.nodes = nodes;
+        self.forget_marks();
         self.regroup();
     }
 
     /// records that a VM is leaving
     pub fn leave(&mut self, name: &str, now: Instant) {
-        self.forget_marks(now);
         let node = self.nodes.get(name);
         let address = node.map(|node| node.vm.address.clone());
         if let Some(node) = node {
@@ -97,6 +102,7 @@
         let mark = self.marks.entry(name.to_owned()).or_insert(Mark {
             address: None,
             at: now,
+            lists_gone: 0,
         });
         mark.address = address.or_else(|| mark.address.take());
     }
@@ -169,10 +175,13 @@
         }
     }
 
-    fn forget_marks(&mut self, now: Instant) {
-        let nodes = &self.nodes;
-        self.marks
-            .retain(|name, mark| nodes.contains_key(name) || now < mark.at + LEAVING_KEEP);
+    /// frees the names of leaving VMs that are long gone
+    fn forget_marks(&mut self) {
+        for (name, mark) in &mut self.marks {
+            let listed = self.nodes.contains_key(name);
+            mark.lists_gone = if listed { 0 } else { mark.lists_gone + 1 };
+        }
+        self.marks.retain(|_, mark| mark.lists_gone < LISTS_GONE);
     }
 
     fn regroup(&mut self) {
