Shed load before the target is passed

Change: a request that would wait longer than a part of the first-token target, larger with its priority, is refused at once; the admitted part is steered slower and to a smaller wait. Demand in flight is averaged before it is spread: shares of stale and fresh counts gave 109 in flight on a limit of 100. Tests for all decisions.

--- a/crates/route/src/limit/account.rs
+++ b/crates/route/src/limit/account.rs
@@ -17,6 +17,9 @@
 /// time constant of the measured demand, seconds
 const DEMAND_SECONDS: f64 = 2.0;
 
+/// time constant of the measured requests in flight, seconds
+const IN_FLIGHT_SECONDS: f64 = 5.0;
+
 /// silence of the other daemons after which the last share is kept
 const CUT_OFF: Duration = Duration::from_secs(5);
 
@@ -47,6 +50,7 @@
     concurrent_share: f64,
     bucket: Bucket,
     in_flight: u32,
+    in_flight_mean: f64,
     offered: f64,
     held_back: f64,
     offered_at: Option<Instant>,
@@ -63,6 +67,7 @@
             concurrent_share: f64::from(workspace.concurrent),
             bucket: Bucket::new(),
             in_flight: 0,
+            in_flight_mean: 0.0,
             offered: 0.0,
             held_back: 0.0,
             offered_at: None,
@@ -97,7 +102,7 @@
         self.offered += f64::from(tokens) / DEMAND_SECONDS;
         self.refresh(now);
         if self.is_full() {
-            self.held_back += 1.0 / DEMAND_SECONDS;
+            self.held_back += 1.0 / IN_FLIGHT_SECONDS;
             return Err(Refusal::after(Reason::ConcurrencyLimit, CONCURRENCY_WAIT));
         }
         if self.tokens_limit > 0.0 {
@@ -148,16 +153,18 @@
     }
 
     fn concurrent(&self) -> f64 {
-        f64::from(self.in_flight) + self.held_back
+        self.in_flight_mean + self.held_back
     }
 
     /// lets the measured demand decay
     fn advance(&mut self, now: Instant) {
         let since = self.offered_at.unwrap_or(now);
         let passed = now.saturating_duration_since(since).as_secs_f64();
-        let factor = (-passed / DEMAND_SECONDS).exp();
-        self.offered *= factor;
+        self.offered *= (-passed / DEMAND_SECONDS).exp();
+        let factor = (-passed / IN_FLIGHT_SECONDS).exp();
         self.held_back *= factor;
+        let in_flight = f64::from(self.in_flight);
+        self.in_flight_mean = in_flight + (self.in_flight_mean - in_flight) * factor;
         self.offered_at = Some(since.max(now));
         self.refresh(now);
     }
--- a/crates/route/src/overload.rs
+++ b/crates/route/src/overload.rs
@@ -1,10 +1,11 @@
 //! Admission before queueing.
 //!
-//! A request whose estimated wait passes its deadline is refused at once. Beyond that a
-//! service sheds a fraction of its load: every window the fraction follows the mean
-//! estimated wait against the service's target for the first token, and it is taken
-//! from the lowest priorities first, by the mix of priorities offered of late. Within
-//! the priority at the edge, requests are drawn.
+//! A request whose estimated wait passes its deadline, or a part of the target for the
+//! first token that grows with its priority, is refused at once. Beyond that a service
+//! sheds a fraction of its load, so that higher priorities find room: every window the
+//! fraction follows the mean estimated wait against a smaller part of the target, and
+//! it is taken from the lowest priorities first, by the mix of priorities offered of
+//! late. Within the priority at the edge, requests are drawn.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -24,11 +25,17 @@
 /// length of a window
 const WINDOW: Duration = Duration::from_millis(100);
 
-/// part of the first-token target that may be spent waiting
-const WAIT_PART: f64 = 0.4;
+/// part of the first-token target that the mean wait is steered to
+const WAIT_PART: f64 = 0.2;
+
+/// part of the first-token target that the lowest priority may wait
+const CUT_LOWEST: f64 = 0.3;
+
+/// part of the first-token target that the highest priority may wait
+const CUT_HIGHEST: f64 = 0.8;
 
 /// strength of the correction in one window
-const GAIN: f64 = 0.05;
+const GAIN: f64 = 0.02;
 
 /// largest error that counts in one window, in targets
 const ERROR_LARGEST: f64 = 3.0;
@@ -121,7 +128,8 @@
         if call.wait >= call.deadline {
             return Err(Refusal::after(Reason::Deadline, call.wait));
         }
-        if rng.random::<f64>() < control.admitted_part(call.priority) {
+        let drawn = rng.random::<f64>() < control.admitted_part(call.priority);
+        if drawn && call.wait <= longest_wait(call) {
             return Ok(());
         }
         Err(Refusal::after(Reason::Overload, control.retry_after(rng)))
@@ -199,6 +207,13 @@
     }
 }
 
+/// returns the longest wait with which a request is admitted
+fn longest_wait(call: &Call<'_>) -> Duration {
+    let rank = place(call.priority) as f64 / (PRIORITIES - 1) as f64;
+    call.first_token
+        .mul_f64(CUT_LOWEST + (CUT_HIGHEST - CUT_LOWEST) * rank)
+}
+
 fn place(priority: u8) -> usize {
     usize::from(priority).min(PRIORITIES - 1)
 }
--- a/crates/route/src/table/table.rs
+++ b/crates/route/src/table/table.rs
@@ -27,6 +27,9 @@
 /// time to come back when a service has no VM
 const NO_UPSTREAM_WAIT: Duration = Duration::from_secs(2);
 
+/// least time to come back when no VM takes work
+const RETRY_LEAST: Duration = Duration::from_millis(500);
+
 /// bytes per second that all daemons together may send across the link
 const LINK_BYTES_PER_SECOND: f64 = 1_500_000.0;
 
@@ -340,5 +343,5 @@
 fn reopening(group: &Group, now: Instant) -> Duration {
     let staying = group.nodes().filter(|node| !node.is_leaving());
     let waits = staying.map(|node| node.live().breaker.wait(now));
-    waits.min().unwrap_or(NO_UPSTREAM_WAIT)
+    waits.min().unwrap_or(NO_UPSTREAM_WAIT).max(RETRY_LEAST)
 }
--- /dev/null
+++ b/crates/route/tests/resume.rs
@@ -0,0 +1,107 @@
+//! Streams of a VM that has its notice.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use route::resume::{Kv, Plan, Stream, Successor, plan, spread};
+
+const STEP: Duration = Duration::from_millis(30);
+
+fn successor() -> Successor {
+    Successor {
+        queue: Duration::ZERO,
+        prefill: Duration::from_micros(250),
+        step: STEP,
+        slots: 16,
+        streams: 0,
+        link: false,
+    }
+}
+
+fn stream(left_tokens: u32) -> Stream {
+    Stream {
+        done_tokens: 100,
+        left_tokens,
+        step: STEP,
+    }
+}
+
+fn kv(bytes: u64) -> Kv {
+    Kv {
+        bytes,
+        bytes_per_second: 1_000_000_000,
+        tokens: 8000,
+    }
+}
+
+#[test]
+fn stream_near_its_end_finishes() {
+    let left = Duration::from_secs(30);
+    assert_eq!(plan(&stream(100), left, &kv(1), &successor()), Plan::Finish);
+}
+
+#[test]
+fn long_stream_exports_if_that_beats_a_prefill() {
+    let left = Duration::from_secs(30);
+    let small = kv(500_000_000);
+    assert_eq!(
+        plan(&stream(5000), left, &small, &successor()),
+        Plan::Export
+    );
+    let large = kv(5_000_000_000);
+    assert_eq!(
+        plan(&stream(5000), left, &large, &successor()),
+        Plan::Resume
+    );
+}
+
+#[test]
+fn cache_does_not_cross_the_link() {
+    let far = Successor {
+        link: true,
+        ..successor()
+    };
+    let left = Duration::from_secs(30);
+    assert_eq!(plan(&stream(5000), left, &kv(1000), &far), Plan::Resume);
+}
+
+proptest! {
+    #[test]
+    fn nothing_is_planned_beyond_the_notice(
+        left_tokens in 0u32..5000,
+        left_ms in 0u64..60_000,
+        bytes in 0u64..20_000_000_000,
+    ) {
+        let left = Duration::from_millis(left_ms);
+        let kv = kv(bytes);
+        match plan(&stream(left_tokens), left, &kv, &successor()) {
+            Plan::Finish => prop_assert!(left_tokens == 0 || STEP * left_tokens <= left),
+            Plan::Export => prop_assert!(route::resume::export_time(&kv) < left),
+            Plan::Resume => (),
+        }
+    }
+
+    #[test]
+    fn streams_of_one_vm_are_spread(streams in 1usize..64, vms in 1usize..12) {
+        let successors = vec![successor(); vms];
+        let chosen = spread(&vec![1000; streams], &successors);
+        prop_assert_eq!(chosen.len(), streams);
+        let counts = (0..vms).map(|vm| chosen.iter().filter(|chosen| **chosen == vm).count());
+        let most = counts.max().unwrap_or(0);
+        prop_assert!(most <= streams.div_ceil(vms));
+    }
+}
+
+#[test]
+fn successor_across_the_link_is_the_last_choice() {
+    let near = Successor {
+        queue: Duration::from_secs(1),
+        ..successor()
+    };
+    let far = Successor {
+        link: true,
+        ..successor()
+    };
+    assert_eq!(spread(&[100, 100, 100], &[far, near]), [1, 1, 1]);
+    assert!(spread(&[100], &[]).is_empty());
+}
--- /dev/null
+++ b/crates/route/tests/retry.rs
@@ -0,0 +1,204 @@
+//! Retry decisions, the budget and the breaker.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use route::retry::{self, Breaker, Budget, Failure, Kind, Phase, State, Step};
+use schema::failure::Verdict;
+use tokio::time::{Instant, advance};
+
+const KINDS: [Kind; 8] = [
+    Kind::Refused,
+    Kind::Unreachable,
+    Kind::Silent,
+    Kind::Broken,
+    Kind::Busy,
+    Kind::Leaving,
+    Kind::Fault,
+    Kind::Caller,
+];
+
+fn state() -> State {
+    State {
+        idempotent: true,
+        attempts: 1,
+        reconnects: 0,
+        deadline_left: Duration::from_secs(30),
+        breaker_open: false,
+        leaving: false,
+        budget_wait: Duration::ZERO,
+        jitter: 0.5,
+    }
+}
+
+fn failure(kind: Kind, verdict: Verdict) -> Failure {
+    Failure { kind, verdict }
+}
+
+#[test]
+fn silent_stream_reconnects_once_and_then_moves() {
+    let silent = failure(Kind::Silent, Verdict::MayHaveRun);
+    assert_eq!(retry::decide(&silent, &state()), Step::Reconnect);
+    let again = State {
+        reconnects: 1,
+        ..state()
+    };
+    let moved = Step::Move {
+        after: Duration::ZERO,
+    };
+    assert_eq!(retry::decide(&silent, &again), moved);
+    let open = State {
+        breaker_open: true,
+        ..state()
+    };
+    assert_eq!(retry::decide(&silent, &open), moved);
+}
+
+#[test]
+fn move_waits_for_its_budget_or_gives_up() {
+    let refused = failure(Kind::Refused, Verdict::NotRun);
+    let short = State {
+        budget_wait: Duration::from_secs(3),
+        ..state()
+    };
+    let after = Duration::from_secs(3);
+    assert_eq!(retry::decide(&refused, &short), Step::Move { after });
+    let late = State {
+        deadline_left: Duration::from_secs(2),
+        ..short.clone()
+    };
+    assert_eq!(retry::decide(&refused, &late), Step::GiveUp);
+}
+
+#[test]
+fn reclaimed_request_moves_without_budget() {
+    let leaving = failure(Kind::Leaving, Verdict::MayHaveRun);
+    let state = State {
+        budget_wait: Duration::from_secs(60),
+        attempts: 20,
+        leaving: true,
+        ..state()
+    };
+    let after = Duration::ZERO;
+    assert_eq!(retry::decide(&leaving, &state), Step::Move { after });
+}
+
+proptest! {
+    #[test]
+    fn non_idempotent_request_is_never_sent_twice_if_it_may_have_run(
+        kind in prop::sample::select(KINDS.to_vec()),
+        attempts in 1u32..12,
+        reconnects in 0u32..3,
+        left_ms in 0u64..60_000,
+        flags in any::<(bool, bool)>(),
+    ) {
+        let state = State {
+            idempotent: false,
+            attempts,
+            reconnects,
+            deadline_left: Duration::from_millis(left_ms),
+            breaker_open: flags.0,
+            leaving: flags.1,
+            ..state()
+        };
+        let step = retry::decide(&failure(kind, Verdict::MayHaveRun), &state);
+        prop_assert_eq!(step, Step::GiveUp);
+    }
+
+    #[test]
+    fn no_step_outlasts_the_deadline(
+        kind in prop::sample::select(KINDS.to_vec()),
+        attempts in 1u32..12,
+        left_ms in 0u64..5_000,
+        wait_ms in 0u64..10_000,
+        jitter in 0.0f64..1.0,
+    ) {
+        let state = State {
+            attempts,
+            reconnects: 1,
+            deadline_left: Duration::from_millis(left_ms),
+            budget_wait: Duration::from_millis(wait_ms),
+            jitter,
+            ..state()
+        };
+        if let Step::Move { after } = retry::decide(&failure(kind, Verdict::NotRun), &state) {
+            prop_assert!(after < state.deadline_left);
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn breaker_opens_on_lost_connections_and_closes_after_a_probe() {
+    let mut breaker = Breaker::new();
+    for _ in 0..3 {
+        assert!(breaker.acquire(Instant::now()));
+        breaker.fail(Kind::Silent, 0.5, Instant::now());
+    }
+    assert_eq!(breaker.phase(Instant::now()), Phase::Open);
+    assert!(!breaker.acquire(Instant::now()));
+    advance(breaker.wait(Instant::now())).await;
+    assert_eq!(breaker.phase(Instant::now()), Phase::HalfOpen);
+    assert!(breaker.acquire(Instant::now()));
+    assert!(
+        !breaker.acquire(Instant::now()),
+        "a second probe was let through"
+    );
+    breaker.succeed();
+    assert_eq!(breaker.phase(Instant::now()), Phase::Closed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn breaker_stays_closed_on_faults_of_callers() {
+    let mut breaker = Breaker::new();
+    for kind in [Kind::Caller, Kind::Fault, Kind::Busy, Kind::Leaving] {
+        for _ in 0..10 {
+            breaker.fail(kind, 0.5, Instant::now());
+        }
+    }
+    assert_eq!(breaker.phase(Instant::now()), Phase::Closed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn breaker_reopens_for_longer_with_jitter() {
+    let mut breaker = Breaker::new();
+    for _ in 0..3 {
+        breaker.fail(Kind::Refused, 0.0, Instant::now());
+    }
+    let first = breaker.wait(Instant::now());
+    advance(first).await;
+    assert!(breaker.acquire(Instant::now()));
+    breaker.fail(Kind::Refused, 0.0, Instant::now());
+    assert_eq!(breaker.wait(Instant::now()), first * 2);
+    let mut other = Breaker::new();
+    for _ in 0..3 {
+        other.fail(Kind::Refused, 1.0, Instant::now());
+    }
+    assert_eq!(other.wait(Instant::now()), first * 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn retries_stay_within_a_tenth_of_traffic_and_the_floor() {
+    let mut budget = Budget::new(Instant::now());
+    let mut retries = 0;
+    for _ in 0..60_000 {
+        budget.earn(Instant::now());
+        if budget.wait(Instant::now()).is_zero() {
+            budget.take(Instant::now());
+            retries += 1;
+        }
+        advance(Duration::from_millis(1)).await;
+    }
+    // 60,000 requests in 60 s: a tenth, 1 a second, and 10 s saved up at most.
+    assert!(retries <= 6_000 + 60 + 10, "{retries} retries");
+    assert!(retries >= 6_000, "{retries} retries");
+}
+
+#[tokio::test(start_paused = true)]
+async fn retries_on_credit_are_paced() {
+    let mut budget = Budget::new(Instant::now());
+    let waits: Vec<Duration> = (0..30).map(|_| budget.take(Instant::now())).collect();
+    assert!(waits[9].is_zero());
+    assert_eq!(waits[29].as_secs_f64().round(), 20.0);
+    budget.give_back();
+    assert!(budget.wait(Instant::now()) < waits[29] + Duration::from_secs(1));
+}
--- /dev/null
+++ b/crates/route/tests/support/mod.rs
@@ -0,0 +1,118 @@
+//! Declarations, VMs and requests for the tests.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use route::table::{Ask, Place, Table, Vm};
+use schema::config::{Declaration, Fencing, Kind, Preset, Service, Workspace};
+use schema::engine::{Load, Usage};
+use schema::settings::Policy;
+use tokio::time::Instant;
+
+/// returns a declaration with the service `model` and some workspaces
+pub fn declaration(workspaces: Vec<Workspace>) -> Declaration {
+    let service = Service {
+        name: "model".to_owned(),
+        kind: Kind::Model,
+        first_token_ms: 460,
+        between_tokens_ms: 32,
+        deadline_ms: 120_000,
+        repeatable: Vec::new(),
+    };
+    Declaration {
+        services: vec![service],
+        upstreams: Vec::new(),
+        workspaces,
+        presets: Vec::new(),
+        preset: "ordinary".to_owned(),
+    }
+}
+
+/// returns a declaration whose preset admits from a priority on
+pub fn admitting(priority: u8) -> Declaration {
+    let preset = Preset {
+        name: "ordinary".to_owned(),
+        admit_priority: priority,
+        capacity: Vec::new(),
+    };
+    let mut declaration = declaration(Vec::new());
+    declaration.presets.push(preset);
+    declaration
+}
+
+/// returns a workspace
+pub fn workspace(name: &str, tokens_per_second: u32, concurrent: u32) -> Workspace {
+    Workspace {
+        name: name.to_owned(),
+        keys: Vec::new(),
+        tokens_per_second,
+        concurrent,
+        priority: 5,
+        services: Vec::new(),
+    }
+}
+
+/// returns a VM of the service `model`
+pub fn vm(name: &str, data_centre: &str, region: &str) -> Vm {
+    Vm {
+        name: name.to_owned(),
+        address: format!("{name}:80"),
+        upstream: "engines".to_owned(),
+        service: "model".to_owned(),
+        data_centre: data_centre.to_owned(),
+        region: region.to_owned(),
+        slots: 16,
+        fencing: Fencing::Ignored,
+    }
+}
+
+/// returns a table in data centre `a` of region `r` with some VMs
+pub fn table(policy: Policy, vms: &[Vm]) -> Table {
+    let place = Place {
+        data_centre: "a".to_owned(),
+        region: "r".to_owned(),
+    };
+    let table = Table::new(place, policy);
+    table.configure(&declaration(Vec::new()));
+    table.list(vms);
+    table
+}
+
+/// returns a request of 100 tokens with a deadline of a minute
+pub fn ask<'a>(blocks: &'a [u64], avoid: &'a [String], now: Instant) -> Ask<'a> {
+    Ask {
+        service: "model",
+        blocks,
+        prompt_tokens: 100,
+        prior_tokens: 0,
+        max_tokens: 100,
+        priority: 5,
+        avoid,
+        deadline: now + Duration::from_secs(60),
+        first_token: Duration::from_millis(460),
+    }
+}
+
+/// returns a load report
+pub fn load(running: u32, waiting: u32, waiting_tokens: u64) -> Load {
+    Load {
+        running,
+        waiting,
+        waiting_tokens,
+        slots: 16,
+        step_us: 30_000,
+        prefill_us: 250,
+        leaving: false,
+    }
+}
+
+/// returns the usage of an answered request of 100 prompt tokens
+pub fn usage(cached_tokens: u32) -> Usage {
+    Usage {
+        prompt_tokens: 100,
+        completion_tokens: 100,
+        cached_tokens,
+        recomputed_tokens: 100 - cached_tokens,
+    }
+}
--- /dev/null
+++ b/crates/route/tests/table.rs
@@ -0,0 +1,285 @@
+//! The table of upstream VMs.
+
+mod support;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use route::Reason;
+use route::retry::{Kind, Phase};
+use route::table::{Outcome, Table};
+use schema::engine::{Event, Events};
+use schema::settings::Policy;
+use support::{ask, load, table, usage, vm};
+use tokio::time::{Instant, advance};
+
+const POLICIES: [Policy; 3] = [Policy::Affinity, Policy::Least, Policy::Turns];
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(7)
+}
+
+fn stored(blocks: &[u64], gap: bool) -> Events {
+    let event = Event {
+        stored: blocks.to_vec(),
+        removed: Vec::new(),
+    };
+    Events {
+        next: 1,
+        gap,
+        events: vec![event],
+    }
+}
+
+/// counts the picks that go to a VM, each ended at once
+fn share(table: &Table, name: &str, blocks: &[u64], now: Instant) -> usize {
+    let mut rng = rng();
+    let mut count = 0;
+    for _ in 0..100 {
+        let Ok(pick) = table.pick(&ask(blocks, &[], now), &mut rng, now) else {
+            continue;
+        };
+        count += usize::from(pick.vm == name);
+        table.finish(pick.permit, Outcome::Cancelled, now);
+    }
+    count
+}
+
+#[test]
+fn leaving_vm_gets_no_work_though_the_list_shows_it() {
+    let now = Instant::now();
+    let vms = [vm("one", "a", "r"), vm("two", "a", "r")];
+    for policy in POLICIES {
+        let table = table(policy, &vms);
+        table.leaving("one", now);
+        table.list(&vms);
+        table.report("one", &load(0, 0, 0), now);
+        assert_eq!(share(&table, "one", &[], now), 0, "{policy}");
+        assert_eq!(table.addresses("model"), ["two:80"]);
+    }
+}
+
+#[test]
+fn notice_before_the_list_counts() {
+    let now = Instant::now();
+    let table = table(Policy::Affinity, &[]);
+    table.leaving("one", now);
+    table.list(&[vm("one", "a", "r")]);
+    let refusal = table.pick(&ask(&[], &[], now), &mut rng(), now);
+    assert_eq!(
+        refusal
+            .map(|pick| pick.vm)
+            .map_err(|refusal| refusal.reason),
+        Err(Reason::NoUpstream)
+    );
+}
+
+#[test]
+fn name_at_a_new_address_is_a_new_machine() {
+    let now = Instant::now();
+    let table = table(Policy::Affinity, &[vm("one", "a", "r")]);
+    table.leaving("one", now);
+    let mut renewed = vm("one", "a", "r");
+    renewed.address = "other:80".to_owned();
+    table.list(&[renewed]);
+    assert_eq!(share(&table, "one", &[], now), 100);
+}
+
+#[test]
+fn vanished_vm_gets_no_work() {
+    let now = Instant::now();
+    let table = table(
+        Policy::Affinity,
+        &[vm("one", "a", "r"), vm("two", "a", "r")],
+    );
+    table.list(&[vm("two", "a", "r")]);
+    assert_eq!(share(&table, "one", &[], now), 0);
+}
+
+#[test]
+fn unknown_service_is_refused_without_a_time() {
+    let now = Instant::now();
+    let table = table(Policy::Affinity, &[]);
+    let mut ask = ask(&[], &[], now);
+    ask.service = "other";
+    let refusal = table.pick(&ask, &mut rng(), now).map(|pick| pick.vm);
+    assert_eq!(
+        refusal.map_err(|refusal| (refusal.reason, refusal.retry_after)),
+        Err((Reason::UnknownService, None))
+    );
+}
+
+#[test]
+fn failed_vm_is_avoided_unless_it_is_the_only_one() {
+    let now = Instant::now();
+    let avoid = ["one".to_owned()];
+    let both = table(
+        Policy::Affinity,
+        &[vm("one", "a", "r"), vm("two", "a", "r")],
+    );
+    for _ in 0..50 {
+        let pick = both.pick(&ask(&[], &avoid, now), &mut rng(), now);
+        assert_eq!(pick.map(|pick| pick.vm).ok().as_deref(), Some("two"));
+    }
+    let single = table(Policy::Affinity, &[vm("one", "a", "r")]);
+    assert!(single.pick(&ask(&[], &avoid, now), &mut rng(), now).is_ok());
+}
+
+#[test]
+fn cached_prefix_attracts_until_the_vm_is_busy() {
+    let now = Instant::now();
+    let blocks: Vec<u64> = (1..=6).collect();
+    let vms: Vec<_> = (0..10)
+        .map(|place| vm(&format!("vm-{place}"), "a", "r"))
+        .collect();
+    let table = table(Policy::Affinity, &vms);
+    table.cached("vm-3", &stored(&blocks, false));
+    assert!(share(&table, "vm-3", &blocks, now) >= 90);
+    table.report("vm-3", &load(16, 10, 5000), now);
+    assert_eq!(share(&table, "vm-3", &blocks, now), 0);
+}
+
+#[test]
+fn belief_follows_the_engines_own_count() {
+    let now = Instant::now();
+    let blocks: Vec<u64> = (1..=6).collect();
+    let table = table(Policy::Affinity, &[vm("one", "a", "r")]);
+    table.cached("one", &stored(&blocks, false));
+    let mut estimates = Vec::new();
+    for _ in 0..20 {
+        let Ok(pick) = table.pick(&ask(&blocks, &[], now), &mut rng(), now) else {
+            continue;
+        };
+        estimates.push(pick.estimate);
+        let outcome = Outcome::Done { usage: usage(0) };
+        table.finish(pick.permit, outcome, now);
+    }
+    let (first, last) = (estimates[0], estimates[19]);
+    assert!(
+        last > first + Duration::from_millis(10),
+        "{first:?}, then {last:?}"
+    );
+}
+
+#[test]
+fn far_vms_are_used_when_waiting_costs_more() {
+    let now = Instant::now();
+    let vms = [
+        vm("near", "a", "r"),
+        vm("region", "b", "r"),
+        vm("far", "c", "s"),
+    ];
+    let table = table(Policy::Affinity, &vms);
+    assert_eq!(share(&table, "near", &[], now), 100);
+    table.report("near", &load(16, 8, 4000), now);
+    assert_eq!(share(&table, "region", &[], now), 100);
+    assert_eq!(table.link_bytes(), 0);
+    table.report("region", &load(16, 8, 4000), now);
+    let pick = table.pick(&ask(&[], &[], now), &mut rng(), now);
+    assert_eq!(
+        pick.map(|pick| (pick.vm, pick.link)).ok(),
+        Some(("far".to_owned(), true))
+    );
+    assert!(table.link_bytes() > 0);
+}
+
+#[test]
+fn full_link_is_not_used() {
+    let now = Instant::now();
+    let table = table(Policy::Affinity, &[vm("far", "c", "s")]);
+    table.daemons(8);
+    let mut rng = rng();
+    let mut refused = 0;
+    for _ in 0..2000 {
+        match table.pick(&ask(&[], &[], now), &mut rng, now) {
+            Ok(pick) => table.finish(pick.permit, Outcome::Cancelled, now),
+            Err(refusal) => refused += usize::from(refusal.retry_after.is_some()),
+        }
+    }
+    // 8 daemons share 1.5 MB/s: one may send 188 KB/s, over the rate's 5 s.
+    assert!(refused > 0);
+    assert!(
+        table.link_bytes() < 1_000_000,
+        "{} bytes",
+        table.link_bytes()
+    );
+}
+
+#[test]
+fn wait_beyond_the_deadline_is_refused() {
+    let now = Instant::now();
+    let table = table(Policy::Affinity, &[vm("one", "a", "r")]);
+    table.report("one", &load(16, 100, 400_000), now);
+    let refusal = table
+        .pick(&ask(&[], &[], now), &mut rng(), now)
+        .map(|pick| pick.vm);
+    let refusal = refusal.expect_err("it was let in");
+    assert_eq!(refusal.reason, Reason::Deadline);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_vm_is_out_until_a_probe_answers() {
+    let table = table(Policy::Affinity, &[vm("one", "a", "r")]);
+    let mut rng = rng();
+    for _ in 0..3 {
+        let now = Instant::now();
+        if let Ok(pick) = table.pick(&ask(&[], &[], now), &mut rng, now) {
+            table.finish(pick.permit, Outcome::Failed(Kind::Silent), now);
+        }
+    }
+    let now = Instant::now();
+    let refusal = table
+        .pick(&ask(&[], &[], now), &mut rng, now)
+        .map(|pick| pick.vm);
+    let wait = refusal.expect_err("it was let in").retry_after;
+    advance(wait.unwrap_or_default() + Duration::from_secs(1)).await;
+    let now = Instant::now();
+    let probe = table.pick(&ask(&[], &[], now), &mut rng, now);
+    assert!(table.pick(&ask(&[], &[], now), &mut rng, now).is_err());
+    if let Ok(probe) = probe {
+        table.finish(probe.permit, Outcome::Answered, now);
+    }
+    assert_eq!(table.snapshot(now)[0].breaker, Phase::Closed);
+}
+
+#[test]
+fn dropped_permit_is_given_back() {
+    let now = Instant::now();
+    let table = table(Policy::Affinity, &[vm("one", "a", "r")]);
+    let pick = table.pick(&ask(&[], &[], now), &mut rng(), now);
+    assert_eq!(table.snapshot(now)[0].in_flight, 1);
+    drop(pick);
+    assert_eq!(table.snapshot(now)[0].in_flight, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn older_report_does_not_replace_a_newer_one() {
+    let table = table(Policy::Affinity, &[vm("one", "a", "r")]);
+    let old = Instant::now();
+    advance(Duration::from_secs(1)).await;
+    let now = Instant::now();
+    table.report("one", &load(16, 30, 9000), now);
+    let queue = table.snapshot(now)[0].queue;
+    table.report("one", &load(0, 0, 0), old);
+    table.coarse("one", 0, now);
+    assert_eq!(table.snapshot(now)[0].queue, queue);
+}
+
+proptest! {
+    #[test]
+    fn level_carries_the_queue_to_other_daemons(running in 0u32..=16, waiting in 0u32..20) {
+        let now = Instant::now();
+        let waiting = if running == 16 { waiting } else { 0 };
+        let polling = table(Policy::Affinity, &[vm("one", "a", "r")]);
+        let hearing = table(Policy::Affinity, &[vm("one", "a", "r")]);
+        polling.report("one", &load(running, waiting, 0), now);
+        let level = polling.level("one").unwrap_or_default();
+        hearing.coarse("one", level, now);
+        let known = polling.snapshot(now)[0].queue.as_secs_f64();
+        let heard = hearing.snapshot(now)[0].queue.as_secs_f64();
+        prop_assert!((known - heard).abs() <= known * 0.1 + 0.001, "{} and {}", known, heard);
+    }
+}
