--- a/crates/fleet/src/cloud/client.rs
+++ b/crates/fleet/src/cloud/client.rs
@@ -4,7 +4,7 @@
 
 use attohttpc::Method;
 use schema::cloud::{List, Notice, Notices, Price, Prices, Start, Vm};
-use schema::failure::{Body, Failure, Verdict};
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
 use super::api::Cloud;
@@ -17,6 +17,18 @@
 /// code of a refusal for lack of machines
 const NO_CAPACITY: &str = "capacity";
 
+/// body of an answer that is no success
+#[derive(Debug, Deserialize)]
+struct Refusal {
+    error: Problem,
+}
+
+/// why the cloud did not do as asked
+#[derive(Debug, Deserialize)]
+struct Problem {
+    code: String,
+}
+
 /// client of the cloud API; all calls block and have time limits
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -118,27 +130,13 @@
 
 /// what an answer that is no success says
 fn refusal(answer: &Answer) -> Error {
-    let failure = serde_json::from_slice::<Body>(&answer.body)
-        .ok()
-        .map(|body| body.error);
-    match (answer.code, failure) {
-        (409, _) => Error::Taken,
-        (
-            _,
-            Some(Failure {
-                code,
-                verdict: Verdict::NotRun,
-                ..
-            }),
-        ) if code == NO_CAPACITY => Error::Capacity,
-        (code @ 400..500, _) => Error::Refused(code),
-        (
-            code,
-            Some(Failure {
-                verdict: Verdict::NotRun,
-                ..
-            }),
-        ) => Error::Down(code),
-        (code, _) => Error::Failed(code),
+    let problem = serde_json::from_slice::<Refusal>(&answer.body);
+    let is_capacity = problem.is_ok_and(|refusal| refusal.error.code == NO_CAPACITY);
+    match answer.code {
+        409 => Error::Taken,
+        _ if answer.is_not_run && is_capacity => Error::Capacity,
+        code @ 400..500 => Error::Refused(code),
+        code if answer.is_not_run => Error::Down(code),
+        code => Error::Failed(code),
     }
 }
--- a/crates/fleet/src/cloud/transport.rs
+++ b/crates/fleet/src/cloud/transport.rs
@@ -13,6 +13,9 @@
 /// largest answer, bytes; the list of a thousand VMs is a quarter of a megabyte
 const MAX_ANSWER_BYTES: u64 = 16 << 20;
 
+/// header of a refusal that comes before anything was done
+const NOT_RUN: &str = "x-not-run";
+
 /// time limits of calls
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -43,6 +46,8 @@
 pub(super) struct Answer {
     pub(super) code: u16,
     pub(super) body: Vec<u8>,
+    /// the cloud says that nothing was done
+    pub(super) is_not_run: bool,
 }
 
 /// a body that notes when the call began to leave
@@ -88,7 +93,8 @@
             Error::Unreachable(error.to_string())
         }
     })?;
-    let (status, _, reader) = response.split();
+    let (status, headers, reader) = response.split();
+    let is_not_run = headers.get(NOT_RUN).is_some_and(|value| value == "true");
     let mut body = Vec::new();
     let read = reader.take(MAX_ANSWER_BYTES + 1).read_to_end(&mut body);
     read.map_err(|error| Error::Interrupted(error.to_string()))?;
@@ -98,5 +104,6 @@
     Ok(Answer {
         code: status.as_u16(),
         body,
+        is_not_run,
     })
 }
--- a/crates/schema/src/check/settings.rs
+++ b/crates/schema/src/check/settings.rs
@@ -62,6 +62,7 @@
     report.positive("limits.body_bytes", limits.body_bytes);
     report.positive("limits.header_bytes", limits.header_bytes);
     report.positive("limits.keep_seconds", limits.keep_seconds);
+    report.positive("limits.abandon_seconds", limits.abandon_seconds);
 }
 
 fn check_timing(report: &mut Report, timing: &Timing) {
--- a/crates/schema/tests/examples.rs
+++ b/crates/schema/tests/examples.rs
@@ -56,3 +56,21 @@
     let expected = text::settings(&plain, "daemon.yaml").expect("reads");
     assert_eq!(text::settings(&filled, "daemon.yaml"), Ok(expected));
 }
+
+/// a setting that is added to the schema is added to the example too
+#[test]
+fn every_setting_is_in_the_example() {
+    let yaml = example("daemon.yaml");
+    let daemon = text::settings(&yaml, "daemon.yaml").expect("reads");
+    let parts = [
+        serde_json::to_value(&daemon).expect("JSON"),
+        serde_json::to_value(&daemon.limits).expect("JSON"),
+        serde_json::to_value(&daemon.timing).expect("JSON"),
+        serde_json::to_value(&daemon.platform).expect("JSON"),
+    ];
+    for part in parts {
+        for key in part.as_object().expect("an object").keys() {
+            assert!(yaml.contains(&format!("{key}:")), "{key}");
+        }
+    }
+}
