--- a/crates/fleet/src/plan/decide.rs
+++ b/crates/fleet/src/plan/decide.rs
@@ -16,9 +16,15 @@
 /// time after which every daemon knows that a VM drains
 const DRAIN_SETTLE: Duration = Duration::from_secs(10);
 
+/// time after which a drained VM that nobody reports on has finished
+const UNREPORTED: Duration = Duration::from_secs(900);
+
 /// demand beyond the peak that what is left has to serve after a removal, percent
 const SHRINK_HEADROOM: u32 = 10;
 
+/// share of the VMs beyond which silence is taken for a partition, as a divisor
+const BROKEN_SHARE: usize = 5;
+
 /// plans one service: what to start, drain and remove now
 ///
 /// [`State::see`] has to be called with the same view before. The same view and
@@ -100,17 +106,34 @@
     actions
 }
 
-/// drained VMs that have nothing left to do
+/// drained VMs that have nothing left to do, and VMs that are broken for good
 fn removals(view: &View<'_>, state: &State, now: Instant) -> Vec<Action> {
     let in_flight = stock::in_flight(view);
     let mut actions = Vec::new();
     for (name, since) in state.drains() {
-        let listed = view.vms.iter().any(|vm| vm.name == *name);
-        let idle = in_flight.get(name.as_str()) == Some(&0);
-        let settled = now.saturating_duration_since(*since) >= DRAIN_SETTLE;
-        if listed && idle && settled && stock::is_own(view.service, name) {
+        let drained = now.saturating_duration_since(*since);
+        let is_idle = match in_flight.get(name.as_str()) {
+            Some(requests) => *requests == 0 && drained >= DRAIN_SETTLE,
+            None => drained >= UNREPORTED,
+        };
+        let is_listed = view.vms.iter().any(|vm| vm.name == *name);
+        if is_listed && is_idle && stock::is_own(view.service, name) {
             actions.push(Action::Remove(name.clone()));
         }
     }
+    for name in broken(view, state, now) {
+        if stock::is_own(view.service, name) && !state.drains().contains_key(name) {
+            actions.push(Action::Remove(name.to_owned()));
+        }
+    }
     actions
 }
+
+/// VMs to give up; none if so many are silent that the network is the likelier cause
+fn broken<'a>(view: &View<'_>, state: &'a State, now: Instant) -> Vec<&'a str> {
+    let broken = state.beyond_repair(now);
+    if broken.len() > (view.vms.len() / BROKEN_SHARE).max(1) {
+        return Vec::new();
+    }
+    broken
+}
--- a/crates/fleet/src/plan/mod.rs
+++ b/crates/fleet/src/plan/mod.rs
@@ -15,4 +15,5 @@
 
 pub use action::{Action, Start};
 pub use decide::plan;
+pub(crate) use stock::is_own;
 pub use stock::slot_name;
--- a/crates/fleet/src/plan/stock.rs
+++ b/crates/fleet/src/plan/stock.rs
@@ -85,7 +85,8 @@
         if running == Running::No {
             return;
         }
-        if running == Running::Leaving || state.drains().contains_key(&vm.name) {
+        let is_out = state.drains().contains_key(&vm.name) || state.is_broken(&vm.name, now);
+        if running == Running::Leaving || is_out {
             self.going += 1;
             return;
         }
@@ -144,7 +145,8 @@
     (slot_name(service, slot) == name).then_some(slot)
 }
 
-pub(super) fn is_own(service: &str, name: &str) -> bool {
+/// whether a name is one that plans give
+pub(crate) fn is_own(service: &str, name: &str) -> bool {
     slot(service, name).is_some()
 }
 
--- a/crates/fleet/src/state/memory.rs
+++ b/crates/fleet/src/state/memory.rs
@@ -13,6 +13,12 @@
 /// time after which a change must show in the cloud's list
 const LIST_LAG: Duration = Duration::from_secs(90);
 
+/// time after which a VM that answers nobody is replaced
+const BROKEN_AFTER: Duration = Duration::from_secs(30);
+
+/// time after which a VM that answers nobody is removed
+const BROKEN_REMOVE: Duration = Duration::from_secs(120);
+
 /// a VM that was started but is not in the list yet
 #[derive(Debug, Clone)]
 pub(crate) struct Pending {
@@ -39,6 +45,8 @@
     pending: BTreeMap<String, Pending>,
     drains: BTreeMap<String, Instant>,
     removed: BTreeMap<String, Instant>,
+    // since when each VM answers nobody
+    broken: BTreeMap<String, Instant>,
     // names that were leaving in the last list
     leaving: BTreeSet<String>,
     // when each VM with a notice is taken
@@ -57,6 +65,7 @@
             pending: BTreeMap::new(),
             drains: BTreeMap::new(),
             removed: BTreeMap::new(),
+            broken: BTreeMap::new(),
             leaving: BTreeSet::new(),
             notices: BTreeMap::new(),
             since: now,
@@ -76,11 +85,17 @@
         let is_listed = |name: &str| listed.contains(name);
         self.pending
             .retain(|name, pending| !is_listed(name) && now < pending.at + LIST_LAG);
-        for load in view.loads.iter().filter(|load| load.draining) {
-            if is_listed(&load.vm) {
+        for load in view.loads.iter().filter(|load| is_listed(&load.vm)) {
+            if load.draining {
                 self.drained(&load.vm, now);
             }
+            if load.broken {
+                self.broken.entry(load.vm.clone()).or_insert(now);
+            } else {
+                self.broken.remove(&load.vm);
+            }
         }
+        self.broken.retain(|name, _| is_listed(name));
         self.drains
             .retain(|name, at| is_listed(name) || now < *at + LIST_LAG);
         self.see_reclaims(view, now);
@@ -165,6 +180,22 @@
         &self.drains
     }
 
+    /// whether a VM has answered nobody for so long that another has to do its work
+    pub(crate) fn is_broken(&self, name: &str, now: Instant) -> bool {
+        self.broken
+            .get(name)
+            .is_some_and(|since| now >= *since + BROKEN_AFTER)
+    }
+
+    /// VMs that have answered nobody for so long that they may be removed
+    pub(crate) fn beyond_repair(&self, now: Instant) -> Vec<&str> {
+        let broken = self
+            .broken
+            .iter()
+            .filter(|(_, since)| now >= **since + BROKEN_REMOVE);
+        broken.map(|(name, _)| name.as_str()).collect()
+    }
+
     pub(crate) fn count_before_outage(&self) -> u32 {
         self.count_before_outage
     }
--- a/crates/fleet/src/steward/report.rs
+++ b/crates/fleet/src/steward/report.rs
@@ -40,6 +40,8 @@
     pub drained: Vec<String>,
     /// VMs that were removed
     pub removed: Vec<String>,
+    /// VMs of upstreams that nobody declares, left as they are
+    pub unknown: Vec<String>,
     /// calls that failed in another way
     pub failed: Vec<Failure>,
     /// the permit lapsed; what was left is not done
--- a/crates/fleet/src/steward/run.rs
+++ b/crates/fleet/src/steward/run.rs
@@ -11,7 +11,7 @@
 use super::permit::Permit;
 use super::report::{Input, Report};
 use crate::cloud::{Cloud, Error};
-use crate::plan::plan;
+use crate::plan::{is_own, plan};
 use crate::state::State;
 use crate::view::{View, places};
 
@@ -61,7 +61,10 @@
     ) -> Result<Report, Error> {
         self.vms = cloud.list()?;
         self.update_prices(cloud, now);
-        let mut report = Report::default();
+        let mut report = Report {
+            unknown: unknown(&self.vms, input.declaration),
+            ..Report::default()
+        };
         let act = Act { cloud, permit, now };
         for capacity in capacities(input.declaration) {
             self.step_service(&act, capacity, input, &mut report);
@@ -94,11 +97,7 @@
         let vms: Vec<Vm> = self
             .vms
             .iter()
-            .filter(|vm| {
-                upstreams
-                    .iter()
-                    .any(|upstream| upstream.name == vm.upstream)
-            })
+            .filter(|vm| belongs(vm, capacity, input.declaration))
             .cloned()
             .collect();
         let places = places(&upstreams, &self.prices, &vms);
@@ -141,3 +140,32 @@
         .filter(|upstream| upstream.service == service)
         .collect()
 }
+
+/// whether a VM is one of a service: of one of its upstreams, or started for one that is gone
+fn belongs(vm: &Vm, capacity: &Capacity, declaration: &Declaration) -> bool {
+    match upstream(vm, declaration) {
+        Some(upstream) => upstream.service == capacity.service,
+        None => !vm.upstream.is_empty() && is_own(&capacity.service, &vm.name),
+    }
+}
+
+fn upstream<'a>(vm: &Vm, declaration: &'a Declaration) -> Option<&'a Upstream> {
+    declaration
+        .upstreams
+        .iter()
+        .find(|upstream| upstream.name == vm.upstream)
+}
+
+/// VMs of upstreams that nobody declares and no planner started
+fn unknown(vms: &[Vm], declaration: &Declaration) -> Vec<String> {
+    let mut names = Vec::new();
+    for vm in vms {
+        let is_daemon = vm.upstream.is_empty();
+        let mut planned = capacities(declaration).iter();
+        let is_planned = planned.any(|capacity| is_own(&capacity.service, &vm.name));
+        if !is_daemon && !is_planned && upstream(vm, declaration).is_none() {
+            names.push(vm.name.clone());
+        }
+    }
+    names
+}
--- a/crates/fleet/src/view/demand.rs
+++ b/crates/fleet/src/view/demand.rs
@@ -22,4 +22,6 @@
     pub in_flight: u32,
     /// whether daemons know that it gets no new work
     pub draining: bool,
+    /// whether it answers nobody, though the cloud shows it as live
+    pub broken: bool,
 }
--- a/crates/fleet/tests/capacity/changes.rs
+++ b/crates/fleet/tests/capacity/changes.rs
@@ -1,5 +1,6 @@
 //! Waves of reclaims, refused starts and changes of price.
 
+use fleet::Demand;
 use schema::cloud::{Market, State as Life};
 
 use crate::cloud::{Cloud, SLOTS, START, STEP, ZONES};
@@ -159,3 +160,67 @@
         cloud.vms().count()
     );
 }
+
+fn live_names(cloud: &Cloud) -> Vec<String> {
+    let live = cloud.vms().filter(|vm| vm.state == Life::Live);
+    live.map(|vm| vm.name.clone()).collect()
+}
+
+#[test]
+fn a_vm_that_answers_nobody_is_replaced_and_removed() {
+    let mut cloud = Cloud::new();
+    let mut planner = Planner::new(&cloud);
+    let capacity = capacity(2, 60);
+    planner.settle(&mut cloud, &capacity, 150, HOUR / 4);
+    let full = cloud.serving();
+    let lost = live_names(&cloud)[0].clone();
+    cloud.broken.insert(lost);
+    planner.settle(&mut cloud, &capacity, 150, RECOVERY + 6);
+    assert_eq!(cloud.serving(), full);
+    planner.settle(&mut cloud, &capacity, 150, HOUR / 30);
+    assert!(cloud.broken.is_empty(), "removed");
+    assert_eq!(cloud.vms().count(), full);
+}
+
+#[test]
+fn a_silent_zone_is_replaced_but_not_removed() {
+    let mut cloud = Cloud::new();
+    let mut planner = Planner::new(&cloud);
+    let capacity = capacity(2, 60);
+    planner.settle(&mut cloud, &capacity, 150, HOUR / 4);
+    let zone: Vec<String> = cloud
+        .vms()
+        .filter(|vm| vm.zone == ZONES[0].0)
+        .map(|vm| vm.name.clone())
+        .collect();
+    cloud.broken.extend(zone.iter().cloned());
+    planner.settle(&mut cloud, &capacity, 150, HOUR / 4);
+    assert!(cloud.serving() >= needed(150));
+    let names = live_names(&cloud);
+    assert!(
+        zone.iter().all(|name| names.contains(name)),
+        "a partition is no failure"
+    );
+}
+
+#[test]
+fn each_region_gets_vms_for_its_own_demand() {
+    let mut cloud = Cloud::new();
+    let mut planner = Planner::new(&cloud);
+    let capacity = capacity(2, 60);
+    // the north is the dearest
+    cloud.reclaimable_micros = [200_000, 200_000, 500_000];
+    for _ in 0..HOUR / 4 {
+        cloud.advance();
+        let north = Demand {
+            region: "north".to_owned(),
+            in_flight: 100,
+            queued: 0,
+        };
+        planner.state.observe(&[north], cloud.now);
+        let actions = planner.plan(&cloud, &capacity);
+        planner.act(&mut cloud, &actions);
+    }
+    let north = in_zone(&cloud, 2, Market::Reclaimable) + in_zone(&cloud, 2, Market::OnDemand);
+    assert!(north >= needed(100), "{north}");
+}
--- a/crates/fleet/tests/cloud.rs
+++ b/crates/fleet/tests/cloud.rs
@@ -288,3 +288,24 @@
     test.server.set_faults(Faults::default());
     test.until_live(4);
 }
+
+#[test]
+fn vms_of_undeclared_upstreams_are_told_and_left() {
+    let mut test = Test::new();
+    let other = Start {
+        upstream: "mill-a".to_owned(),
+        ..start("a")
+    };
+    test.client.start("mill-7", &other).expect("a VM");
+    let daemon = Start {
+        upstream: String::new(),
+        ..start("a")
+    };
+    test.client.start("entry-1", &daemon).expect("a VM");
+    until("both are listed", || {
+        test.client.list().expect("the list").len() == 2
+    });
+    let report = test.step(true).expect("a step");
+    assert_eq!(report.unknown, ["mill-7"]);
+    assert!(report.drained.is_empty() && report.removed.is_empty());
+}
