--- a/crates/fleet/src/plan/mix.rs
+++ b/crates/fleet/src/plan/mix.rs
@@ -94,8 +94,9 @@
         let step = smallest.unwrap_or(1).max(1);
         let largest = self.largest_cap(step);
         let stride = largest.div_ceil(CAPS).max(step);
-        let mut best = self.fill(step);
-        let mut cap = step;
+        // on-demand VMs alone need no cover
+        let mut best = self.fill(0);
+        let mut cap = 0;
         while cap < largest {
             cap = (cap + stride).min(largest);
             let mix = self.fill(cap);
--- a/crates/fleet/tests/capacity/main.rs
+++ b/crates/fleet/tests/capacity/main.rs
@@ -3,6 +3,7 @@
 mod bounds;
 mod changes;
 mod cloud;
+mod optimum;
 mod orders;
 mod planner;
 mod stability;
