--- a/crates/daemon/src/load/spread.rs
+++ b/crates/daemon/src/load/spread.rs
@@ -46,7 +46,7 @@
     let exceptions: Vec<Exception> = vms
         .iter()
         .filter_map(|vm| {
-            let level = context.routes.level(&vm.name, now)? / STEP;
+            let level = context.routes.level(&vm.name)? / STEP;
             Some(Exception {
                 vm: vm.name.clone(),
                 level,
@@ -59,7 +59,7 @@
     let fact = match exceptions.len() * 8 > all.len() {
         true => Load {
             order,
-            levels: vector(context, &all, &vms, now),
+            levels: vector(context, &all, &vms),
             exceptions: Vec::new(),
         },
         false => Load {
@@ -72,11 +72,11 @@
 }
 
 /// levels of all VMs in order; those that others poll are left at the highest
-fn vector(context: &Context, all: &[Vm], mine: &[Vm], now: Instant) -> String {
+fn vector(context: &Context, all: &[Vm], mine: &[Vm]) -> String {
     let mut vector = Vec::new();
     for vm in all {
         let polled = mine.iter().any(|other| other.name == vm.name);
-        let level = context.routes.level(&vm.name, now).filter(|_| polled);
+        let level = context.routes.level(&vm.name).filter(|_| polled);
         vector.push(level.map_or(levels::HIGHEST, |level| {
             (level / STEP).min(levels::HIGHEST - 1)
         }));
