--- a/crates/daemon/src/load/spread.rs
+++ b/crates/daemon/src/load/spread.rs
@@ -42,7 +42,6 @@
         return;
     }
     vms.sort_by(|one, other| one.name.cmp(&other.name));
-    let now = Instant::now();
     let exceptions: Vec<Exception> = vms
         .iter()
         .filter_map(|vm| {
