--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -17,17 +17,20 @@
 use tokio::runtime::{self, Runtime};
 
 use crate::args::Args;
+use crate::capacity;
 use crate::config::{Follower, Keeper};
 use crate::error::Error;
 use crate::load::{Poller, Spread};
 use crate::operator::{self, Parts};
-use crate::vms::{Notices, Reader};
+use crate::vms::{Notices, Outlets, Reader};
 use crate::{logs, secret, share, stop, sweep};
 
 /// threads of the runtime that carries peers and timers
 const RUNTIME_THREADS: usize = 2;
 /// reasons to stop that wait
 const STOPS: usize = 4;
+/// notices that wait for the planner
+const NOTICES: usize = 1024;
 
 /// clients of the platform
 struct Platform {
@@ -204,13 +207,21 @@
         platform.objects.clone(),
     )?;
     let reader = Reader::start(Arc::clone(context), platform.cloud.clone())?;
-    Notices::start(Arc::clone(context), platform.cloud.clone(), stops.clone())?;
+    let (heard, notices) = bounded(NOTICES);
+    let outlets = Outlets {
+        own: stops.clone(),
+        heard,
+    };
+    Notices::start(Arc::clone(context), platform.cloud.clone(), outlets)?;
     Poller::start(context, Duration::from_millis(settings.timing.poll_ms))?;
     Spread::start(Arc::clone(context))?;
     share::start(Arc::clone(context))?;
     sweep::start(Arc::clone(context), &settings.limits)?;
+    let objects = platform.objects.clone();
+    let tenure = capacity::start(context, &settings.platform, objects, notices)?;
     Ok(Parts {
         context: Arc::clone(context),
+        tenure,
         keeper,
         reader,
         stop: stops.clone(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod app;
 mod args;
+mod capacity;
 mod config;
 mod error;
 mod load;
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -14,6 +14,7 @@
 use schema::method;
 use schema::operator::{DrainQuery, StatusQuery, TraceQuery};
 
+use crate::capacity::Tenure;
 use crate::config::{Keeper, PULL, Pull};
 use crate::vms::{Ask, LIST, Reader};
 
@@ -28,6 +29,8 @@
     pub keeper: Arc<Keeper>,
     /// list of VMs
     pub reader: Arc<Reader>,
+    /// right to act for capacity
+    pub tenure: Arc<Tenure>,
     /// tells this daemon to stop
     pub stop: Sender<Leaving>,
 }
@@ -68,7 +71,7 @@
 fn operators(module: &mut RpcModule<Slot>) {
     let status = module.register_method(method::STATUS, |params, slot, _| {
         let _: StatusQuery = params.parse()?;
-        parts(slot).map(|parts| status::status(&parts.context))
+        parts(slot).map(status::status)
     });
     status.expect("the name stands once");
     let drain = module.register_blocking_method(method::DRAIN, |params, slot, _| {
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -9,10 +9,12 @@
 use schema::operator::{Duty, Member, MemberState, Status, Vm, VmState};
 use tokio::time::Instant;
 
-use crate::{config, vms};
+use super::Parts;
+use crate::{capacity, config, vms};
 
 /// the answer of `operator_status`
-pub fn status(context: &Context) -> Status {
+pub fn status(parts: &Parts) -> Status {
+    let context = &parts.context;
     let snapshot = context.snapshot.load();
     let rows = context.routes.snapshot(Instant::now());
     Status {
@@ -21,7 +23,7 @@
         preset: snapshot.declaration.preset.clone(),
         members: members(context, snapshot.revision),
         upstreams: rows.iter().map(vm).collect(),
-        duties: duties(context),
+        duties: duties(parts),
     }
 }
 
@@ -76,16 +78,22 @@
     }
 }
 
-fn duties(context: &Context) -> Vec<Duty> {
+fn duties(parts: &Parts) -> Vec<Duty> {
     let named = [(config::DUTY, config::FOLLOWERS), (vms::DUTY, 1)];
     let mut duties = Vec::new();
     for (name, count) in named {
-        for holder in context.node.holders(name, count) {
+        for holder in parts.context.node.holders(name, count) {
             duties.push(Duty {
                 name: name.to_owned(),
                 holder: holder.vm,
             });
         }
     }
+    if parts.tenure.is_holder(Instant::now()) {
+        duties.push(Duty {
+            name: capacity::DUTY.to_owned(),
+            holder: parts.context.node.me().vm.clone(),
+        });
+    }
     duties
 }
--- a/crates/daemon/src/vms/mod.rs
+++ b/crates/daemon/src/vms/mod.rs
@@ -8,7 +8,7 @@
 mod reader;
 
 pub use message::{Ask, LIST};
-pub use notices::Notices;
+pub use notices::{Notices, Outlets};
 pub use reader::Reader;
 
 /// duty of reading the list and the notices
--- a/crates/daemon/src/vms/notices.rs
+++ b/crates/daemon/src/vms/notices.rs
@@ -22,27 +22,32 @@
 /// daemons per data centre that read the notices
 const READERS: usize = 2;
 
+/// where notices go
+#[derive(Debug)]
+pub struct Outlets {
+    /// those to this VM
+    pub own: Sender<Leaving>,
+    /// all of them
+    pub heard: Sender<Leaving>,
+}
+
 /// reads and hears notices
 pub struct Notices {
     context: Arc<Context>,
     cloud: Client,
-    own: Sender<Leaving>,
+    outlets: Outlets,
 }
 
 impl Notices {
-    /// starts to read and to listen; a notice to this VM goes to `own`
+    /// starts to read and to listen
     ///
     /// # Errors
     /// When a thread can't be started.
-    pub fn start(
-        context: Arc<Context>,
-        cloud: Client,
-        own: Sender<Leaving>,
-    ) -> std::io::Result<()> {
+    pub fn start(context: Arc<Context>, cloud: Client, outlets: Outlets) -> std::io::Result<()> {
         let notices = Arc::new(Notices {
             context,
             cloud,
-            own,
+            outlets,
         });
         let reading = Arc::clone(&notices);
         thread::Builder::new()
@@ -96,7 +101,11 @@
         let left = Duration::from_secs(leaving.seconds.min(LONGEST_SECONDS));
         self.context.moves.notice(&leaving.vm, now + left);
         self.context.routes.leaving(&leaving.vm, now);
-        if leaving.vm == self.context.node.me().vm && self.own.try_send(leaving.clone()).is_err() {
+        if self.outlets.heard.try_send(leaving.clone()).is_err() {
+            tracing::debug!(event = "planner_behind", vm = leaving.vm);
+        }
+        let is_own = leaving.vm == self.context.node.me().vm;
+        if is_own && self.outlets.own.try_send(leaving.clone()).is_err() {
             tracing::debug!(event = "notice_known", vm = leaving.vm);
         }
     }
--- a/crates/store/src/lease/holder.rs
+++ b/crates/store/src/lease/holder.rs
@@ -26,6 +26,11 @@
         term.and_then(|term| term.fence_if_valid(now))
     }
 
+    /// the term, valid or lapsed
+    pub fn term(&self) -> Option<Term> {
+        *self.term.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn set(&self, term: Option<Term>) {
         *self.term.write().unwrap_or_else(PoisonError::into_inner) = term;
     }
