Split the table and test its locks

Change: the choice moves to its own file; a VM that says it leaves is marked as leaving; a test runs workers against updates.

--- a/crates/route/src/table/mod.rs
+++ b/crates/route/src/table/mod.rs
@@ -16,6 +16,7 @@
 mod live;
 mod node;
 mod permit;
+mod pick;
 mod rate;
 mod rule;
 mod shortlist;
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -76,6 +76,41 @@
     );
 }
 
+#[test]
+fn vm_that_says_it_leaves_gets_no_more_work() {
+    let now = Instant::now();
+    let table = table(Policy::Affinity, &[vm("one", "a", "r")]);
+    if let Ok(pick) = table.pick(&ask(&[], &[], now), &mut rng(), now) {
+        table.finish(pick.permit, Outcome::Failed(Kind::Leaving), now);
+    }
+    assert!(table.is_leaving("one"));
+    assert_eq!(share(&table, "one", &[], now), 0);
+}
+
+#[test]
+fn workers_and_updates_do_not_block_each_other() {
+    let now = Instant::now();
+    let vms: Vec<_> = (0..8)
+        .map(|place| vm(&format!("vm-{place}"), "a", "r"))
+        .collect();
+    let table = table(Policy::Affinity, &vms);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| share(&table, "vm-0", &[1, 2, 3], now));
+        }
+        scope.spawn(|| {
+            for _ in 0..100 {
+                table.list(&vms);
+                table.report("vm-1", &load(3, 0, 0), now);
+                table.configure(&support::declaration(Vec::new()));
+                table.snapshot(now);
+            }
+        });
+    });
+    let rows = table.snapshot(now);
+    assert!(rows.iter().all(|row| row.in_flight == 0));
+}
+
 #[test]
 fn name_at_a_new_address_is_a_new_machine() {
     let now = Instant::now();
