Compare the VM with the fewest own requests too

Change: a VM with the fewest own requests is a candidate where a daemon has at least one request for each VM; below that its counts say nothing.

--- a/crates/route/src/table/shortlist.rs
+++ b/crates/route/src/table/shortlist.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use rand::Rng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 
 use super::Ask;
 use super::node::Node;
@@ -39,9 +39,10 @@
     ask: &Ask<'_>,
     rng: &mut impl Rng,
 ) -> Vec<Candidate<'a>> {
-    let mut list = Vec::with_capacity(HOLDERS + HOME_DEPTHS.len() + DRAWN);
+    let mut list = Vec::with_capacity(HOLDERS + HOME_DEPTHS.len() + DRAWN + 1);
     add_homes(&mut list, nodes, ask);
     add_holders(&mut list, nodes, ask, rng);
+    add_idlest(&mut list, nodes, rng);
     for node in nodes.choose_multiple(rng, DRAWN) {
         add(&mut list, node, 0);
     }
@@ -85,6 +86,26 @@
     }
 }
 
+/// adds a VM with the fewest own requests, if these say anything
+///
+/// With fewer than one request for each VM most have none, and the count of one daemon
+/// of many says nothing about them.
+fn add_idlest<'a>(list: &mut Vec<Candidate<'a>>, nodes: &[&'a Arc<Node>], rng: &mut impl Rng) {
+    let counts: Vec<u32> = nodes
+        .iter()
+        .map(|node| node.live().backlog.in_flight())
+        .collect();
+    let all: u64 = counts.iter().map(|count| u64::from(*count)).sum();
+    if all < nodes.len() as u64 {
+        return;
+    }
+    let least = counts.iter().copied().min();
+    let idle = (0..nodes.len()).filter(|place| Some(counts[*place]) == least);
+    if let Some(place) = idle.choose(rng) {
+        add(list, nodes[place], 0);
+    }
+}
+
 /// keeps the deepest holders, deepest first
 fn insert<'a>(best: &mut [Option<Holder<'a>>; HOLDERS], holder: Holder<'a>) {
     let mut moved = holder;
