--- /dev/null
+++ b/crates/bench/tests/support/mod.rs
@@ -0,0 +1,74 @@
+//! Worlds and checks that the tests share.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use bench::client::{Answer, Ask, Client, Fault};
+use bench::poll_until;
+use bench::world::{Builder, Centre, Engine, World};
+use standin::engine;
+
+/// model service
+pub const MODEL: &str = "homily-models";
+
+/// plain service
+pub const DESK: &str = "archive-desk";
+
+/// longest wait for what has to happen
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// two data centres of one region
+pub fn two_centres() -> Builder {
+    let south = |name| Centre::new("kyushu-south", name);
+    World::builder()
+        .engine(engine::Options::builder().step_us(10_000).build())
+        .centre(
+            south("kumamoto-a")
+                .daemons(2)
+                .engines(MODEL, 2)
+                .plains(DESK, 1),
+        )
+        .centre(
+            south("kagoshima-a")
+                .daemons(1)
+                .engines(MODEL, 1)
+                .plains(DESK, 1),
+        )
+}
+
+/// waits until every daemon answers a short completion
+pub fn settle(world: &World, client: &Client) {
+    for daemon in 0..world.daemons().len() {
+        let ask = Ask::new(MODEL, "settle", 1);
+        let answered = poll_until(PATIENCE, || client.complete(daemon, &ask).ok());
+        assert!(answered.is_some(), "daemon {daemon} does not answer");
+    }
+}
+
+/// checks that an answer is the whole one
+pub fn assert_whole(ask: &Ask, answer: &Result<Answer, Fault>) {
+    match answer {
+        Ok(answer) => assert_eq!(answer.text, ask.expected(&ask.engine_prompt())),
+        Err(fault) => panic!("no whole answer: {fault}"),
+    }
+}
+
+/// the engine that runs a stream now
+pub fn running_engine(world: &World) -> &Engine {
+    let found = poll_until(PATIENCE, || {
+        world.engines().iter().find(|engine| {
+            let record = engine.record().unwrap_or_default();
+            record.iter().any(|run| !run.ended && run.generated > 0)
+        })
+    });
+    found.expect("an engine that runs a stream")
+}
+
+/// calls that ran on all plain services
+pub fn executions(world: &World, key: &str) -> usize {
+    let records = world
+        .plains()
+        .iter()
+        .map(|plain| plain.record().expect("a record"));
+    records.flatten().filter(|call| call.key == key).count()
+}
