--- a/crates/bench/tests/bookings.rs
+++ b/crates/bench/tests/bookings.rs
@@ -7,7 +7,7 @@
 use schema::failure::Verdict;
 use schema::objects;
 use standin::plain::Faults;
-use support::{DESK, executions, settle, two_centres};
+use support::{DESK, executions, no_change, set_store, settle, two_centres};
 
 const BODY: &str = "a deposit";
 
@@ -96,12 +96,7 @@
     let (world, client) = start();
     let faults = objects::Faults {
         outage: Some(true),
-        delay_ms: None,
-        lose_answers: None,
-        lose_percent: None,
-        seed: None,
-        silent_watches: None,
-        stale_reads: None,
+        ..no_change()
     };
     set_store(&world, &faults);
     let fault = book(&client, 0, "outage").expect_err("no answer");
@@ -125,11 +120,7 @@
     let faults = objects::Faults {
         lose_percent: Some(40),
         seed: Some(7),
-        outage: None,
-        delay_ms: None,
-        lose_answers: None,
-        silent_watches: None,
-        stale_reads: None,
+        ..no_change()
     };
     set_store(&world, &faults);
     for number in 0..20 {
@@ -146,9 +137,3 @@
         }
     }
 }
-
-fn set_store(world: &World, faults: &objects::Faults) {
-    let url = format!("http://{}/control/faults", world.objects());
-    let request = attohttpc::post(url).json(faults).expect("a body");
-    assert!(request.send().expect("an answer").is_success());
-}
--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use bench::client::{Answer, Ask, Client, Fault};
 use bench::poll_until;
 use bench::world::{Builder, Centre, Engine, World};
+use schema::objects;
 use standin::engine;
 
 /// model service
@@ -45,6 +46,26 @@
     }
 }
 
+/// changes the faults of the object API; fields that are none stay
+pub fn set_store(world: &World, faults: &objects::Faults) {
+    let url = format!("http://{}/control/faults", world.objects());
+    let request = attohttpc::post(url).json(faults).expect("a body");
+    assert!(request.send().expect("an answer").is_success());
+}
+
+/// faults of the object API that change nothing
+pub fn no_change() -> objects::Faults {
+    objects::Faults {
+        outage: None,
+        delay_ms: None,
+        lose_answers: None,
+        lose_percent: None,
+        seed: None,
+        silent_watches: None,
+        stale_reads: None,
+    }
+}
+
 /// checks that an answer is the whole one
 pub fn assert_whole(ask: &Ask, answer: &Result<Answer, Fault>) {
     match answer {
