--- a/crates/entry/src/call/admit.rs
+++ b/crates/entry/src/call/admit.rs
@@ -97,27 +97,18 @@
 
 fn choose(context: &Context, ask: &Ask<'_>, now: Instant) -> Result<Pick, Fault> {
     let mut rng = rand::rng();
-    let wait = context.routes.wait(ask.service, now).unwrap_or_default();
-    let pick = context
-        .routes
-        .pick(ask, &mut rng, now)
-        .map_err(|refusal| fault(&refusal))?;
     let call = Call {
         service: ask.service,
         priority: ask.priority,
-        wait,
+        wait: context.routes.wait(ask.service, now).unwrap_or_default(),
         first_token: ask.first_token,
         deadline: ask.deadline.saturating_duration_since(now),
     };
-    match context.gate.admit(&call, &mut rng, now) {
-        Ok(()) => Ok(pick),
-        Err(refusal) => {
-            context
-                .routes
-                .finish(pick.permit, route::table::Outcome::Cancelled, now);
-            Err(fault(&refusal))
-        }
-    }
+    // The gate comes first: a pick already counts on the blocks it will cache.
+    let admitted = context.gate.admit(&call, &mut rng, now);
+    admitted.map_err(|refusal| fault(&refusal))?;
+    let pick = context.routes.pick(ask, &mut rng, now);
+    pick.map_err(|refusal| fault(&refusal))
 }
 
 /// a refusal as the caller sees it
