Let callers wait: a first-token target by header, and gauges of the daemon

A service with look-ups and long summaries has one target, and the gate refuses what would miss it. A caller that may wait says so by X-First-Token-Ms, which only widens the target. Control traffic, members, revision and the link's bytes are now metrics.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -22,7 +22,7 @@
 use crate::load::{Poller, Spread};
 use crate::operator::{self, Parts};
 use crate::vms::{Notices, Reader};
-use crate::{logs, secret, share, stop, sweep};
+use crate::{gauges, logs, secret, share, stop, sweep};
 
 /// threads of the runtime that carries peers and timers
 const RUNTIME_THREADS: usize = 2;
@@ -207,6 +207,7 @@
     Notices::start(Arc::clone(context), platform.cloud.clone(), stops.clone())?;
     Poller::start(context, Duration::from_millis(settings.timing.poll_ms))?;
     Spread::start(Arc::clone(context))?;
+    gauges::start(Arc::clone(context))?;
     share::start(Arc::clone(context))?;
     sweep::start(Arc::clone(context), &settings.limits)?;
     Ok(Parts {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod args;
 mod config;
 mod error;
+mod gauges;
 mod load;
 mod logs;
 mod operator;
--- a/crates/entry/src/call/admit.rs
+++ b/crates/entry/src/call/admit.rs
@@ -26,6 +26,8 @@
     pub(super) priority: u8,
     /// when it is given up on
     pub(super) deadline: Instant,
+    /// target for its first token
+    pub(super) first_token: Duration,
 }
 
 /// a request that is to be run
@@ -75,7 +77,17 @@
         ));
     }
     let deadline = now + Duration::from_millis(time).min(LONGEST_DEADLINE);
-    Ok(Urgency { priority, deadline })
+    let target = u64::from(service.first_token_ms);
+    let first_token = headers
+        .number("x-first-token-ms")?
+        .unwrap_or(target)
+        .max(target);
+    let first_token = Duration::from_millis(first_token).min(LONGEST_DEADLINE);
+    Ok(Urgency {
+        priority,
+        deadline,
+        first_token,
+    })
 }
 
 /// admits a request within the limits and chooses its first upstream VM
--- a/crates/entry/src/call/completion.rs
+++ b/crates/entry/src/call/completion.rs
@@ -1,6 +1,7 @@
 //! New completions.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use route::table::Ask as Route;
 use schema::config::Kind;
@@ -15,6 +16,8 @@
 use crate::openai::Ask;
 use crate::span;
 
+/// when a caller may come back after all drivers were busy
+const BUSY_WAIT: Duration = Duration::from_secs(1);
 /// bytes of randomness in a request id
 const ID_BYTES: usize = 16;
 
@@ -65,7 +68,7 @@
         trace: span::parent(exchange.headers.get("traceparent")),
     };
     let journal = Arc::new(Journal::new(origin));
-    start(context, &journal)?;
+    start(context, &journal, urgency.first_token)?;
     Ok(Accepted {
         journal,
         stream: ask.stream,
@@ -73,7 +76,7 @@
 }
 
 /// admits a request, writes it down and gives it to the drivers
-fn start(context: &Context, journal: &Arc<Journal>) -> Result<(), Fault> {
+fn start(context: &Context, journal: &Arc<Journal>, first_token: Duration) -> Result<(), Fault> {
     let origin = &journal.origin;
     let blocks = route::prefix::blocks(&origin.prompt);
     let ask = Route {
@@ -85,7 +88,7 @@
         priority: origin.priority,
         avoid: &[],
         deadline: origin.deadline,
-        first_token: context.first_token_of(&origin.service),
+        first_token,
     };
     context
         .spans
@@ -116,8 +119,7 @@
     if let Some(permit) = job.permit {
         context.limits.settle(permit, 0, now);
     }
-    Fault::refused(503, "busy", "The daemon has too many requests in flight.")
-        .after(std::time::Duration::from_secs(1))
+    Fault::refused(503, "busy", "The daemon has too many requests in flight.").after(BUSY_WAIT)
 }
 
 /// a request id: the data centre, so that the request can be found, and random bytes
--- a/crates/entry/src/call/plain.rs
+++ b/crates/entry/src/call/plain.rs
@@ -187,7 +187,7 @@
             priority: self.urgency.priority,
             avoid,
             deadline: self.urgency.deadline,
-            first_token: self.context.first_token_of(self.service),
+            first_token: self.urgency.first_token,
         }
     }
 
--- a/crates/entry/src/http/headers.rs
+++ b/crates/entry/src/http/headers.rs
@@ -5,7 +5,7 @@
 use crate::fault::Fault;
 
 /// headers that may stand only once in a request
-const SINGLE: [&str; 8] = [
+const SINGLE: [&str; 9] = [
     "authorization",
     "content-length",
     "content-type",
@@ -13,6 +13,7 @@
     "idempotency-key",
     "last-event-id",
     "x-deadline-ms",
+    "x-first-token-ms",
     "x-priority",
 ];
 /// most headers of one request
