--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -23,7 +23,7 @@
 use crate::load::{Poller, Spread};
 use crate::operator::{self, Parts};
 use crate::vms::{Notices, Outlets, Reader};
-use crate::{logs, secret, share, stop, sweep};
+use crate::{gauges, logs, secret, share, stop, sweep};
 
 /// threads of the runtime that carries peers and timers
 const RUNTIME_THREADS: usize = 2;
@@ -215,6 +215,7 @@
     Notices::start(Arc::clone(context), platform.cloud.clone(), outlets)?;
     Poller::start(context, Duration::from_millis(settings.timing.poll_ms))?;
     Spread::start(Arc::clone(context))?;
+    gauges::start(Arc::clone(context))?;
     share::start(Arc::clone(context))?;
     sweep::start(Arc::clone(context), &settings.limits)?;
     let objects = platform.objects.clone();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod capacity;
 mod config;
 mod error;
+mod gauges;
 mod load;
 mod logs;
 mod operator;
