Keep VMs under a lowered ceiling while others drain

Cause: the ceiling was compared with the VMs that stay less those that go, so the drains that a lower ceiling asks for counted against the rest, and the next plan drained the rest as well. Seen with real processes: 4 VMs, ceiling 4 to 2, all four drained within 3 s, callers got 503 no_upstream. Change: VMs that go limit starts, not what stays.

--- a/crates/fleet/src/plan/decide.rs
+++ b/crates/fleet/src/plan/decide.rs
@@ -65,7 +65,9 @@
 
 /// most VMs that may serve; while the store is out, only what is lost is replaced
 fn most(view: &View<'_>, capacity: &Capacity, state: &State, stock: &Stock<'_>) -> u32 {
-    let most = capacity.ceiling.saturating_sub(stock.going);
+    // VMs that go already take room, but none of those that stay has to go for them
+    let room = capacity.ceiling.saturating_sub(stock.going);
+    let most = room.max(stock.running().min(capacity.ceiling));
     match view.store {
         Store::Reachable => most,
         Store::Out => most.min(state.count_before_outage().max(capacity.floor)),
--- a/crates/fleet/tests/capacity/stability.rs
+++ b/crates/fleet/tests/capacity/stability.rs
@@ -133,3 +133,16 @@
     planner.settle(&mut cloud, &capacity(2, 8), 200, 12);
     assert_eq!(cloud.vms().count(), 8);
 }
+
+#[test]
+fn a_lower_ceiling_never_drains_below_itself() {
+    let mut cloud = Cloud::new();
+    let mut planner = Planner::new(&cloud);
+    planner.settle(&mut cloud, &capacity(8, 8), 0, 60);
+    let lower = capacity(4, 4);
+    for step in 0..120 {
+        planner.step(&mut cloud, &lower, 0);
+        assert!(cloud.staying() >= 4, "step {step}: {}", cloud.staying());
+    }
+    assert_eq!(cloud.count(Life::Live), 4);
+}
