Wait until a dropped stand-in's port is closed

Ruled out: the client's verdict. The test now waits for the precondition that it states. The example of the same name in peer collided in the build; this one is called spending.

--- a/crates/fleet/examples/cost/main.rs
+++ b/crates/fleet/examples/spending/main.rs
@@ -6,7 +6,7 @@
 //! policy meets the same day. Demand is served in target as long as the VMs
 //! that serve have a slot for it; a VM costs from its start to its end.
 //!
-//! `cargo run --release -p fleet --example cost`
+//! `cargo run --release -p fleet --example spending`
 
 #[allow(dead_code)]
 #[path = "../../tests/capacity/cloud.rs"]
--- a/crates/fleet/tests/cloud.rs
+++ b/crates/fleet/tests/cloud.rs
@@ -1,7 +1,7 @@
 //! The cloud client and the steward against the stand-in of the cloud API.
 
 use std::collections::BTreeMap;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -65,6 +65,15 @@
     });
 }
 
+/// the listener of a stand-in that was dropped closes a moment later
+fn wait_until_refused(address: SocketAddr) {
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while TcpStream::connect(address).is_ok() {
+        assert!(Instant::now() < deadline, "still listens");
+        std::thread::yield_now();
+    }
+}
+
 #[test]
 fn refusals_and_outages_say_that_nothing_was_done() {
     let server = server();
@@ -95,6 +104,7 @@
 
     let address = server.address();
     drop(server);
+    wait_until_refused(address);
     let client = Client::new(&format!("http://{address}"));
     let error = client
         .start("desk-1", &start("a"))
