Move a stream that was taken over on a leaving VM, count attempts from the last token

Cause: a stream taken over from another daemon holds no permit, so its VM's notice was not seen and it broke with the VM; and after one reconnect in its life a long stream moved at once at the next silence. Found on reading.

--- a/crates/entry/src/drive/attempt.rs
+++ b/crates/entry/src/drive/attempt.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use engine::{Failure, Item, Stream};
+use macro_rules_attribute::apply;
 use route::table::{Permit, Pick};
 use schema::engine::Finish;
 use schema::journal as wire;
+use schema::value;
 use tokio::time::Instant;
 
 use crate::context::Context;
@@ -21,6 +23,15 @@
     pub(super) running: bool,
 }
 
+/// what ends the reading of a stream that goes well
+#[apply(value!)]
+pub(super) enum Heed {
+    /// the notice of its VM
+    Notice,
+    /// nothing: the notice is known
+    Nothing,
+}
+
 /// how an attempt came to its end
 pub(super) enum Halt {
     /// the answer is whole
@@ -72,8 +83,12 @@
         }
     }
 
-    fn is_leaving(&self) -> bool {
-        self.permit.as_ref().is_some_and(Permit::is_leaving)
+    /// whether its VM is known to be leaving by now
+    pub(super) fn is_leaving(&self, context: &Context) -> bool {
+        match &self.permit {
+            Some(permit) => permit.is_leaving(),
+            None => context.routes.is_leaving(&self.stream.vm),
+        }
     }
 }
 
@@ -114,8 +129,7 @@
     }
 
     /// reads until the answer is whole, the stream fails, or `stop` says so
-    pub(super) fn read(&mut self, seat: &Seat, stop: impl Fn() -> bool) -> Halt {
-        let warned = seat.is_leaving();
+    pub(super) fn read(&mut self, seat: &Seat, heed: Heed, stop: impl Fn() -> bool) -> Halt {
         loop {
             let halt = match self.reader.next_item() {
                 Ok(item) => self.take(item),
@@ -130,7 +144,8 @@
             if Instant::now() >= self.journal.origin.deadline {
                 return Halt::Late;
             }
-            if (!warned && seat.is_leaving()) || stop() {
+            let noticed = heed == Heed::Notice && seat.is_leaving(self.context);
+            if noticed || stop() {
                 return Halt::Leaving;
             }
         }
--- a/crates/entry/src/drive/leaving.rs
+++ b/crates/entry/src/drive/leaving.rs
@@ -10,7 +10,7 @@
 use schema::engine::Import;
 use tokio::time::Instant;
 
-use super::attempt::{Attempt, Halt, Seat};
+use super::attempt::{Attempt, Halt, Heed, Seat};
 use super::run::Run;
 
 impl Run<'_> {
@@ -18,7 +18,7 @@
     pub(super) fn leave(&mut self, seat: Seat, mut attempt: Attempt<'_>) -> Option<Seat> {
         self.avoid.push(seat.stream.vm.clone());
         let Some(pick) = self.pick() else {
-            let halt = attempt.read(&seat, || false);
+            let halt = attempt.read(&seat, Heed::Nothing, || false);
             return self.after_leaving(seat, halt);
         };
         let plan = self.plan(&seat, &attempt, &pick);
@@ -30,7 +30,7 @@
         match plan {
             Plan::Finish => {
                 self.give_back(pick);
-                let halt = attempt.read(&seat, || false);
+                let halt = attempt.read(&seat, Heed::Nothing, || false);
                 self.after_leaving(seat, halt)
             }
             Plan::Export => self.export(seat, attempt, pick),
@@ -83,7 +83,7 @@
                 self.import(&seat, &pick);
                 moved.store(true, Ordering::Release);
             });
-            attempt.read(&seat, || moved.load(Ordering::Acquire))
+            attempt.read(&seat, Heed::Nothing, || moved.load(Ordering::Acquire))
         });
         let note = format!("from={} to={}", seat.stream.vm, pick.vm);
         let origin = &self.journal().origin;
--- a/crates/entry/src/drive/run.rs
+++ b/crates/entry/src/drive/run.rs
@@ -11,7 +11,7 @@
 use schema::failure::Verdict;
 use tokio::time::Instant;
 
-use super::attempt::{Attempt, Halt, Seat};
+use super::attempt::{Attempt, Halt, Heed, Seat};
 use super::{Job, fault, retry_failure};
 use crate::context::Context;
 use crate::fault::Fault;
@@ -28,6 +28,7 @@
     blocks: Vec<u64>,
     attempts: u32,
     reconnects: u32,
+    progress: u32,
     pub(super) avoid: Vec<String>,
     verdict: Verdict,
 }
@@ -40,6 +41,7 @@
             0 => Verdict::NotRun,
             _ => Verdict::MayHaveRun,
         };
+        let progress = job.journal.count();
         Run {
             context,
             job,
@@ -47,6 +49,7 @@
             blocks,
             attempts: 0,
             reconnects: 0,
+            progress,
             avoid: Vec::new(),
             verdict,
         }
@@ -104,7 +107,7 @@
         let (halt, attempt) = match Attempt::open(context, &journal, self.driver, &seat) {
             Ok(mut attempt) => {
                 self.verdict = verdict::join(self.verdict, Verdict::MayHaveRun);
-                (attempt.read(&seat, || false), Some(attempt))
+                (attempt.read(&seat, Heed::Notice, || false), Some(attempt))
             }
             Err(halt) => (halt, None),
         };
@@ -157,6 +160,7 @@
 
     fn lost(&mut self, seat: Seat, failure: &Failure) -> Option<Seat> {
         self.verdict = verdict::join(self.verdict, failure.verdict);
+        self.forgive();
         let state = self.state(&seat);
         match retry::decide(&retry_failure(failure), &state) {
             Step::Reconnect => {
@@ -168,6 +172,7 @@
             }
             Step::Move { after } => {
                 self.context.take_retry();
+                self.reconnects = 0;
                 self.avoid.push(seat.stream.vm.clone());
                 self.release(seat, Outcome::Failed(retry_failure(failure).kind));
                 self.pause(after);
@@ -182,6 +187,16 @@
         }
     }
 
+    /// attempts and reconnects count from the last token that came
+    fn forgive(&mut self) {
+        let count = self.journal().count();
+        if count > self.progress {
+            self.progress = count;
+            self.attempts = 1;
+            self.reconnects = 0;
+        }
+    }
+
     fn state(&self, seat: &Seat) -> State {
         State {
             idempotent: true,
@@ -189,10 +204,7 @@
             reconnects: self.reconnects,
             deadline_left: self.left(),
             breaker_open: false,
-            leaving: seat
-                .permit
-                .as_ref()
-                .is_some_and(|permit| permit.is_leaving()),
+            leaving: seat.is_leaving(self.context),
             budget_wait: self.context.retry_wait(),
             jitter: rand::random(),
         }
