Keep a drain up while the VM itself says that it stays

Cause: a drained VM knows nothing of its drain and reports that it stays; after 120 s the table believed it, and it got new work though the planner waits for it to empty. Telling the drain again did not renew the time of the first word. Before: drain_told_again_outlasts_the_vms_own_word failed. After: cargo test -p route passed. Not covered: drains of services that no preset steers.

--- a/crates/daemon/src/capacity/planner.rs
+++ b/crates/daemon/src/capacity/planner.rs
@@ -159,6 +159,14 @@
             }
             Err(error) => tracing::warn!(event = "capacity_not_planned", %error),
         }
+        // an operator's drain, or one of a former holder, is kept up as well
+        for row in rows.iter().filter(|row| row.leaving) {
+            let known = Drain {
+                told: Some(now),
+                ..drain(&snapshot, now)
+            };
+            memory.drains.entry(row.vm.name.clone()).or_insert(known);
+        }
         self.tell_drains(&mut memory.drains, &rows);
     }
 
--- a/crates/route/src/table/view.rs
+++ b/crates/route/src/table/view.rs
@@ -104,6 +104,7 @@
             at: now,
             lists_gone: 0,
         });
+        mark.at = now.max(mark.at);
         mark.address = address.or_else(|| mark.address.take());
     }
 
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -76,6 +76,19 @@
     );
 }
 
+#[test]
+fn drain_told_again_outlasts_the_vms_own_word() {
+    let now = Instant::now();
+    let at = |seconds| now + Duration::from_secs(seconds);
+    let table = table(Policy::Affinity, &[vm("one", "a", "r")]);
+    table.leaving("one", now);
+    table.leaving("one", at(60));
+    table.report("one", &load(0, 0, 0), at(150));
+    assert!(table.is_leaving("one"));
+    table.report("one", &load(0, 0, 0), at(200));
+    assert!(!table.is_leaving("one"));
+}
+
 #[test]
 fn vm_that_says_it_leaves_gets_no_more_work() {
     let now = Instant::now();
