--- a/crates/bench/tests/leases.rs
+++ b/crates/bench/tests/leases.rs
@@ -165,3 +165,12 @@
     assert_eq!(sent_orders(frozen), sent, "the former holder ordered");
     assert_eq!(lease(&world).map(|lease| lease.fence), Some(second.fence));
 }
+
+#[test]
+fn a_holder_that_stops_hands_the_lease_over() {
+    let world = world(Fencing::Checked);
+    let first = held_by_another(&world, "", ELECTED_WITHIN);
+    daemon(&world, &first).terminate().expect("a stop");
+    let second = held_by_another(&world, &first.holder, LEASE / 2);
+    assert!(second.fence > first.fence);
+}
