--- a/crates/bench/src/world/builder.rs
+++ b/crates/bench/src/world/builder.rs
@@ -137,6 +137,12 @@
         self
     }
 
+    /// target for the first token, which requests may wait for
+    pub fn first_token(mut self, target: Duration) -> Self {
+        self.first_token_ms = target.as_millis() as u32;
+        self
+    }
+
     /// sets the longest time for a request
     pub fn deadline(mut self, deadline: Duration) -> Self {
         self.deadline_ms = deadline.as_millis() as u64;
--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -41,8 +41,14 @@
 pub fn settle(world: &World, client: &Client) {
     for daemon in 0..world.daemons().len() {
         let ask = Ask::new(MODEL, "settle", 1);
-        let answered = poll_until(PATIENCE, || client.complete(daemon, &ask).ok());
-        assert!(answered.is_some(), "daemon {daemon} does not answer");
+        let mut last = None;
+        let answered = poll_until(PATIENCE, || {
+            client
+                .complete(daemon, &ask)
+                .map_err(|fault| last = Some(fault))
+                .ok()
+        });
+        assert!(answered.is_some(), "daemon {daemon}: {last:?}");
     }
 }
 
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -13,6 +13,7 @@
 use peer::{Member, State};
 use schema::journal as wire;
 use schema::journal::{Handover, Holding, Locate, Located, Taken};
+use schema::member::{Fact, Moved};
 use tokio::time::Instant;
 
 use crate::context::Context;
@@ -29,6 +30,8 @@
 const LOCATE_TIMEOUT: Duration = Duration::from_millis(500);
 /// most bytes of prompts and tokens in one call
 const CALL_BYTES: usize = 256 * 1024;
+/// most daemons of a data centre, or of others, that are asked for a request
+const MOST_ASKED: usize = 8;
 /// error code of a call that came too early
 const NOT_READY: i32 = -32_001;
 
@@ -150,20 +153,28 @@
     best
 }
 
-/// daemons that may hold a request, likeliest first
+/// daemons that may hold a request, likeliest first: the one it is said to have
+/// moved to, those of its data centre, those of their region
 fn candidates(context: &Context, id: &str) -> Vec<Member> {
     let data_centre = id
         .split_once('.')
         .map_or("", |(data_centre, _)| data_centre);
     let me = context.node.me().instance;
     let members = context.node.members();
-    let mut near: Vec<Member> = members
-        .iter()
-        .filter(|member| member.instance != me && member.data_centre == data_centre)
-        .cloned()
-        .collect();
+    let others = members.iter().filter(|member| member.instance != me);
+    let (mut near, mut far): (Vec<&Member>, Vec<&Member>) =
+        others.partition(|member| member.data_centre == data_centre);
     near.sort_by_key(|member| std::cmp::Reverse(weight(id, member)));
-    near
+    far.sort_by_key(|member| std::cmp::Reverse(weight(id, member)));
+    near.truncate(MOST_ASKED);
+    far.truncate(MOST_ASKED);
+    let moved = context
+        .node
+        .moved(id)
+        .filter(|member| member.instance != me);
+    let mut all: Vec<Member> = moved.into_iter().collect();
+    all.extend(near.into_iter().chain(far).cloned());
+    all
 }
 
 /// daemons that may take requests over: of this data centre, else of this region
@@ -269,11 +280,27 @@
         tracing::info!(event, to = member.vm, requests = batch.len(), taken);
         if taken < batch.len() {
             refused.extend_from_slice(batch);
+        } else if !copy {
+            tell(context, member, batch);
         }
     }
     refused
 }
 
+/// tells where requests are, if that is not in the data centre that their ids name
+fn tell(context: &Context, member: &Member, journals: &[Arc<Journal>]) {
+    if member.data_centre == context.node.me().data_centre {
+        return;
+    }
+    for journal in journals {
+        let request = journal.origin.id.clone();
+        context.node.publish(Fact::Moved(Moved {
+            request,
+            to: member.instance,
+        }));
+    }
+}
+
 fn batches(journals: &[Arc<Journal>]) -> Vec<&[Arc<Journal>]> {
     let mut batches = Vec::new();
     let mut start = 0;
