--- a/crates/bench/src/demo/report.rs
+++ b/crates/bench/src/demo/report.rs
@@ -4,7 +4,7 @@
 use schema::data;
 
 /// width of the column with what was expected
-const EXPECTED_WIDTH: usize = 52;
+const EXPECTED_WIDTH: usize = 56;
 
 /// one line of the table
 #[apply(data!)]
--- a/crates/bench/src/demo/scenes.rs
+++ b/crates/bench/src/demo/scenes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::report::Report;
-use crate::client::{Answer, Ask, Fault};
+use crate::client::{Answer, Ask, Booking, Fault};
 use crate::poll_until;
 use crate::world::{Engine, World};
 
@@ -185,9 +185,9 @@
     world.engines().iter().find(is_running)
 }
 
-fn show<T: std::fmt::Debug>(result: &Result<T, Fault>) -> String {
+fn show(result: &Result<Booking, Fault>) -> String {
     match result {
-        Ok(value) => format!("{value:?}"),
+        Ok(booking) => booking.body.clone(),
         Err(fault) => fault.to_string(),
     }
 }
