--- a/crates/peer/src/fact/ledger.rs
+++ b/crates/peer/src/fact/ledger.rs
@@ -1,3 +1,4 @@
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
@@ -42,6 +43,17 @@
     }
 }
 
+/// what became of an item
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Offer {
+    /// it was news and is held now
+    News,
+    /// it was known
+    Known,
+    /// a later one is held, or it lapsed
+    Stale,
+}
+
 /// the latest fact about each subject
 #[derive(Default)]
 pub struct Ledger {
@@ -78,18 +90,24 @@
         }
     }
 
-    /// takes over an item if it is later than what is held; true when it is news
-    pub fn offer(&mut self, item: &Item, now: Instant) -> bool {
+    /// takes over an item if it is later than what is held
+    pub fn offer(&mut self, item: &Item, now: Instant) -> Offer {
         self.advance(item.counter);
         let key = Key::of(&item.fact, item.origin);
         let life = Duration::from_millis(item.life_ms).min(LONGEST);
         if let Fact::Revision(revision) = &item.fact {
-            if revision.number <= self.revision {
-                return false;
+            match revision.number.cmp(&self.revision) {
+                Ordering::Less => return Offer::Stale,
+                Ordering::Equal => return Offer::Known,
+                Ordering::Greater => self.revision = revision.number,
+            }
+        } else {
+            match self.compare(&key, item) {
+                Ordering::Less => return Offer::Stale,
+                Ordering::Equal => return Offer::Known,
+                Ordering::Greater if life.is_zero() => return Offer::Stale,
+                Ordering::Greater => {}
             }
-            self.revision = revision.number;
-        } else if !self.is_later(&key, item) || life.is_zero() {
-            return false;
         }
         let held = Held {
             origin: item.origin,
@@ -99,13 +117,14 @@
             lapses: now + life,
         };
         self.held.insert(key, held);
-        true
+        Offer::News
     }
 
-    fn is_later(&self, key: &Key, item: &Item) -> bool {
+    /// whether an item is later or earlier than what is held about its subject
+    fn compare(&self, key: &Key, item: &Item) -> Ordering {
         match self.held.get(key) {
-            Some(held) => (item.counter, item.origin) > (held.counter, held.origin),
-            None => true,
+            Some(held) => (item.counter, item.origin).cmp(&(held.counter, held.origin)),
+            None => Ordering::Greater,
         }
     }
 
@@ -154,4 +173,18 @@
             .map(|(origin, hasher)| (origin, hasher.digest() as u32))
             .collect()
     }
+
+    /// hash of the facts that are not told anew every few seconds
+    pub fn lasting_hash(&self, now: Instant) -> u32 {
+        let mut hasher = Xxh3::new();
+        for (key, held) in self.all(now) {
+            if life::is_repeated(&held.fact) || *key == Key::Revision {
+                continue;
+            }
+            key.hash(&mut hasher);
+            hasher.write_u64(held.origin);
+            hasher.write_u64(held.counter);
+        }
+        hasher.digest() as u32
+    }
 }
--- a/crates/peer/src/fact/life.rs
+++ b/crates/peer/src/fact/life.rs
@@ -23,8 +23,8 @@
 const LOAD_SHARE: Duration = Duration::from_millis(250);
 /// shortest time between two demand reports of one daemon
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
-/// time between two demand reports, in the mean over a data centre
-const REPORT_SHARE: Duration = Duration::from_millis(100);
+/// time between two demand reports, for each daemon or group that reports to the same one
+const REPORT_SHARE: Duration = Duration::from_millis(500);
 /// shortest time between two sums of one data centre
 const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
 /// time between two sums, in the mean over all data centres
@@ -62,9 +62,14 @@
     matches!(fact, Fact::Leaving(_) | Fact::Revision(_) | Fact::Moved(_))
 }
 
-/// how often one daemon passes a fact on, besides pushing it
+/// whether its origin tells a fact anew every few seconds
+pub fn is_repeated(fact: &Fact) -> bool {
+    matches!(fact, Fact::Load(_) | Fact::Demand(_) | Fact::Summary(_))
+}
+
+/// how often one daemon passes a fact on to random members
 pub fn repeats(fact: &Fact) -> u8 {
-    if is_urgent(fact) { 3 } else { 2 }
+    if is_urgent(fact) { 2 } else { 1 }
 }
 
 /// time between two load reports when `origins` daemons send them
@@ -72,9 +77,9 @@
     LOAD_PERIOD.max(LOAD_SHARE * count(origins))
 }
 
-/// time between two demand reports in a data centre of `members`
-pub fn report_period(members: usize) -> Duration {
-    REPORT_PERIOD.max(REPORT_SHARE * count(members))
+/// time between two demand reports when `reporters` send them to one daemon
+pub fn report_period(reporters: usize) -> Duration {
+    REPORT_PERIOD.max(REPORT_SHARE * count(reporters))
 }
 
 /// time between two sums of one data centre among `data_centres`
--- a/crates/peer/src/fact/mod.rs
+++ b/crates/peer/src/fact/mod.rs
@@ -11,5 +11,5 @@
 mod queue;
 
 pub use key::Key;
-pub use ledger::{Held, Ledger};
-pub use queue::{Queue, Topic};
+pub use ledger::{Held, Ledger, Offer};
+pub use queue::{Class, Neighbour, Queue, Rumour, Topic};
--- a/crates/peer/src/fact/queue.rs
+++ b/crates/peer/src/fact/queue.rs
@@ -1,8 +1,7 @@
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use macro_rules_attribute::apply;
-use schema::key;
+use schema::{data, key};
 
 use super::Key;
 
@@ -15,71 +14,144 @@
     Fact(Key),
 }
 
-struct Rumour {
+/// whom a message goes to or comes from
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Neighbour {
+    /// its instance, 0 when it is not known
+    pub instance: u64,
+    /// it is the successor in the ring of instances
+    pub next: bool,
+}
+
+/// which topics go before others
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    /// members of this data centre
+    Member,
+    /// facts
+    Fact,
+    /// members of other data centres: many at a time, and not pressing
+    Remote,
+}
+
+/// a topic to pass on
+#[apply(data!)]
+pub struct Rumour {
+    /// what it is about
+    pub topic: Topic,
+    /// what goes before what
+    pub class: Class,
+    /// size of the message part, bytes
+    pub bytes: usize,
+    /// how often it goes to random members
+    pub repeats: u8,
+}
+
+struct Open {
+    class: Class,
+    /// times it is still told to random members
     left: u8,
+    /// it is still to be told to the successor
+    ring: bool,
     bytes: usize,
     source: u64,
+    /// place in the order of arrival
+    place: u64,
 }
 
 /// news that still have to be passed on
+///
+/// Each topic goes once to the successor, so that without losses nobody is left out,
+/// and a few times to random members, so that it spreads fast. It goes fewer times
+/// when others tell it too.
 #[derive(Default)]
 pub struct Queue {
-    rumours: BTreeMap<Topic, Rumour>,
+    open: BTreeMap<Topic, Open>,
+    added: u64,
 }
 
 impl Queue {
-    /// passes a topic on `repeats` times, but not to `source`, who told it
-    pub fn add(&mut self, topic: Topic, bytes: usize, repeats: u8, source: u64) {
-        let rumour = Rumour {
-            left: repeats,
-            bytes,
-            source,
+    /// passes a topic on, but not to its `source`
+    pub fn add(&mut self, rumour: Rumour, source: Neighbour) {
+        self.added += 1;
+        let open = Open {
+            class: rumour.class,
+            left: rumour.repeats,
+            ring: !source.next,
+            bytes: rumour.bytes,
+            source: source.instance,
+            place: self.added,
         };
-        self.rumours.insert(topic, rumour);
+        self.open.insert(rumour.topic, open);
     }
 
-    /// topics for a message to `target`, of `limit` bytes at most, the least told first
+    /// topics for a message to `target`, of `limit` bytes at most, by class and age
     ///
     /// A topic that is larger than the limit goes alone.
-    pub fn take(&mut self, target: u64, limit: usize) -> Vec<Topic> {
-        let mut order: Vec<(Reverse<u8>, usize, &Topic)> = self
-            .rumours
+    pub fn take(&mut self, target: Neighbour, limit: usize) -> Vec<Topic> {
+        let mut order: Vec<(Class, u64, usize, &Topic)> = self
+            .open
             .iter()
-            .filter(|(_, rumour)| rumour.source != target)
-            .map(|(topic, rumour)| (Reverse(rumour.left), rumour.bytes, topic))
+            .filter(|(_, open)| open.is_for(target))
+            .map(|(topic, rumour)| (rumour.class, rumour.place, rumour.bytes, topic))
             .collect();
         order.sort();
         let mut room = limit;
         let mut taken = Vec::new();
-        for (_, bytes, topic) in order {
+        for (_, _, bytes, topic) in order {
             if bytes <= room || taken.is_empty() {
                 room = room.saturating_sub(bytes);
                 taken.push(topic.clone());
             }
         }
         for topic in &taken {
-            self.told(topic);
+            self.strike(topic, target);
         }
         taken
     }
 
-    fn told(&mut self, topic: &Topic) {
-        let Some(rumour) = self.rumours.get_mut(topic) else {
+    /// a member told a topic that is known here: it need not be told as often
+    pub fn heard(&mut self, topic: &Topic, source: Neighbour) {
+        self.strike(topic, source);
+    }
+
+    fn strike(&mut self, topic: &Topic, neighbour: Neighbour) {
+        let Some(rumour) = self.open.get_mut(topic) else {
             return;
         };
-        rumour.left = rumour.left.saturating_sub(1);
-        if rumour.left == 0 {
-            self.rumours.remove(topic);
+        if neighbour.next {
+            rumour.ring = false;
+        } else {
+            rumour.left = rumour.left.saturating_sub(1);
         }
+        if rumour.left == 0 && !rumour.ring {
+            self.open.remove(topic);
+        }
+    }
+
+    /// keeps only some topics
+    pub fn retain(&mut self, keep: impl Fn(&Topic) -> bool) {
+        self.open.retain(|topic, _| keep(topic));
     }
 
     /// number of topics that wait
     pub fn len(&self) -> usize {
-        self.rumours.len()
+        self.open.len()
     }
 
     /// whether nothing waits
     pub fn is_empty(&self) -> bool {
-        self.rumours.is_empty()
+        self.open.is_empty()
+    }
+}
+
+impl Open {
+    fn is_for(&self, target: Neighbour) -> bool {
+        let open = if target.next {
+            self.ring
+        } else {
+            self.left > 0
+        };
+        open && (self.source != target.instance || target.instance == 0)
     }
 }
--- a/crates/peer/src/gossip/core.rs
+++ b/crates/peer/src/gossip/core.rs
@@ -7,9 +7,10 @@
 use tokio::time::Instant;
 
 use super::exchange::Link;
+use super::report::{Received, Reporter};
 use super::{Answer, Call, Message, Target};
 use crate::Notice;
-use crate::fact::{Ledger, Queue};
+use crate::fact::{Key, Ledger, Queue, Topic};
 use crate::member::timing::{JOIN, REJOIN, STALL, STARTING, jittered};
 use crate::member::{Prober, Table};
 
@@ -39,12 +40,13 @@
     pub(super) random: StdRng,
     pub(super) me: Member,
     pub(super) seeds: Vec<String>,
-    pub(super) urgent: Vec<crate::fact::Topic>,
-    pub(super) pending: BTreeMap<crate::fact::Key, Fact>,
+    pub(super) urgent: Vec<Topic>,
+    pub(super) pending: BTreeMap<Key, Fact>,
     pub(super) demand: Demand,
-    pub(super) reports: BTreeMap<u64, super::report::Received>,
+    pub(super) reports: BTreeMap<Reporter, Received>,
     pub(super) links: BTreeMap<String, Link>,
     pub(super) due: Due,
+    pub(super) syncs: u32,
     pub(super) started: Instant,
     pub(super) notices: Vec<Notice>,
     calls: Vec<Call>,
@@ -93,6 +95,7 @@
                 report: now,
                 sum: now,
             },
+            syncs: 0,
             started: now,
             notices: Vec::new(),
             calls: Vec::new(),
@@ -126,6 +129,11 @@
             self.due.prune = now + PRUNE;
             self.table.prune(now);
             self.ledger.prune(now);
+            let ledger = &self.ledger;
+            self.queue.retain(|topic| match topic {
+                Topic::Member(_) => true,
+                Topic::Fact(key) => ledger.current(key, now).is_some(),
+            });
         }
     }
 
--- a/crates/peer/src/gossip/learn.rs
+++ b/crates/peer/src/gossip/learn.rs
@@ -6,12 +6,12 @@
 use super::core::Purpose;
 use super::{Core, Message, Target};
 use crate::Notice;
-use crate::fact::{Key, Topic, life};
+use crate::fact::{Class, Key, Neighbour, Offer, Rumour, Topic, life};
 use crate::member::timing::HELPERS;
 use crate::member::{Merge, Step};
 
-/// how often a claim about a member is passed on, besides pushing it
-const RECORD_REPEATS: u8 = 3;
+/// how often a claim about a member is passed on to random members
+const RECORD_REPEATS: u8 = 2;
 /// life of a revision that was learned as a number
 const REVISION_LIFE: Duration = Duration::from_secs(600);
 
@@ -30,7 +30,10 @@
     pub(super) fn learn_record(&mut self, record: &Record, source: u64, now: Instant) -> bool {
         let instance = record.member.instance;
         match self.table.merge(record, now) {
-            Merge::Known => {}
+            Merge::Known => {
+                let source = self.neighbour(source);
+                self.queue.heard(&Topic::Member(instance), source);
+            }
             Merge::Stale => {
                 self.queue_record(instance, 1, 0);
                 return false;
@@ -85,18 +88,39 @@
     }
 
     fn queue_record(&mut self, instance: u64, repeats: u8, source: u64) {
-        if let Some(entry) = self.table.get(instance) {
-            let bytes = size(&entry.record);
-            self.queue
-                .add(Topic::Member(instance), bytes, repeats, source);
+        let Some(entry) = self.table.get(instance) else {
+            return;
+        };
+        let local = self.table.is_local(&entry.record);
+        let rumour = Rumour {
+            topic: Topic::Member(instance),
+            class: if local { Class::Member } else { Class::Remote },
+            bytes: size(&entry.record),
+            repeats,
+        };
+        let source = self.neighbour(source);
+        self.queue.add(rumour, source);
+    }
+
+    /// what a member is to this daemon
+    pub(super) fn neighbour(&self, instance: u64) -> Neighbour {
+        Neighbour {
+            instance,
+            next: self.table.successor() == Some(instance),
         }
     }
 
     /// takes over a fact
     pub(super) fn learn_item(&mut self, item: &Item, source: u64, now: Instant) {
-        if item.origin == self.me.instance || !self.ledger.offer(item, now) {
+        if item.origin == self.me.instance {
+            self.heard_item(item, source);
             return;
         }
+        match self.ledger.offer(item, now) {
+            Offer::News => {}
+            Offer::Known => return self.heard_item(item, source),
+            Offer::Stale => return,
+        }
         if matches!(item.fact, Fact::Summary(_)) {
             self.touch();
         }
@@ -107,11 +131,23 @@
         self.pass_on(item, source);
     }
 
+    fn heard_item(&mut self, item: &Item, source: u64) {
+        let topic = Topic::Fact(Key::of(&item.fact, item.origin));
+        let source = self.neighbour(source);
+        self.queue.heard(&topic, source);
+    }
+
     /// passes a fact on as fast as its kind asks for
     pub(super) fn pass_on(&mut self, item: &Item, source: u64) {
         let topic = Topic::Fact(Key::of(&item.fact, item.origin));
-        let repeats = life::repeats(&item.fact);
-        self.queue.add(topic.clone(), size(item), repeats, source);
+        let rumour = Rumour {
+            topic: topic.clone(),
+            class: Class::Fact,
+            bytes: size(item),
+            repeats: life::repeats(&item.fact),
+        };
+        let source = self.neighbour(source);
+        self.queue.add(rumour, source);
         if life::is_urgent(&item.fact) {
             self.urgent.push(topic);
         }
@@ -251,7 +287,7 @@
             return;
         }
         if self.table.is_local(&entry.record) {
-            self.sync_with(ack.instance, now);
+            self.sync_with(ack.instance, true, now);
         } else {
             let data_centre = entry.record.member.data_centre.clone();
             self.exchange_with(ack.instance, &data_centre, now);
--- a/crates/peer/src/gossip/report.rs
+++ b/crates/peer/src/gossip/report.rs
@@ -15,45 +15,106 @@
 /// change of an entry, percent, from which on a sum is told anew
 const CHANGE_PERCENT: u64 = 10;
 
-/// the last report of a daemon
+/// daemons up to which the demand is reported to one daemon without groups
+const UNGROUPED: usize = 6;
+
+/// who a report is from
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Reporter {
+    /// a daemon, of its own demand
+    Daemon(u64),
+    /// a group of daemons, of their sum
+    Group(u32),
+}
+
+/// the last report of a daemon or a group
 pub(super) struct Received {
     demand: Demand,
     at: Instant,
 }
 
 impl Core {
-    fn summer(&self) -> Option<u64> {
+    fn holder(&self, duty: &str) -> Option<u64> {
         let members: Vec<_> = self.table.members(&self.me.data_centre).collect();
-        duty::holders(&members, SUM, 1)
+        duty::holders(&members, duty, 1)
             .first()
             .map(|member| member.instance)
     }
 
     /// tells the own demand to the daemon that sums it up
+    ///
+    /// In a large data centre that is done by group, and the sums of the groups are
+    /// summed up in turn, so that no daemon gets more than a few reports.
     pub(super) fn report_when_due(&mut self, now: Instant) {
         if now < self.due.report {
             return;
         }
-        self.due.report = now + life::report_period(self.table.size());
-        let report = Report {
+        self.forget_old_reports(now);
+        let groups = group_count(self.table.size());
+        self.due.report = now + life::report_period(reporters(self.table.size()));
+        let own = Report {
             from: self.me.instance,
             demand: self.demand.clone(),
+            group: None,
         };
-        match self.summer() {
-            Some(summer) if summer == self.me.instance => self.receive_report(&report, now),
-            Some(summer) if !report.demand.entries.is_empty() => {
-                self.tell(summer, Message::Report(report));
+        if groups == 1 {
+            self.report_to(SUM, own, now);
+            return;
+        }
+        let group = u32::try_from(self.me.instance % u64::from(groups)).unwrap_or_default();
+        self.report_to(&group_duty(group), own, now);
+        for group in 0..groups {
+            let held = self.holder(&group_duty(group)) == Some(self.me.instance);
+            if held && let Some(demand) = self.group_demand(group, groups) {
+                let from = self.me.instance;
+                let group = Some(group);
+                let sum = Report {
+                    from,
+                    demand,
+                    group,
+                };
+                self.report_to(SUM, sum, now);
+            }
+        }
+    }
+
+    fn report_to(&mut self, duty: &str, report: Report, now: Instant) {
+        match self.holder(duty) {
+            Some(holder) if holder == self.me.instance => self.receive_report(&report, now),
+            Some(holder) if !report.demand.entries.is_empty() => {
+                self.tell(holder, Message::Report(report));
             }
             _ => {}
         }
     }
 
+    /// sum of the demand that the daemons of a group reported here
+    fn group_demand(&self, group: u32, groups: u32) -> Option<Demand> {
+        let group = u64::from(group);
+        let of_group = |reporter: &Reporter| match reporter {
+            Reporter::Daemon(instance) => instance % u64::from(groups) == group,
+            Reporter::Group(_) => false,
+        };
+        let entries = self.sum_reports(of_group);
+        (!entries.is_empty()).then_some(Demand { entries })
+    }
+
+    fn forget_old_reports(&mut self, now: Instant) {
+        let valid = life::report_period(reporters(self.table.size())) * REPORT_PERIODS;
+        self.reports
+            .retain(|_, received| now.saturating_duration_since(received.at) < valid);
+    }
+
     pub(super) fn receive_report(&mut self, report: &Report, now: Instant) {
+        let reporter = match report.group {
+            Some(group) => Reporter::Group(group),
+            None => Reporter::Daemon(report.from),
+        };
         let received = Received {
             demand: report.demand.clone(),
             at: now,
         };
-        self.reports.insert(report.from, received);
+        self.reports.insert(reporter, received);
     }
 
     /// publishes the sum of the data centre, if that is this daemon's duty
@@ -63,37 +124,39 @@
         }
         let data_centres = self.data_centres().len() + 1;
         self.due.sum = now + life::summary_period(data_centres);
-        if self.summer() != Some(self.me.instance) {
-            self.reports.clear();
+        if self.holder(SUM) != Some(self.me.instance) {
             return;
         }
-        let period = life::report_period(self.table.size());
-        let valid = period * REPORT_PERIODS;
-        self.reports
-            .retain(|_, received| now.saturating_duration_since(received.at) < valid);
-        let summary = self.added_up();
+        self.forget_old_reports(now);
+        let grouped = group_count(self.table.size()) > 1;
+        let entries = self.sum_reports(|reporter| match reporter {
+            Reporter::Daemon(_) => !grouped,
+            Reporter::Group(_) => grouped,
+        });
+        let summary = Summary {
+            data_centre: self.me.data_centre.clone(),
+            members: u32::try_from(self.table.size()).unwrap_or(u32::MAX),
+            entries,
+        };
         self.tell_summary(summary, now);
     }
 
-    /// sums of this data centre as far as they were reported here
-    fn added_up(&self) -> Summary {
+    /// sums of the reports of some reporters, by workspace
+    fn sum_reports(&self, which: impl Fn(&Reporter) -> bool) -> Vec<Entry> {
         let mut entries: BTreeMap<&str, Entry> = BTreeMap::new();
-        for received in self.reports.values() {
-            for entry in &received.demand.entries {
-                let sum = entries.entry(&entry.workspace).or_insert_with(|| Entry {
-                    workspace: entry.workspace.clone(),
-                    tokens_per_second: 0,
-                    concurrent: 0,
-                });
-                sum.tokens_per_second += entry.tokens_per_second;
-                sum.concurrent = sum.concurrent.saturating_add(entry.concurrent);
-            }
-        }
-        Summary {
-            data_centre: self.me.data_centre.clone(),
-            members: u32::try_from(self.table.size()).unwrap_or(u32::MAX),
-            entries: entries.into_values().collect(),
+        let chosen = self.reports.iter().filter(|(reporter, _)| which(reporter));
+        for entry in chosen.flat_map(|(_, received)| &received.demand.entries) {
+            let sum = entries.entry(&entry.workspace).or_insert_with(|| Entry {
+                workspace: entry.workspace.clone(),
+                tokens_per_second: 0,
+                concurrent: 0,
+            });
+            sum.tokens_per_second = sum
+                .tokens_per_second
+                .saturating_add(entry.tokens_per_second);
+            sum.concurrent = sum.concurrent.saturating_add(entry.concurrent);
         }
+        entries.into_values().collect()
     }
 
     /// publishes the sums of a data centre, if they changed or were told long ago
@@ -121,6 +184,23 @@
     }
 }
 
+/// number of groups in a data centre: about the square root of its daemons
+fn group_count(members: usize) -> u32 {
+    if members <= UNGROUPED {
+        return 1;
+    }
+    u32::try_from(members.isqrt()).unwrap_or(u32::MAX)
+}
+
+/// number of daemons, or of groups, that report to one daemon
+fn reporters(members: usize) -> usize {
+    members.div_ceil(group_count(members) as usize)
+}
+
+fn group_duty(group: u32) -> String {
+    format!("{SUM}/{group}")
+}
+
 /// whether sums differ by enough to be told anew
 fn differs(old: &Summary, new: &Summary) -> bool {
     if old.members != new.members || old.entries.len() != new.entries.len() {
--- a/crates/peer/src/gossip/spread.rs
+++ b/crates/peer/src/gossip/spread.rs
@@ -6,7 +6,7 @@
 
 use super::learn::size;
 use super::{Core, Message};
-use crate::fact::{Key, Topic, life};
+use crate::fact::{Key, Offer, Topic, life};
 
 /// members that an urgent fact is pushed to: the successor and random ones
 const FAN_OUT: usize = 3;
@@ -35,7 +35,7 @@
 
     pub(super) fn emit(&mut self, fact: Fact, now: Instant) {
         let item = self.ledger.stamp(self.me.instance, fact);
-        if self.ledger.offer(&item, now) {
+        if self.ledger.offer(&item, now) == Offer::News {
             self.pass_on(&item, 0);
         }
     }
@@ -62,6 +62,7 @@
 
     /// news that fit on a probe or its answer
     pub(super) fn piggyback(&mut self, target: u64, now: Instant) -> News {
+        let target = self.neighbour(target);
         let topics = self.queue.take(target, PIGGYBACK);
         self.news(&topics, now, PIGGYBACK)
     }
--- a/crates/peer/src/gossip/sync.rs
+++ b/crates/peer/src/gossip/sync.rs
@@ -16,6 +16,8 @@
 const PERIOD: Duration = Duration::from_secs(4);
 /// time between two comparisons, for each member of the data centre
 const SHARE: Duration = Duration::from_millis(80);
+/// one in so many comparisons is by the lists in any case
+const WITH_LISTS: u32 = 4;
 /// bytes of news in one answer; the rest comes with the next comparison
 const ANSWER: usize = 128 * 1024;
 
@@ -29,32 +31,49 @@
         self.due.sync = now + jittered(period, &mut self.random);
         let instances = self.table.others().map(|r| r.member.instance);
         if let Some(peer) = instances.choose(&mut self.random) {
-            self.sync_with(peer, now);
+            self.syncs += 1;
+            self.sync_with(peer, self.syncs.is_multiple_of(WITH_LISTS), now);
         }
     }
 
-    /// compares with one member what both know
-    pub(super) fn sync_with(&mut self, peer: u64, now: Instant) {
-        let digest = self.digest(now);
+    /// compares with one member what both know, by the lists or only by the total
+    pub(super) fn sync_with(&mut self, peer: u64, lists: bool, now: Instant) {
+        let mut digest = Digest {
+            from: self.me.instance,
+            clock: self.ledger.clock(),
+            revision: self.ledger.revision(),
+            total: self.total(now),
+            lists,
+            members: Vec::new(),
+            data_centres: Vec::new(),
+        };
+        if lists {
+            self.add_lists(&mut digest, now);
+        }
         if let Some(to) = self.target(peer) {
             self.send(to, Message::Sync(digest), Purpose::Sync(peer));
         }
     }
 
-    fn digest(&self, now: Instant) -> Digest {
-        let marks = self.marks(now);
+    fn add_lists(&self, digest: &mut Digest, now: Instant) {
         let mark = |(instance, hash)| Mark { instance, hash };
         let share = |data_centre: String| Share {
             hash: self.table.hash(&data_centre),
             data_centre,
         };
-        Digest {
-            from: self.me.instance,
-            clock: self.ledger.clock(),
-            revision: self.ledger.revision(),
-            members: marks.into_iter().map(mark).collect(),
-            data_centres: self.data_centres().into_iter().map(share).collect(),
+        digest.members = self.marks(now).into_iter().map(mark).collect();
+        digest.data_centres = self.data_centres().into_iter().map(share).collect();
+    }
+
+    /// hash of all members and of the facts that last
+    fn total(&self, now: Instant) -> u32 {
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.ledger.lasting_hash(now).to_le_bytes());
+        hasher.update(&self.table.hash(&self.me.data_centre).to_le_bytes());
+        for data_centre in self.data_centres() {
+            hasher.update(&self.table.hash(&data_centre).to_le_bytes());
         }
+        hasher.digest() as u32
     }
 
     /// hashes of the claim about each member and of the facts it published
@@ -74,6 +93,14 @@
     pub(super) fn compare(&mut self, digest: &Digest, now: Instant) -> Difference {
         self.ledger.advance(digest.clock);
         self.learn_revision(digest.revision, digest.from, now);
+        if !digest.lists {
+            return Difference {
+                news: self.news(&[], now, 0),
+                wanted: Vec::new(),
+                shares: Vec::new(),
+                differs: self.total(now) != digest.total,
+            };
+        }
         let own = self.marks(now);
         let theirs: BTreeMap<u64, u32> = digest
             .members
@@ -95,6 +122,7 @@
             news: self.gather(&differing, &shares, now),
             wanted,
             shares,
+            differs: false,
         }
     }
 
@@ -131,6 +159,10 @@
 
     /// takes over a difference and tells the other side what it asked for
     pub(super) fn reconcile(&mut self, peer: u64, difference: &Difference, now: Instant) {
+        if difference.differs {
+            self.sync_with(peer, true, now);
+            return;
+        }
         let mut lagging = difference.wanted.clone();
         for record in &difference.news.records {
             if !self.learn_record(record, peer, now) {
--- a/crates/peer/src/gossip/view.rs
+++ b/crates/peer/src/gossip/view.rs
@@ -40,6 +40,11 @@
             .collect()
     }
 
+    /// number of topics that are still to be passed on
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
     /// highest revision known
     pub fn revision(&self) -> u64 {
         self.ledger.revision()
--- a/crates/peer/tests/fact.rs
+++ b/crates/peer/tests/fact.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use peer::fact::{Key, Ledger, Queue, Topic, levels, life};
+use peer::fact::{Class, Key, Ledger, Neighbour, Offer, Queue, Rumour, Topic, levels, life};
 use peer::{Fact, Member, State, duty};
 use proptest::prelude::*;
 use schema::member::{Applied, Demand, Entry, Exception, Item, Leaving, Load, Moved, Revision};
@@ -68,7 +68,8 @@
             let version = (counter, origin);
             let news = ledger.offer(&item(origin, counter, leaving(&vm.to_string(), seconds)), now);
             let before = latest.get(&vm).copied();
-            prop_assert_eq!(news, before.is_none_or(|before| version > before));
+            prop_assert_eq!(news == Offer::News, before.is_none_or(|before| version > before));
+            prop_assert_eq!(news == Offer::Known, before == Some(version));
             latest.insert(vm, before.map_or(version, |before| before.max(version)));
             ledger.prune(now);
             let held = ledger.last(&Key::Leaving(vm.to_string())).expect("it was offered");
@@ -101,23 +102,28 @@
         limit in 1usize..1000,
     ) {
         let mut queue = Queue::default();
+        let nobody = Neighbour { instance: 0, next: false };
         for (number, bytes) in sizes.iter().enumerate() {
-            queue.add(Topic::Member(number as u64), *bytes, 2, 0);
+            queue.add(rumour(Topic::Member(number as u64), Class::Fact, *bytes), nobody);
         }
-        let mut told: BTreeMap<u64, usize> = BTreeMap::new();
+        let mut told: BTreeMap<(u64, bool), usize> = BTreeMap::new();
+        let mut next = false;
         while !queue.is_empty() {
-            let taken = queue.take(99, limit);
-            prop_assert!(!taken.is_empty());
+            next = !next;
+            let taken = queue.take(Neighbour { instance: 99, next }, limit);
             let mut bytes = 0;
             for topic in &taken {
                 let Topic::Member(number) = topic else { unreachable!("only members") };
                 bytes += sizes[*number as usize];
-                *told.entry(*number).or_default() += 1;
+                *told.entry((*number, next)).or_default() += 1;
             }
             prop_assert!(bytes <= limit || taken.len() == 1);
         }
-        prop_assert!(told.values().all(|count| *count == 2));
-        prop_assert_eq!(told.len(), sizes.len());
+        prop_assert_eq!(told.len(), 2 * sizes.len());
+        for ((_, next), count) in told {
+            let expected = if next { 1 } else { 2 };
+            prop_assert_eq!(count, expected);
+        }
     }
 
     #[test]
@@ -222,6 +228,56 @@
     }
 }
 
+fn rumour(topic: Topic, class: Class, bytes: usize) -> Rumour {
+    Rumour {
+        topic,
+        class,
+        bytes,
+        repeats: 2,
+    }
+}
+
+#[test]
+fn members_of_other_data_centres_do_not_hold_up_facts() {
+    let mut queue = Queue::default();
+    let somebody = Neighbour {
+        instance: 5,
+        next: false,
+    };
+    for instance in 10..500 {
+        queue.add(
+            rumour(Topic::Member(instance), Class::Remote, 240),
+            somebody,
+        );
+    }
+    let fact = Topic::Fact(Key::Load(7));
+    queue.add(rumour(fact.clone(), Class::Fact, 150), somebody);
+    queue.add(rumour(Topic::Member(6), Class::Member, 240), somebody);
+    let other = Neighbour {
+        instance: 8,
+        next: true,
+    };
+    let taken = queue.take(other, 640);
+    assert_eq!(taken, vec![Topic::Member(6), fact, Topic::Member(10)]);
+}
+
+#[test]
+fn a_data_centre_in_reach_stays_listed() {
+    let mut net = settled(9, Weather::default(), 5, 8);
+    for step in 0..240u64 {
+        for place in 0..net.daemons.len() {
+            let entries = (0..5)
+                .map(|number| entry(&format!("workspace-{number}"), 100 + 50 * (step % 7)))
+                .collect();
+            net.order(place, |core, now| {
+                core.publish(Fact::Demand(Demand { entries }), now)
+            });
+        }
+        net.run(SECOND / 2);
+        assert!(net.agrees(), "a member is missing after {} s", step / 2);
+    }
+}
+
 fn member(instance: u64) -> Member {
     Member {
         vm: instance.to_string(),
@@ -240,7 +296,7 @@
     let mut ledger = Ledger::default();
     let early = item(1, 1, leaving("a", 3000));
     let late = item(1, 2, leaving("a", 5));
-    assert!(ledger.offer(&late, start));
+    assert_eq!(ledger.offer(&late, start), Offer::News);
     let later = start + Duration::from_secs(600);
     ledger.prune(later);
     assert!(
@@ -248,7 +304,7 @@
             .current(&Key::Leaving("a".to_owned()), later)
             .is_none()
     );
-    assert!(!ledger.offer(&early, later), "the early version was taken");
+    assert_eq!(ledger.offer(&early, later), Offer::Stale);
 }
 
 #[test]
