peer: let no topic wait for ever

Cause: with one other member a topic's telling to random members never came up. Change: topics that wait for 30 s are left to the comparisons; a test for it.

--- a/crates/peer/src/fact/queue.rs
+++ b/crates/peer/src/fact/queue.rs
@@ -68,6 +68,7 @@
 pub struct Queue {
     open: BTreeMap<Topic, Open>,
     added: u64,
+    mark: u64,
 }
 
 impl Queue {
@@ -129,9 +130,10 @@
         }
     }
 
-    /// keeps only some topics
-    pub fn retain(&mut self, keep: impl Fn(&Topic) -> bool) {
-        self.open.retain(|topic, _| keep(topic));
+    /// drops topics that were waiting at the last call already
+    pub fn prune(&mut self) {
+        let mark = std::mem::replace(&mut self.mark, self.added);
+        self.open.retain(|_, open| open.place > mark);
     }
 
     /// number of topics that wait
@@ -147,11 +149,9 @@
 
 impl Open {
     fn is_for(&self, target: Neighbour) -> bool {
-        let open = if target.next {
-            self.ring
-        } else {
-            self.left > 0
-        };
-        open && (self.source != target.instance || target.instance == 0)
+        if target.next {
+            return self.ring;
+        }
+        self.left > 0 && (self.source != target.instance || target.instance == 0)
     }
 }
--- a/crates/peer/src/gossip/core.rs
+++ b/crates/peer/src/gossip/core.rs
@@ -21,6 +21,9 @@
 /// time between two clean-ups
 const PRUNE: Duration = Duration::from_secs(5);
 
+/// news that could not be passed on for so long are left to the comparisons
+const QUEUE_KEPT: Duration = Duration::from_secs(30);
+
 /// why a call was made
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Purpose {
@@ -61,6 +64,7 @@
     pub join: Instant,
     pub sync: Instant,
     pub prune: Instant,
+    pub queue: Instant,
     pub refresh: Instant,
     pub load: Instant,
     pub report: Instant,
@@ -90,6 +94,7 @@
                 join: now,
                 sync: now + Duration::from_secs(1),
                 prune: now + PRUNE,
+                queue: now + QUEUE_KEPT,
                 refresh: now,
                 load: now,
                 report: now,
@@ -129,11 +134,10 @@
             self.due.prune = now + PRUNE;
             self.table.prune(now);
             self.ledger.prune(now);
-            let ledger = &self.ledger;
-            self.queue.retain(|topic| match topic {
-                Topic::Member(_) => true,
-                Topic::Fact(key) => ledger.current(key, now).is_some(),
-            });
+        }
+        if now >= self.due.queue {
+            self.due.queue = now + QUEUE_KEPT;
+            self.queue.prune();
         }
     }
 
--- a/crates/peer/tests/fact.rs
+++ b/crates/peer/tests/fact.rs
@@ -261,6 +261,23 @@
     assert_eq!(taken, vec![Topic::Member(6), fact, Topic::Member(10)]);
 }
 
+#[test]
+fn nothing_waits_for_ever() {
+    for size in [1, 2, 3] {
+        let mut net = Net::with(4, Weather::default(), 1, size);
+        net.run(JOINING);
+        net.order(0, |core, now| core.publish(leaving("engine-1", 600), now));
+        net.run(90 * SECOND);
+        for daemon in &net.daemons {
+            assert!(
+                daemon.core.waiting() <= 2 * size,
+                "{} wait",
+                daemon.core.waiting()
+            );
+        }
+    }
+}
+
 #[test]
 fn a_data_centre_in_reach_stays_listed() {
     let mut net = settled(9, Weather::default(), 5, 8);
