--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -80,6 +80,9 @@
     let after: Vec<Traffic> = nodes.iter().map(Node::traffic).collect();
     work.abort();
     report(&before, &after, elapsed, cpu, centres);
+    if !nodes.iter().all(|n| n.members().len() == nodes.len()) {
+        println!("the nodes do not list each other any more");
+    }
     for node in &nodes {
         node.stop().await;
     }
--- a/crates/peer/src/gossip/core.rs
+++ b/crates/peer/src/gossip/core.rs
@@ -214,8 +214,8 @@
             (Purpose::Sync(peer), Some(Answer::Difference(difference))) => {
                 self.reconcile(peer, &difference, now);
             }
-            (Purpose::Exchange(peer), Some(Answer::Exchange(exchange))) => {
-                self.exchanged(peer, &exchange, now);
+            (Purpose::Exchange(_), Some(Answer::Exchange(exchange))) => {
+                self.receive(&exchange, now);
             }
             (Purpose::Exchange(peer), None) => self.exchange_failed(peer, now),
             _ => {}
--- a/crates/peer/src/gossip/exchange.rs
+++ b/crates/peer/src/gossip/exchange.rs
@@ -153,11 +153,6 @@
         self.own_exchange(&exchange.summary.data_centre, now)
     }
 
-    /// an exchange that this daemon started was answered
-    pub(super) fn exchanged(&mut self, _peer: u64, exchange: &Exchange, now: Instant) {
-        self.receive(exchange, now);
-    }
-
     /// an exchange failed: the next one goes to another contact, soon
     pub(super) fn exchange_failed(&mut self, peer: u64, now: Instant) {
         let Some(entry) = self.table.get(peer) else {
@@ -169,7 +164,8 @@
         link.next = link.next.min(now + RETRY);
     }
 
-    fn receive(&mut self, exchange: &Exchange, now: Instant) {
+    /// takes over what the other side told, as a call or as the answer to one
+    pub(super) fn receive(&mut self, exchange: &Exchange, now: Instant) {
         let data_centre = &exchange.summary.data_centre;
         if *data_centre == self.me.data_centre {
             return;
