Tell callers a sentence when an upstream fails

Cause: errors carried the log's text of the failure, such as "the upstream went silent: Resource temporarily unavailable (os error 11)": no sentence, and nothing a caller can use. Ruled out: the text of refusals made by the daemon itself, which are sentences. Change: a sentence per kind of failure for the caller; the cause goes into the span of the attempt, which for plain services had none.

--- a/crates/entry/src/call/plain.rs
+++ b/crates/entry/src/call/plain.rs
@@ -204,7 +204,10 @@
             .attempts
             .with_label_values(&[self.service, label])
             .inc();
-        let note = format!("vm={} number={number} outcome={label}", pick.vm);
+        let mut note = format!("vm={} number={number} outcome={label}", pick.vm);
+        if let Err(failure) = &result {
+            note.push_str(&format!(" cause={failure}"));
+        }
         self.context.spans.add(self.hop(), "attempt", start, &note);
         self.context
             .routes
--- a/crates/entry/src/drive/lost.rs
+++ b/crates/entry/src/drive/lost.rs
@@ -35,9 +35,26 @@
         Kind::Silent => (504, "upstream_silent"),
         _ => (502, "upstream_failed"),
     };
-    let fault = Fault::unsure(status, code, failure.to_string()).with_verdict(verdict);
+    let fault = Fault::unsure(status, code, sentence(failure)).with_verdict(verdict);
     match status {
         400 => fault,
         _ => fault.after(RETRY_AFTER),
     }
 }
+
+/// what happened, for callers; what only operators can use goes to spans
+fn sentence(failure: &Failure) -> String {
+    let sentence = match failure.kind {
+        Kind::Unreachable => "The upstream can't be reached.",
+        Kind::Silent => "The upstream did not answer in time.",
+        Kind::Broken => "The connection to the upstream broke.",
+        Kind::Unknown => "The upstream does not know the stream.",
+        Kind::Refused => "The upstream refused the request before it ran.",
+        Kind::Status(status) => {
+            let detail = failure.detail.trim_end_matches('.');
+            return format!("The upstream answered with status {status}: {detail}.");
+        }
+        Kind::Garbled => "The answer of the upstream can't be understood.",
+    };
+    sentence.to_owned()
+}
