--- a/crates/bench/tests/once.rs
+++ b/crates/bench/tests/once.rs
@@ -3,7 +3,7 @@
 //! The record of the plain services is the judge: no key is in it twice. What is
 //! served meanwhile is counted too, since refusing everything keeps the promise as well.
 
-mod support;
+mod proof;
 
 #[path = "once/holder.rs"]
 mod holder;
@@ -23,7 +23,7 @@
 use schema::settings::Timing;
 use standin::{plain, proxy};
 
-use support::{Call, Reply, Scenes, keys_run_twice, runs_of};
+use proof::{Call, Reply, Scenes, keys_run_twice, runs_of};
 
 /// plain service of the world
 const DESK: &str = "archive-desk";
--- a/crates/bench/tests/once/holder.rs
+++ b/crates/bench/tests/once/holder.rs
@@ -6,7 +6,7 @@
 use bench::eventually;
 use standin::{plain, proxy};
 
-use super::support::{Scenes, runs_of};
+use super::proof::{Scenes, runs_of};
 use super::{Stage, assert_may_have_run};
 
 /// longest wait for a call to get somewhere
--- a/crates/bench/tests/once/store.rs
+++ b/crates/bench/tests/once/store.rs
@@ -5,7 +5,7 @@
 use schema::failure::Verdict;
 use schema::objects::Faults;
 
-use super::support::{Call, Scenes, faults, no_faults, runs_of, store_faults};
+use super::proof::{Call, Scenes, faults, no_faults, runs_of, store_faults};
 use super::{DESK, Stage};
 
 /// a keyed call without the object API is refused within this
--- a/crates/bench/tests/once/ticket.rs
+++ b/crates/bench/tests/once/ticket.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use standin::proxy;
 
-use super::support::{Call, Scenes, runs_of};
+use super::proof::{Call, Scenes, runs_of};
 use super::{CUT_OFF, CUT_OFF_DAEMON, Stage, assert_may_have_run};
 
 /// a keyed call in the cut-off data centre is refused within this
--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/proof/mod.rs
@@ -1,5 +1,5 @@
 //! What the proofs of the promises share.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod raw;
 mod record;
--- a/crates/bench/tests/verdict.rs
+++ b/crates/bench/tests/verdict.rs
@@ -2,7 +2,7 @@
 //!
 //! The stand-ins' records are the judge, also for bytes that arrive late.
 
-mod support;
+mod proof;
 
 #[path = "verdict/bad_input.rs"]
 mod bad_input;
@@ -19,7 +19,7 @@
 use schema::settings::Timing;
 use standin::proxy;
 
-use support::{Call, Reply, Scenes, runs_of};
+use proof::{Call, Reply, Scenes, runs_of};
 
 /// plain service of the world
 const DESK: &str = "booking-desk";
--- a/crates/bench/tests/verdict/bad_input.rs
+++ b/crates/bench/tests/verdict/bad_input.rs
@@ -4,7 +4,7 @@
 
 use schema::failure::Verdict;
 
-use super::support::{Call, Scenes, executions, send_bytes};
+use super::proof::{Call, Scenes, executions, send_bytes};
 use super::{DESK, MODEL, Stage};
 
 /// largest body that a daemon takes by default, bytes
@@ -27,6 +27,7 @@
             .into_iter()
             .chain(bad_bodies(stage))
             .chain(bad_headers(stage))
+            .chain(bad_paths(stage))
         {
             check(&case, to);
         }
@@ -173,70 +174,45 @@
     for number in 0..100 {
         many = many.header(&format!("X-Many-{number}"), "1");
     }
-    let key = |value: &str| book(stage).header("Idempotency-Key", value);
+    let with = |name: &str, value: &str| book(stage).header(name, value);
+    let key = |value: &str| with("Idempotency-Key", value);
+    let large = "x".repeat(32 * 1024);
+    let beyond = "9".repeat(23);
+    let doubled = key("one").header("idempotency-key", "two");
+    let lengths = with("Content-Length", "1").body("hello");
     vec![
         case("a hundred headers", &[431], many),
-        case(
-            "a header of 32 KB",
-            &[431],
-            book(stage).header("X-Large", &"x".repeat(32 * 1024)),
-        ),
+        case("a header of 32 KB", &[431], with("X-Large", &large)),
         case("an empty key", &[400], key("")),
         case("a key of 300 characters", &[400], key(&"k".repeat(300))),
-        case(
-            "a doubled key",
-            &[400],
-            key("one").header("idempotency-key", "two"),
-        ),
-        case(
-            "two lengths",
-            &[400],
-            book(stage).header("Content-Length", "1").body("hello"),
-        ),
+        case("a doubled key", &[400], doubled),
+        case("two lengths", &[400], lengths),
         case(
             "a length and chunks",
             &[400],
-            book(stage).header("Transfer-Encoding", "chunked"),
-        ),
-        case(
-            "a priority above 9",
-            &[400],
-            book(stage).header("X-Priority", "99"),
-        ),
-        case(
-            "a priority in words",
-            &[400],
-            book(stage).header("X-Priority", "high"),
-        ),
-        case(
-            "a negative priority",
-            &[400],
-            book(stage).header("X-Priority", "-1"),
-        ),
-        case(
-            "no time at all",
-            &[400],
-            book(stage).header("X-Deadline-Ms", "0"),
+            with("Transfer-Encoding", "chunked"),
         ),
+        case("a priority above 9", &[400], with("X-Priority", "99")),
+        case("a priority in words", &[400], with("X-Priority", "high")),
+        case("a negative priority", &[400], with("X-Priority", "-1")),
+        case("no time at all", &[400], with("X-Deadline-Ms", "0")),
         case(
             "a deadline beyond numbers",
             &[400],
-            book(stage).header("X-Deadline-Ms", "99999999999999999999999"),
-        ),
-        case(
-            "an unknown request",
-            &[404],
-            Call::new("GET", "/v1/requests/nothing").bearer(&stage.key),
-        ),
-        case("an unknown path", &[404], Call::new("GET", "/nothing")),
-        case(
-            "another method",
-            &[405],
-            Call::new("GET", "/v1/completions").bearer(&stage.key),
+            with("X-Deadline-Ms", &beyond),
         ),
     ]
 }
 
+fn bad_paths(stage: &Stage) -> Vec<Case> {
+    let get = |path: &str| Call::new("GET", path).bearer(&stage.key);
+    vec![
+        case("an unknown request", &[404], get("/v1/requests/nothing")),
+        case("an unknown path", &[404], get("/nothing")),
+        case("another method", &[405], get("/v1/completions")),
+    ]
+}
+
 /// not even HTTP: the connection may end without an answer, but never with a success
 fn garbage(to: SocketAddr) {
     let cases: [&[u8]; 7] = [
--- a/crates/bench/tests/verdict/model.rs
+++ b/crates/bench/tests/verdict/model.rs
@@ -7,7 +7,7 @@
 use schema::failure::Verdict;
 use standin::{engine, proxy};
 
-use super::support::Scenes;
+use super::proof::Scenes;
 use super::{HEALED_WITHIN, MODEL, Stage};
 
 /// deadline of completions that can't be served
--- a/crates/bench/tests/verdict/plain.rs
+++ b/crates/bench/tests/verdict/plain.rs
@@ -7,7 +7,7 @@
 use schema::failure::Verdict;
 use standin::{plain, proxy};
 
-use super::support::{Reply, Scenes, runs_of};
+use super::proof::{Reply, Scenes, runs_of};
 use super::{PLAIN_MS, Stage};
 
 /// a refused connect is told within this
