Tell the other daemons when an engine says that it is leaving

Cause: the daemon that polls an engine marked it as leaving in its own table only; the other daemons, who do not poll it, sent it work until a notice of the cloud came or the VM list caught up. Ruled out: the spread of notices that the cloud gives, which one data centre reads and all hear within the bound. Change: the poller publishes the fact, with the time left if a notice stated one, and again every 30 s while the engine says so, for daemons that start.

--- a/crates/daemon/src/load/poller.rs
+++ b/crates/daemon/src/load/poller.rs
@@ -9,6 +9,7 @@
 use entry::Context;
 use route::table::Vm;
 use schema::config::Kind;
+use schema::member::{Fact, Leaving};
 use tokio::time::Instant;
 
 /// threads that poll, so that one silent VM holds up few others
@@ -16,10 +17,14 @@
 /// VMs that wait to be polled
 const WAITING: usize = 256;
 
+/// time after which it is told again that a VM says it is leaving
+const REPEAT: Duration = Duration::from_secs(30);
+
 /// polls upstream VMs
 pub struct Poller {
     context: Arc<Context>,
     since: Mutex<HashMap<String, u64>>,
+    told: Mutex<HashMap<String, Instant>>,
 }
 
 impl Poller {
@@ -29,10 +34,10 @@
     /// When a thread can't be started.
     pub fn start(context: &Arc<Context>, period: Duration) -> std::io::Result<()> {
         let (sender, receiver) = bounded(WAITING);
-        let since = Mutex::default();
         let poller = Arc::new(Poller {
             context: Arc::clone(context),
-            since,
+            since: Mutex::default(),
+            told: Mutex::default(),
         });
         for number in 0..THREADS {
             let poller = Arc::clone(&poller);
@@ -85,7 +90,7 @@
                 let now = Instant::now();
                 self.context.routes.report(&vm.name, &load, now);
                 if load.leaving {
-                    self.context.routes.leaving(&vm.name, now);
+                    self.tell(&vm.name, now);
                 }
             }
             Err(error) => {
@@ -100,6 +105,23 @@
         }
     }
 
+    /// tells the other daemons, who do not poll this VM
+    fn tell(&self, vm: &str, now: Instant) {
+        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_recent = told.get(vm).is_some_and(|at| now < *at + REPEAT);
+        if is_recent {
+            return;
+        }
+        told.retain(|_, at| now < *at + REPEAT);
+        told.insert(vm.to_owned(), now);
+        drop(told);
+        let seconds = self.context.moves.left(vm, now).as_secs();
+        let vm = vm.to_owned();
+        tracing::info!(event = "upstream_leaving", vm, seconds);
+        let leaving = Leaving { vm, seconds };
+        self.context.node.publish(Fact::Leaving(leaving));
+    }
+
     fn since(&self, vm: &str) -> u64 {
         let since = self.since.lock().unwrap_or_else(PoisonError::into_inner);
         since.get(vm).copied().unwrap_or(0)
