--- a/crates/bench/tests/leaving/notice.rs
+++ b/crates/bench/tests/leaving/notice.rs
@@ -50,6 +50,10 @@
         });
         link.set_faults(proxy::Faults::default());
     });
+    more_scenes(scenes, stage);
+}
+
+fn more_scenes(scenes: &mut Scenes, stage: &Stage) {
     scenes.run("one daemon of that data centre is silent", || {
         let silent = &stage.world.daemons()[0];
         silent.pause().expect("a daemon");
