Keep a drained VM drained, whatever its engine reports

Cause: a VM's own report that it is not leaving took a notice back two minutes after the first word, also when the notice or the drain was announced for longer, so a drained engine got new work again. Ruled out: the fact of the drain, which holds for the announced time; the list, which takes no notice back. Change: the mark holds until the announced end, the latest word counts, and the two minutes run from there. Test: drain_outlasts_what_the_vm_says_of_itself in crates/route/tests/table.rs.

--- a/crates/daemon/src/operator/drain.rs
+++ b/crates/daemon/src/operator/drain.rs
@@ -38,7 +38,8 @@
         vm: query.vm.clone(),
         seconds: UPSTREAM_SECONDS,
     };
-    parts.context.routes.leaving(&query.vm, Instant::now());
+    let until = Instant::now() + Duration::from_secs(UPSTREAM_SECONDS);
+    parts.context.routes.leaving(&query.vm, until);
     node.publish(Fact::Leaving(leaving));
     Ok(Drained {
         vm: query.vm.clone(),
--- a/crates/daemon/src/vms/notices.rs
+++ b/crates/daemon/src/vms/notices.rs
@@ -95,7 +95,7 @@
         let now = Instant::now();
         let left = Duration::from_secs(leaving.seconds.min(LONGEST_SECONDS));
         self.context.moves.notice(&leaving.vm, now + left);
-        self.context.routes.leaving(&leaving.vm, now);
+        self.context.routes.leaving(&leaving.vm, now + left);
         if leaving.vm == self.context.node.me().vm && self.own.try_send(leaving.clone()).is_err() {
             tracing::debug!(event = "notice_known", vm = leaving.vm);
         }
--- a/crates/route/src/table/table.rs
+++ b/crates/route/src/table/table.rs
@@ -57,9 +57,10 @@
         self.daemons.store(count.max(1), Ordering::Relaxed);
     }
 
-    /// records that a VM is leaving; it gets no new work
-    pub fn leaving(&self, vm: &str, now: Instant) {
-        self.write().leave(vm, now);
+    /// records that a VM is leaving; it gets no new work, whatever it says of itself,
+    /// until some time after `until`
+    pub fn leaving(&self, vm: &str, until: Instant) {
+        self.write().leave(vm, until);
     }
 
     /// tells whether a VM is known to be leaving
--- a/crates/route/src/table/view.rs
+++ b/crates/route/src/table/view.rs
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 struct Mark {
     address: Option<String>,
-    at: Instant,
+    until: Instant,
     lists_gone: u32,
 }
 
@@ -92,8 +92,8 @@
         self.regroup();
     }
 
-    /// records that a VM is leaving
-    pub fn leave(&mut self, name: &str, now: Instant) {
+    /// records that a VM is leaving, by notice until a time
+    pub fn leave(&mut self, name: &str, until: Instant) {
         let node = self.nodes.get(name);
         let address = node.map(|node| node.vm.address.clone());
         if let Some(node) = node {
@@ -101,10 +101,11 @@
         }
         let mark = self.marks.entry(name.to_owned()).or_insert(Mark {
             address: None,
-            at: now,
+            until,
             lists_gone: 0,
         });
         mark.address = address.or_else(|| mark.address.take());
+        mark.until = mark.until.max(until);
     }
 
     /// records the VM's own word that it stays, unless its notice is recent
@@ -112,7 +113,7 @@
         let Some(mark) = self.marks.get(name) else {
             return;
         };
-        if now < mark.at + LEAVING_KEEP {
+        if now < mark.until + LEAVING_KEEP {
             return;
         }
         self.marks.remove(name);
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -61,6 +61,19 @@
     }
 }
 
+#[test]
+fn drain_outlasts_what_the_vm_says_of_itself() {
+    let now = Instant::now();
+    let minutes = |count: u64| now + Duration::from_secs(60 * count);
+    let table = table(Policy::Affinity, &[vm("one", "a", "r")]);
+    table.leaving("one", now);
+    table.leaving("one", minutes(60));
+    table.report("one", &load(0, 0, 0), minutes(30));
+    assert!(table.is_leaving("one"));
+    table.report("one", &load(0, 0, 0), minutes(70));
+    assert!(!table.is_leaving("one"));
+}
+
 #[test]
 fn notice_before_the_list_counts() {
     let now = Instant::now();
