State a trace format and the outcomes of two traces

Change: a schema for traces and outcomes, seeded generators with the shapes of both deployments, two committed traces, and `bench replay`, which sends them to real daemons in open loop and judges every answer. Not run yet: no figure of a replay stands here.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 
-use crate::{demo, overhead};
+use crate::{demo, overhead, replay, trace};
 
 /// runs agateloom among stand-ins on this machine
 #[derive(Bpaf, Clone, Debug)]
@@ -16,6 +16,12 @@
     /// Measure what a daemon adds to a direct call of an engine
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::options))] overhead::Options),
+    /// Generate traces of calls
+    #[bpaf(command)]
+    Trace(#[bpaf(external(trace::options))] trace::Options),
+    /// Replay a trace against daemons and compare it with its stated outcomes
+    #[bpaf(command)]
+    Replay(#[bpaf(external(replay::options))] replay::Options),
 }
 
 /// runs the command that the command line names
@@ -23,6 +29,8 @@
     let result = match command().run() {
         Command::Demo => demo::run(),
         Command::Overhead(options) => overhead::run(&options),
+        Command::Trace(options) => options.run(),
+        Command::Replay(options) => replay::run(&options),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/bench/src/trace/thistlewood.rs
@@ -0,0 +1,77 @@
+//! Calls of Thistlewood: short answers that guests wait for, two peaks on a
+//! tour day, and bookings with deposits on the desk.
+
+use std::ops::Range;
+
+use schema::trace::Class;
+
+use super::arrival::Phase;
+use super::make::Recipe;
+use super::mix::Kind;
+
+const MODEL: &str = "tasting-assistant";
+const DESK: &str = "booking-desk";
+
+/// what Thistlewood's calls look like
+pub fn recipe() -> Recipe {
+    let phase = |part, weight| Phase { part, weight };
+    Recipe {
+        workspaces: vec!["guests", "still-house", "tours", "agencies", "staff"],
+        kinds: vec![
+            model("question", (6, 460), 58.0, 15..40),
+            model("itinerary", (5, 460), 20.0, 50..90),
+            model("guide", (4, 1_000), 10.0, 80..120),
+            deposit(),
+        ],
+        groups: 16,
+        shared: 300..700,
+        phases: vec![
+            phase(0.25, 0.6),
+            phase(0.2, 2.0),
+            phase(0.2, 0.6),
+            phase(0.2, 1.6),
+            phase(0.15, 0.5),
+        ],
+        hot_phase: None,
+    }
+}
+
+/// a kind with its priority and target for the first token, milliseconds
+fn model(
+    name: &str,
+    (priority, first_token_ms): (u8, u32),
+    weight: f64,
+    output: Range<u32>,
+) -> Kind {
+    Kind {
+        class: Class {
+            name: name.to_owned(),
+            service: MODEL.to_owned(),
+            priority,
+            first_token_ms,
+            deadline_ms: 20_000,
+            idempotent: true,
+        },
+        weight,
+        private: 10..80,
+        output,
+        repeated: 0.0,
+    }
+}
+
+fn deposit() -> Kind {
+    Kind {
+        class: Class {
+            name: "deposit".to_owned(),
+            service: DESK.to_owned(),
+            priority: 8,
+            first_token_ms: 1_000,
+            deadline_ms: 10_000,
+            idempotent: false,
+        },
+        weight: 12.0,
+        private: 8..20,
+        output: 0..0,
+        repeated: 0.2,
+    }
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -22,3 +22,4 @@
 pub use generated::objects;
 pub use generated::operator;
 pub use generated::settings;
+pub use generated::trace;
