--- a/crates/bench/src/replay/call.rs
+++ b/crates/bench/src/replay/call.rs
@@ -19,6 +19,8 @@
     pub at: Duration,
     /// place of its class
     pub class: usize,
+    /// group whose words its prompt begins with
+    pub group: u32,
     /// name of its workspace
     pub workspace: String,
     /// daemon that it is sent to
@@ -76,6 +78,7 @@
         ready.push(Ready {
             at: Duration::from_millis(call.at_ms.into()),
             class: call.class as usize,
+            group: call.group,
             workspace: trace.header.workspaces[call.workspace as usize].clone(),
             daemon: rng.random_range(0..daemons),
             repeat_daemon: rng.random_range(0..daemons),
--- a/crates/bench/src/replay/options.rs
+++ b/crates/bench/src/replay/options.rs
@@ -50,6 +50,9 @@
     /// table or json
     #[bpaf(long, argument("FORM"), fallback(Output::Table))]
     pub output: Output,
+    /// file to write the engines' runs to, one JSON line each
+    #[bpaf(long, argument("FILE"), optional)]
+    pub record: Option<PathBuf>,
     /// file of the trace; its outcomes are beside it
     #[bpaf(positional("TRACE"))]
     pub trace: PathBuf,
--- a/crates/bench/src/replay/record.rs
+++ b/crates/bench/src/replay/record.rs
@@ -1,16 +1,19 @@
 //! The engines' and desks' own records of a replay.
 
-use std::collections::BTreeMap;
-use std::io;
+use std::collections::{BTreeMap, HashMap};
+use std::fs::File;
+use std::io::{self, Write};
+use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use macro_rules_attribute::apply;
-use schema::data;
+use schema::{data, message};
 use standin::cloud::Bill;
 use standin::engine::Run;
 use standin::plain::Execution;
 
+use super::call::{Body, Ready};
 use crate::world::World;
 
 /// pause between two looks at the record of an engine that will die
@@ -50,6 +53,54 @@
     }
 }
 
+/// one run of an engine for a call of a trace
+#[apply(message!)]
+struct Line {
+    policy: String,
+    vm: String,
+    daemon: String,
+    call: usize,
+    group: u32,
+    run: Run,
+}
+
+impl Record {
+    /// appends the runs of a trace's calls to a file, one JSON line each
+    pub fn append(
+        &self,
+        path: &Path,
+        policy: &str,
+        world: &World,
+        calls: &[Ready],
+    ) -> io::Result<()> {
+        let mut file = File::options().create(true).append(true).open(path)?;
+        let mut numbers = HashMap::new();
+        for (number, call) in calls.iter().enumerate() {
+            if let Body::Model { hash, .. } = call.body {
+                numbers.insert(hash, number);
+            }
+        }
+        for (vm, runs) in &self.runs {
+            for run in runs {
+                let Some(number) = numbers.get(&run.prompt_hash) else {
+                    continue;
+                };
+                let call = &calls[*number];
+                let line = Line {
+                    policy: policy.to_owned(),
+                    vm: vm.clone(),
+                    daemon: world.daemons()[call.daemon].vm().to_owned(),
+                    call: *number,
+                    group: call.group,
+                    run: run.clone(),
+                };
+                writeln!(file, "{}", serde_json::to_string(&line)?)?;
+            }
+        }
+        Ok(())
+    }
+}
+
 /// follows the records of engines until they die
 pub fn follow(world: &World, vms: &[String]) -> Runs {
     let deadline = Instant::now() + LOOK_LONGEST;
--- a/crates/bench/src/replay/run.rs
+++ b/crates/bench/src/replay/run.rs
@@ -80,6 +80,9 @@
     let cost = engines_cost(&world)? - cost_before;
     let attempts = count::attempts(&world)? - attempts_before;
     let record = Record::read(&world, dead)?;
+    if let Some(path) = &options.record {
+        record.append(path, &policy.to_string(), &world, &calls)?;
+    }
     let classes = trace.header.classes.iter();
     let material = Material {
         policy: policy.to_string(),
