--- a/crates/bench/src/replay/options.rs
+++ b/crates/bench/src/replay/options.rs
@@ -50,6 +50,9 @@
     /// table or json
     #[bpaf(long, argument("FORM"), fallback(Output::Table))]
     pub output: Output,
+    /// factor on the rate of arrivals
+    #[bpaf(long, argument("FACTOR"), fallback(1.0), display_fallback)]
+    pub speed: f64,
     /// file to write the engines' runs to, one JSON line each
     #[bpaf(long, argument("FILE"), optional)]
     pub record: Option<PathBuf>,
--- a/crates/bench/src/replay/report.rs
+++ b/crates/bench/src/replay/report.rs
@@ -27,6 +27,8 @@
     pub trace: String,
     /// seed of the replay
     pub seed: u64,
+    /// factor on the rate of arrivals
+    pub speed: f64,
     /// what failed
     pub faults: String,
     /// VMs that failed
@@ -54,9 +56,10 @@
 
     fn print_table(&self) {
         println!(
-            "trace {}, seed {}, faults {} {}",
+            "trace {}, seed {}, speed {}, faults {} {}",
             self.trace,
             self.seed,
+            self.speed,
             self.faults,
             self.failed_vms.join(" ")
         );
--- a/crates/bench/src/replay/run.rs
+++ b/crates/bench/src/replay/run.rs
@@ -50,6 +50,7 @@
     let report = Report {
         trace: trace.header.name,
         seed: options.seed,
+        speed: options.speed,
         faults: options.faults.to_string(),
         failed_vms,
         runs,
@@ -61,11 +62,15 @@
 
 fn replay(trace: &Trace, options: &Options, policy: Policy) -> io::Result<Outcome> {
     let world = plan::world(&trace.header, policy).start()?;
-    let calls = prepare(trace, options.seed, world.daemons().len());
+    let mut calls = prepare(trace, options.seed, world.daemons().len());
+    for call in &mut calls {
+        call.at = call.at.div_f64(options.speed);
+    }
     settle(&world, trace)?;
     let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
     let failed_vms = options.faults.targets(&world, &mut rng);
-    let strike_at = Duration::from_secs(trace.header.seconds.into()) / STRIKE_PART;
+    let arrivals = Duration::from_secs(trace.header.seconds.into()).div_f64(options.speed);
+    let strike_at = arrivals / STRIKE_PART;
     let load_before = load_average()?;
     let attempts_before = count::attempts(&world)?;
     let cost_before = engines_cost(&world)?;
