--- a/crates/bench/src/replay/figures.rs
+++ b/crates/bench/src/replay/figures.rs
@@ -1,6 +1,6 @@
 //! The figures of one policy in one replay.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -81,7 +81,7 @@
     pub computed_again: f64,
     /// millionths of the currency for 1,000 tokens of answers within the targets
     pub cost: f64,
-    /// attempts on upstreams for a call that was not refused
+    /// runs that upstreams recorded for a call that was not refused
     pub attempts_per_request: f64,
     /// bookings that ran twice, or ran although the caller was told `not_run`
     pub double_bookings: u64,
@@ -113,8 +113,6 @@
     pub daemon_regions: Vec<String>,
     /// region of each engine's VM
     pub vm_regions: HashMap<String, String>,
-    /// attempts on upstreams
-    pub attempts: f64,
     /// what the engines cost, millionths of the currency
     pub engines_cost: u64,
     /// bytes between the other regions and the platform
@@ -126,6 +124,7 @@
 /// what the engines did for the calls of a trace
 #[derive(Debug, Default)]
 struct Work {
+    runs: u64,
     generated: u64,
     computed: u64,
     link_runs: u64,
@@ -164,7 +163,7 @@
             recomputed: work.computed as f64 / generated,
             computed_again: again as f64 / generated,
             cost: self.engines_cost as f64 * 1_000.0 / good_tokens.max(1) as f64,
-            attempts_per_request: self.attempts / accepted,
+            attempts_per_request: (work.runs + self.executions()) as f64 / accepted,
             double_bookings: self.double_bookings(),
             link_runs: work.link_runs,
             link_bytes: work.link_bytes,
@@ -245,6 +244,7 @@
                 let Some((call, ask)) = by_hash.get(&run.prompt_hash) else {
                     continue;
                 };
+                work.runs += 1;
                 work.generated += u64::from(run.generated);
                 work.computed += u64::from(run.recomputed);
                 if self.vm_regions[vm] != self.daemon_regions[call.daemon] {
@@ -259,7 +259,7 @@
 
     /// prompt tokens to compute if each prefix were computed once and kept for ever
     fn least_computed(&self) -> u64 {
-        let mut known = std::collections::HashSet::new();
+        let mut known = HashSet::new();
         let mut least = 0;
         for call in self.calls {
             if let Body::Model { ask, .. } = &call.body {
@@ -270,6 +270,20 @@
         least
     }
 
+    /// runs of bookings
+    fn executions(&self) -> u64 {
+        let mut keys = HashSet::new();
+        for call in self.calls {
+            if let Body::Booking { key, .. } = &call.body {
+                keys.insert(key.as_str());
+            }
+        }
+        let executions = self.record.executions.iter();
+        executions
+            .filter(|run| keys.contains(run.key.as_str()))
+            .count() as u64
+    }
+
     fn double_bookings(&self) -> u64 {
         let mut executions: HashMap<&str, u64> = HashMap::new();
         for execution in &self.record.executions {
--- a/crates/bench/src/replay/mod.rs
+++ b/crates/bench/src/replay/mod.rs
@@ -8,7 +8,6 @@
 
 mod call;
 mod check;
-mod count;
 mod driver;
 mod fault;
 mod figures;
--- a/crates/bench/src/replay/run.rs
+++ b/crates/bench/src/replay/run.rs
@@ -15,7 +15,7 @@
 use super::figures::Material;
 use super::record::{Record, Runs, engines_cost, follow};
 use super::report::Report;
-use super::{Figures, Options, count, plan};
+use super::{Figures, Options, plan};
 use crate::client::Ask;
 use crate::poll_until;
 use crate::trace::Trace;
@@ -72,7 +72,6 @@
     let arrivals = Duration::from_secs(trace.header.seconds.into()).div_f64(options.speed);
     let strike_at = arrivals / STRIKE_PART;
     let load_before = load_average()?;
-    let attempts_before = count::attempts(&world)?;
     let cost_before = engines_cost(&world)?;
     let platform_before = platform_bytes(&world);
     let mut dead = Runs::new();
@@ -83,7 +82,6 @@
         }
     });
     let cost = engines_cost(&world)? - cost_before;
-    let attempts = count::attempts(&world)? - attempts_before;
     let record = Record::read(&world, dead)?;
     if let Some(path) = &options.record {
         record.append(path, &policy.to_string(), &world, &calls)?;
@@ -97,7 +95,6 @@
         record: &record,
         daemon_regions: daemon_regions(&world),
         vm_regions: vm_regions(&world),
-        attempts,
         engines_cost: cost,
         platform_bytes: platform_bytes(&world) - platform_before,
         load_average: [load_before, load_average()?],
