Start a soak: seeded load and faults, and a judge

The judge is apart from the driving code and finds planted violations in made-up records. No run of real processes yet.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 
-use crate::{demo, overhead};
+use crate::{demo, overhead, soak};
 
 /// runs agateloom among stand-ins on this machine
 #[derive(Bpaf, Clone, Debug)]
@@ -16,6 +16,9 @@
     /// Measure what a daemon adds to a direct call of an engine
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::options))] overhead::Options),
+    /// Put agateloom under seeded load and faults and judge what it promises
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak::options))] soak::Options),
 }
 
 /// runs the command that the command line names
@@ -23,6 +26,7 @@
     let result = match command().run() {
         Command::Demo => demo::run(),
         Command::Overhead(options) => overhead::run(&options),
+        Command::Soak(options) => soak::run(&options),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,13 +2,15 @@
 //!
 //! [`world`] starts the processes and writes their settings, [`client`] calls
 //! them as callers do and checks the answers, [`process`] starts, stops and
-//! measures single processes. [`demo`] and [`overhead`] are the commands.
+//! measures single processes. [`demo`], [`overhead`] and [`soak`] are the
+//! commands.
 
 pub mod client;
 pub mod command;
 pub mod demo;
 pub mod overhead;
 pub mod process;
+pub mod soak;
 pub mod world;
 
 mod poll;
--- /dev/null
+++ b/crates/bench/src/soak/report.rs
@@ -0,0 +1,137 @@
+//! Prints what a soak found.
+
+use macro_rules_attribute::apply;
+use schema::value;
+
+use super::facts::{Call, CallKind, Facts, Outcome, Window};
+use super::judge::{Judgement, PROMISES};
+use super::schedule::KINDS;
+
+/// violations that are printed
+const SHOWN: usize = 20;
+
+/// calls and how many of them were served
+#[derive(Default)]
+#[apply(value!)]
+pub struct Share {
+    /// calls that were sent
+    pub sent: usize,
+    /// calls with their whole and own answer
+    pub served: usize,
+}
+
+impl Share {
+    fn of<'a>(calls: impl Iterator<Item = &'a Call>) -> Self {
+        let mut share = Self::default();
+        for call in calls {
+            share.sent += 1;
+            share.served += usize::from(call.outcome == Outcome::Whole);
+        }
+        share
+    }
+
+    /// served calls in a hundred
+    pub fn percent(&self) -> f64 {
+        self.served as f64 * 100.0 / self.sent.max(1) as f64
+    }
+}
+
+/// served calls among those sent while `fits` holds of a window, or in quiet times
+pub fn shares(facts: &Facts, fits: Option<&dyn Fn(&Window) -> bool>) -> Share {
+    let is_in = |call: &Call, window: &Window| (window.from..=window.to).contains(&call.started);
+    Share::of(facts.calls.iter().filter(|call| {
+        match fits {
+            Some(fits) => facts
+                .windows
+                .iter()
+                .any(|window| fits(window) && is_in(call, window)),
+            None => !facts.windows.iter().any(|window| is_in(call, window)),
+        }
+    }))
+}
+
+/// prints counts, promises, shares and the first violations
+pub fn print(facts: &Facts, judgement: &Judgement) {
+    counts(facts, judgement);
+    println!();
+    for promise in PROMISES {
+        println!("{promise:<42} violations={}", judgement.count(promise));
+    }
+    println!();
+    let quiet = shares(facts, None);
+    println!(
+        "{:<28} served {:>5.1} % of {}",
+        "quiet time",
+        quiet.percent(),
+        quiet.sent
+    );
+    for kind in KINDS {
+        let share = shares(facts, Some(&|window| window.kind == kind));
+        if share.sent > 0 {
+            println!(
+                "{kind:<28} served {:>5.1} % of {}",
+                share.percent(),
+                share.sent
+            );
+        }
+    }
+    for violation in judgement.violations.iter().take(SHOWN) {
+        let engine = facts
+            .engines
+            .iter()
+            .find(|engine| engine.hash == violation.hash);
+        let id = engine.map_or("-", |engine| engine.request_id.as_str());
+        println!(
+            "VIOLATION {}: request={id} {}",
+            violation.promise, violation.seen
+        );
+    }
+}
+
+fn counts(facts: &Facts, judgement: &Judgement) {
+    let of = |kind: CallKind| facts.calls.iter().filter(move |call| call.kind == kind);
+    for kind in [
+        CallKind::Stream,
+        CallKind::Whole,
+        CallKind::Keyed,
+        CallKind::Ticketed,
+        CallKind::Unkeyed,
+    ] {
+        let share = Share::of(of(kind));
+        let mut names: Vec<u64> = of(kind).map(|call| call.hash).collect();
+        names.sort_unstable();
+        names.dedup();
+        let repeats = share.sent - names.len();
+        let verdicts = of(kind).filter_map(Call::verdict);
+        let not_run = verdicts
+            .filter(|v| *v == schema::failure::Verdict::NotRun)
+            .count();
+        let unsure = of(kind).filter_map(Call::verdict).count() - not_run;
+        println!(
+            "{kind:?}: sent={} repeats={repeats} served={} not_run={not_run} may_have_run={unsure}",
+            share.sent, share.served
+        );
+    }
+    let reattached: u32 = facts.calls.iter().map(|call| call.reattached).sum();
+    let resumed = facts
+        .engines
+        .iter()
+        .filter(|engine| engine.from > 0)
+        .count();
+    let recomputed: u64 = facts
+        .engines
+        .iter()
+        .map(|engine| u64::from(engine.recomputed))
+        .sum();
+    println!(
+        "faults={} notices={} reattached={reattached} moved_streams={resumed} \
+         prompt_and_prior_computed={recomputed} executions={} changes={} \
+         revision={} lost_with_killed_daemon={}",
+        facts.windows.len(),
+        facts.notices.len(),
+        facts.executions.len(),
+        facts.settlement.changes,
+        facts.settlement.accepted,
+        judgement.lost_with_daemon,
+    );
+}
