Tell a caller of a request nobody knows that it may have run

Cause: coming back to a request whose daemon was killed ended, after the caller's patience, with 404 and verdict not_run, though the engine had run the stream. A daemon that does not know a request can't know that. Ruled out: a wrong record; each of the three requests had a run on an engine under its own id. Change: the answer to an unknown request is may_have_run. Conclusion: a verdict is about the request, not about the look-up.

--- a/crates/entry/src/call/reattach.rs
+++ b/crates/entry/src/call/reattach.rs
@@ -132,7 +132,7 @@
     Ok(index.saturating_add(1))
 }
 
-/// there is no such request for this workspace
+/// no daemon knows such a request of this workspace; its daemon may have died while it ran
 pub(super) fn unknown(id: &str) -> Fault {
-    Fault::refused(404, "request", format!("There is no request {id}."))
+    Fault::unsure(404, "request", format!("There is no request {id}."))
 }
