Believe old notices only when the list confirms them

Cause: the cloud API keeps old notices, and each daemon that takes the duty of reading them begins with the first. It acted on all and told all others, so a daemon on a new VM of a former name stopped at once, and new upstream VMs under a name used before would have got no work. Ruled out: the list's lag; the log shows the notice of the VM before. Change: what was given before a daemon read notices, or before it was started, counts once the list shows the VM as leaving. The soak uses a name again only after it has left the list. Conclusion: a notice without its time needs a second witness.

--- a/crates/bench/src/soak/inject.rs
+++ b/crates/bench/src/soak/inject.rs
@@ -16,6 +16,7 @@
 use super::schedule::{Event, FaultKind};
 use super::shape::{PEAK, Shape};
 use super::watch::{engine_vms, set_engine};
+use crate::poll_until;
 use crate::world::{Daemon, World};
 
 /// longest wait for a daemon that stops or starts
@@ -119,6 +120,7 @@
                 self.world
                     .reclaim(daemon.vm(), event.length.as_secs() as u32);
                 thread::sleep(event.length + AFTER_RECLAIM);
+                self.wait_unlisted(daemon.vm())?;
                 self.world.cloud().register(registration(daemon));
             }
         }
@@ -126,6 +128,16 @@
         daemon.wait_ready(PATIENCE)
     }
 
+    /// a name is used again only after its former VM has left the list
+    fn wait_unlisted(&self, vm: &str) -> io::Result<()> {
+        let is_gone = || {
+            let list = self.world.cloud().list().vms;
+            (!list.iter().any(|listed| listed.name == vm)).then_some(())
+        };
+        let gone = poll_until(PATIENCE, is_gone);
+        gone.ok_or_else(|| io::Error::other(format!("{vm} stays on the list")))
+    }
+
     fn stop(&self, daemon: &Daemon) -> io::Result<()> {
         daemon.terminate()?;
         let ended = daemon.with(|child| Ok(child.wait(PATIENCE)))?;
--- a/crates/daemon/src/vms/notices.rs
+++ b/crates/daemon/src/vms/notices.rs
@@ -6,8 +6,9 @@
 
 use crossbeam::channel::Sender;
 use entry::Context;
-use fleet::cloud::Client;
+use fleet::cloud::{Client, Cloud};
 use peer::Notice;
+use schema::cloud;
 use schema::member::{Fact, Leaving};
 use tokio::time::Instant;
 
@@ -22,11 +23,20 @@
 /// daemons per data centre that read the notices
 const READERS: usize = 2;
 
+/// longest time until the list shows a notice
+const LIST_LAG: Duration = Duration::from_secs(10);
+/// time after its start in which a daemon may hear of a notice to an earlier VM of its name
+const YOUNG: Duration = Duration::from_secs(90);
+
 /// reads and hears notices
+///
+/// The cloud API keeps old notices, and names of VMs come again. What was given
+/// before this daemon listened therefore counts only once the list confirms it.
 pub struct Notices {
     context: Arc<Context>,
     cloud: Client,
     own: Sender<Leaving>,
+    started: Instant,
 }
 
 impl Notices {
@@ -43,6 +53,7 @@
             context,
             cloud,
             own,
+            started: Instant::now(),
         });
         let reading = Arc::clone(&notices);
         thread::Builder::new()
@@ -62,26 +73,27 @@
             .map(drop)
     }
 
-    fn read(&self) {
+    fn read(self: &Arc<Self>) {
         let mut since = 0;
+        let mut is_new = true;
         loop {
             if !self.context.node.holds(DUTY, READERS) {
+                is_new = true;
                 thread::sleep(PAUSE);
                 continue;
             }
-            match self.cloud.notices(since, WAIT) {
+            let wait = if is_new { Duration::ZERO } else { WAIT };
+            match self.cloud.notices(since, wait) {
                 Ok(notices) => {
-                    for notice in notices {
-                        since = since.max(notice.number);
-                        let seconds = u64::from(notice.seconds);
-                        let leaving = Leaving {
-                            vm: notice.vm,
-                            seconds,
-                        };
-                        tracing::info!(event = "notice", vm = leaving.vm, seconds);
-                        self.context.node.publish(Fact::Leaving(leaving.clone()));
-                        self.act(&leaving);
+                    let numbers = notices.iter().map(|notice| notice.number);
+                    since = numbers.max().unwrap_or(0).max(since);
+                    let leaving: Vec<Leaving> = notices.into_iter().map(leaving).collect();
+                    if is_new {
+                        self.confirm(leaving, Notices::tell);
+                    } else {
+                        leaving.iter().for_each(|leaving| self.tell(leaving));
                     }
+                    is_new = false;
                 }
                 Err(error) => {
                     tracing::warn!(event = "notices_failed", %error);
@@ -91,13 +103,62 @@
         }
     }
 
-    fn act(&self, leaving: &Leaving) {
+    fn tell(self: &Arc<Self>, leaving: &Leaving) {
+        tracing::info!(event = "notice", vm = leaving.vm, seconds = leaving.seconds);
+        self.context.node.publish(Fact::Leaving(leaving.clone()));
+        self.act(leaving);
+    }
+
+    fn act(self: &Arc<Self>, leaving: &Leaving) {
         let now = Instant::now();
         let left = Duration::from_secs(leaving.seconds.min(LONGEST_SECONDS));
         self.context.moves.notice(&leaving.vm, now + left);
         self.context.routes.leaving(&leaving.vm, now);
-        if leaving.vm == self.context.node.me().vm && self.own.try_send(leaving.clone()).is_err() {
+        if leaving.vm != self.context.node.me().vm {
+            return;
+        }
+        if now < self.started + YOUNG {
+            self.confirm(vec![leaving.clone()], Notices::stop);
+        } else {
+            self.stop(leaving);
+        }
+    }
+
+    fn stop(self: &Arc<Self>, leaving: &Leaving) {
+        if self.own.try_send(leaving.clone()).is_err() {
             tracing::debug!(event = "notice_known", vm = leaving.vm);
         }
     }
+
+    /// acts on each notice when the list shows its VM as leaving
+    fn confirm(self: &Arc<Self>, mut unsure: Vec<Leaving>, act: fn(&Arc<Self>, &Leaving)) {
+        if unsure.is_empty() {
+            return;
+        }
+        let notices = Arc::clone(self);
+        let until = Instant::now() + LIST_LAG;
+        thread::spawn(move || {
+            while !unsure.is_empty() && Instant::now() < until {
+                let listed = notices.cloud.list().unwrap_or_default();
+                let is_leaving = |leaving: &Leaving| {
+                    let mut vms = listed.iter();
+                    vms.any(|vm| vm.name == leaving.vm && vm.state == cloud::State::Leaving)
+                };
+                let (sure, rest): (Vec<_>, Vec<_>) = unsure.into_iter().partition(is_leaving);
+                sure.iter().for_each(|leaving| act(&notices, leaving));
+                unsure = rest;
+                thread::sleep(PAUSE);
+            }
+            for leaving in unsure {
+                tracing::info!(event = "notice_outdated", vm = leaving.vm);
+            }
+        });
+    }
+}
+
+fn leaving(notice: cloud::Notice) -> Leaving {
+    Leaving {
+        vm: notice.vm,
+        seconds: u64::from(notice.seconds),
+    }
 }
