--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! [`world`] starts the processes and writes their settings, [`client`] calls
 //! them as callers do and checks the answers, [`process`] starts, stops and
-//! measures single processes. [`demo`], [`overhead`], [`trace`] and [`replay`] are
-//! the commands.
+//! measures single processes. [`demo`], [`overhead`], [`trace`], [`replay`] and [`soak`]
+//! are the commands.
 
 pub mod client;
 pub mod command;
@@ -11,6 +11,7 @@
 pub mod overhead;
 pub mod process;
 pub mod replay;
+pub mod soak;
 pub mod trace;
 pub mod world;
 
