--- a/crates/bench/tests/config/fault.rs
+++ b/crates/bench/tests/config/fault.rs
@@ -39,6 +39,7 @@
 
 /// the tool settles the change by itself: one revision, in force
 fn lost_answer(world: &World) {
+    store_faults(world, &no_faults());
     for (number, preset) in PRESETS.iter().enumerate() {
         let before = status(&world.daemons()[0]).expect("a status").revision;
         let lose = Faults {
@@ -58,6 +59,7 @@
 /// Who names the revision in force is served, since the tool sees that its read is stale. Who
 /// does not may be told of a conflict with that revision.
 fn stale_reads(world: &World) {
+    store_faults(world, &no_faults());
     let mut applied = change(world);
     for preset in PRESETS {
         store_faults(world, &stale());
@@ -89,6 +91,7 @@
 }
 
 fn restart_without_store(world: &World) {
+    store_faults(world, &no_faults());
     let applied = change(world);
     let out = Faults {
         outage: Some(true),
@@ -106,6 +109,7 @@
 
 /// cut off from the store, a data centre hears from the other one; so it does once healed
 fn cut_off(world: &World) {
+    store_faults(world, &no_faults());
     let link = world.network().platform_link(FAR);
     link.set_faults(proxy::Faults {
         cut: true,
@@ -116,11 +120,16 @@
     }
     let applied = change(world);
     restart(&world.daemons()[2], &applied);
+    // The first reads after the cut show an older state.
+    store_faults(world, &stale());
     link.set_faults(proxy::Faults::default());
+    assert_in_force(world, &applied);
+    store_faults(world, &no_faults());
     change(world);
 }
 
 fn restart_on_stale_store(world: &World) {
+    store_faults(world, &no_faults());
     let applied = change(world);
     for daemon in world.daemons().iter().skip(1) {
         store_faults(world, &stale());
