--- a/crates/peer/src/gossip/core.rs
+++ b/crates/peer/src/gossip/core.rs
@@ -7,9 +7,10 @@
 use tokio::time::Instant;
 
 use super::exchange::Link;
+use super::report::{Received, Reporter};
 use super::{Answer, Call, Message, Target};
 use crate::Notice;
-use crate::fact::{Ledger, Queue};
+use crate::fact::{Key, Ledger, Queue, Topic};
 use crate::member::timing::{JOIN, REJOIN, STALL, STARTING, jittered};
 use crate::member::{Prober, Table};
 
@@ -20,6 +21,9 @@
 /// time between two clean-ups
 const PRUNE: Duration = Duration::from_secs(5);
 
+/// news that could not be passed on for so long are left to the comparisons
+const QUEUE_KEPT: Duration = Duration::from_secs(30);
+
 /// why a call was made
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Purpose {
@@ -39,12 +43,13 @@
     pub(super) random: StdRng,
     pub(super) me: Member,
     pub(super) seeds: Vec<String>,
-    pub(super) urgent: Vec<crate::fact::Topic>,
-    pub(super) pending: BTreeMap<crate::fact::Key, Fact>,
+    pub(super) urgent: Vec<Topic>,
+    pub(super) pending: BTreeMap<Key, Fact>,
     pub(super) demand: Demand,
-    pub(super) reports: BTreeMap<u64, super::report::Received>,
+    pub(super) reports: BTreeMap<Reporter, Received>,
     pub(super) links: BTreeMap<String, Link>,
     pub(super) due: Due,
+    pub(super) syncs: u32,
     pub(super) started: Instant,
     pub(super) notices: Vec<Notice>,
     calls: Vec<Call>,
@@ -59,6 +64,7 @@
     pub join: Instant,
     pub sync: Instant,
     pub prune: Instant,
+    pub queue: Instant,
     pub refresh: Instant,
     pub load: Instant,
     pub report: Instant,
@@ -88,11 +94,13 @@
                 join: now,
                 sync: now + Duration::from_secs(1),
                 prune: now + PRUNE,
+                queue: now + QUEUE_KEPT,
                 refresh: now,
                 load: now,
                 report: now,
                 sum: now,
             },
+            syncs: 0,
             started: now,
             notices: Vec::new(),
             calls: Vec::new(),
@@ -127,6 +135,10 @@
             self.table.prune(now);
             self.ledger.prune(now);
         }
+        if now >= self.due.queue {
+            self.due.queue = now + QUEUE_KEPT;
+            self.queue.prune();
+        }
     }
 
     fn join_when_due(&mut self, now: Instant) {
@@ -202,8 +214,8 @@
             (Purpose::Sync(peer), Some(Answer::Difference(difference))) => {
                 self.reconcile(peer, &difference, now);
             }
-            (Purpose::Exchange(peer), Some(Answer::Exchange(exchange))) => {
-                self.exchanged(peer, &exchange, now);
+            (Purpose::Exchange(_), Some(Answer::Exchange(exchange))) => {
+                self.receive(&exchange, now);
             }
             (Purpose::Exchange(peer), None) => self.exchange_failed(peer, now),
             _ => {}
