--- a/crates/bench/src/replay/mod.rs
+++ b/crates/bench/src/replay/mod.rs
@@ -11,6 +11,7 @@
 mod driver;
 mod fault;
 mod figures;
+mod material;
 mod options;
 mod plan;
 mod record;
--- a/crates/bench/src/replay/run.rs
+++ b/crates/bench/src/replay/run.rs
@@ -12,7 +12,7 @@
 use super::call::prepare;
 use super::check::{check, outcomes};
 use super::driver::drive;
-use super::figures::Material;
+use super::material::Material;
 use super::record::{Record, Runs, engines_cost, follow};
 use super::report::Report;
 use super::{Figures, Options, plan};
