--- a/crates/bench/src/replay/fault.rs
+++ b/crates/bench/src/replay/fault.rs
@@ -11,9 +11,6 @@
 
 use crate::world::{Engine, World};
 
-/// notice of a reclaim, seconds
-const NOTICE_SECONDS: u32 = 5;
-
 /// what fails during a replay
 #[apply(value!)]
 pub enum Fault {
@@ -50,12 +47,12 @@
         }
     }
 
-    /// lets these VMs fail now
-    pub fn strike(self, world: &World, vms: &[String]) {
+    /// lets these VMs fail now; those that are reclaimed have `notice` seconds
+    pub fn strike(self, world: &World, vms: &[String], notice: u32) {
         for vm in vms {
             match self {
                 Fault::None => {}
-                Fault::Reclaim | Fault::Zone => world.reclaim(vm, NOTICE_SECONDS),
+                Fault::Reclaim | Fault::Zone => world.reclaim(vm, notice),
                 Fault::Freeze => freeze(world, vm),
             }
         }
--- a/crates/bench/src/replay/options.rs
+++ b/crates/bench/src/replay/options.rs
@@ -44,6 +44,9 @@
     /// what fails: none, reclaim, zone or freeze
     #[bpaf(long, argument("NAME"), fallback(Fault::None), display_fallback)]
     pub faults: Fault,
+    /// notice of a reclaim, seconds
+    #[bpaf(long, argument("SECONDS"), fallback(5), display_fallback)]
+    pub notice: u32,
     /// draws the words of the prompts, the daemons called and the VM that fails
     #[bpaf(long, argument("SEED"), fallback(1), display_fallback)]
     pub seed: u64,
--- a/crates/bench/src/replay/run.rs
+++ b/crates/bench/src/replay/run.rs
@@ -76,7 +76,7 @@
     let platform_before = platform_bytes(&world);
     let mut dead = Runs::new();
     let seen = drive(&world, &calls, strike_at, || {
-        options.faults.strike(&world, &failed_vms);
+        options.faults.strike(&world, &failed_vms, options.notice);
         if options.faults.takes() {
             dead = follow(&world, &failed_vms);
         }
