--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 
-use crate::{demo, overhead, replay, trace};
+use crate::{demo, overhead, replay, soak, trace};
 
 /// runs agateloom among stand-ins on this machine
 #[derive(Bpaf, Clone, Debug)]
@@ -22,6 +22,9 @@
     /// Replay a trace against daemons and compare it with its stated outcomes
     #[bpaf(command)]
     Replay(#[bpaf(external(replay::options))] replay::Options),
+    /// Put agateloom under seeded load and faults and judge what it promises
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak::options))] soak::Options),
 }
 
 /// runs the command that the command line names
@@ -31,6 +34,7 @@
         Command::Overhead(options) => overhead::run(&options),
         Command::Trace(options) => options.run(),
         Command::Replay(options) => replay::run(&options),
+        Command::Soak(options) => soak::run(&options),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
