--- a/crates/bench/src/soak/schedule.rs
+++ b/crates/bench/src/soak/schedule.rs
@@ -153,9 +153,10 @@
     /// a reclaim lasts as long as its notice
     fn length(self, drawn: Duration) -> Duration {
         match self {
-            FaultKind::ReclaimDaemon | FaultKind::ReclaimEngine | FaultKind::ReclaimCentre => {
-                NOTICE
-            }
+            FaultKind::ReclaimDaemon
+            | FaultKind::ReclaimEngine
+            | FaultKind::ReclaimCentre
+            | FaultKind::RefuseStarts => NOTICE,
             _ => drawn,
         }
     }
