--- a/crates/bench/src/soak/facts.rs
+++ b/crates/bench/src/soak/facts.rs
@@ -112,6 +112,8 @@
     pub daemon: Option<usize>,
     /// when it struck
     pub from: u64,
+    /// when a killed process had ended; as `from` for other faults
+    pub dead: u64,
     /// when it was over
     pub to: u64,
     /// a planned stop ended by itself, and well
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -114,7 +114,8 @@
         });
     let is_kill = |window: &&Window| window.kind == FaultKind::KillDaemon;
     facts.windows.iter().filter(is_kill).any(|kill| {
-        let during = call.started <= kill.from && kill.from <= call.ended;
+        // A process takes connections until its kill has taken effect.
+        let during = call.started <= kill.dead && kill.from <= call.ended;
         during && (has_moved || kill.daemon == Some(call.daemon))
     })
 }
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -38,6 +38,7 @@
         kind,
         daemon: Some(daemon),
         from: 2_000,
+        dead: 2_000,
         to: 4_000,
         clean: true,
     }
