Give a VM name that is used again the time of its own notice

Cause: the earliest notice per name was kept for an hour, so a new VM of a former name seemed to have no time left and its streams never moved their caches. A notice more than 5 s past gives way to the next. Test: entry/tests/moves.rs.

--- a/crates/daemon/src/capacity/planner.rs
+++ b/crates/daemon/src/capacity/planner.rs
@@ -196,8 +196,8 @@
             }
             drain.told = Some(now);
             let until = now + Duration::from_secs(drain.seconds);
-            self.context.moves.notice(name, until);
-            self.context.routes.leaving(name, now);
+            self.context.moves.notice(name, until, now);
+            self.context.routes.leaving(name, until);
             self.context.node.publish(Fact::Leaving(Leaving {
                 vm: name.clone(),
                 seconds: drain.seconds,
--- a/crates/entry/src/moves.rs
+++ b/crates/entry/src/moves.rs
@@ -11,6 +11,8 @@
 
 /// time left to a VM that leaves without a stated time
 const UNSTATED: Duration = Duration::from_secs(10);
+/// time after which a name may stand for another VM
+const NAME_REST: Duration = Duration::from_secs(5);
 /// size of a KV cache before one was moved, bytes per token
 const BYTES_PER_TOKEN: f64 = 1024.0;
 /// rate of a move before one was made, bytes per second
@@ -41,11 +43,13 @@
 }
 
 impl Moves {
-    /// notes when a VM is taken; the earliest word counts
-    pub fn notice(&self, vm: &str, until: Instant) {
+    /// notes when a VM is taken; the earliest word counts, unless it was about an
+    /// earlier VM of that name
+    pub fn notice(&self, vm: &str, until: Instant, now: Instant) {
         let mut notices = lock(&self.notices);
         let known = notices.entry(vm.to_owned()).or_insert(until);
-        *known = until.min(*known);
+        let is_past = *known + NAME_REST < now;
+        *known = if is_past { until } else { until.min(*known) };
     }
 
     /// time left to a VM that is leaving
--- /dev/null
+++ b/crates/entry/tests/moves.rs
@@ -0,0 +1,29 @@
+//! What is remembered of notices.
+
+use std::time::Duration;
+
+use entry::moves::Moves;
+use tokio::time::{Instant, advance};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[tokio::test(start_paused = true)]
+async fn the_earliest_word_of_a_notice_counts() {
+    let moves = Moves::default();
+    let now = Instant::now();
+    moves.notice("vm", now + 30 * SECOND, now);
+    moves.notice("vm", now + 10 * SECOND, now);
+    moves.notice("vm", now + 60 * SECOND, now);
+    assert_eq!(moves.left("vm", now), 10 * SECOND);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_name_used_again_has_the_time_of_its_own_notice() {
+    let moves = Moves::default();
+    let now = Instant::now();
+    moves.notice("vm", now + 10 * SECOND, now);
+    advance(60 * SECOND).await;
+    let now = Instant::now();
+    moves.notice("vm", now + 30 * SECOND, now);
+    assert_eq!(moves.left("vm", now), 30 * SECOND);
+}
