--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -10,7 +10,6 @@
 use serde::de::DeserializeOwned;
 
 use crate::failure::{Failure, Kind};
-use crate::sent;
 use crate::stream::Stream;
 
 /// header by which an engine states that a refused request did not run
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,7 +6,6 @@
 mod client;
 mod failure;
 mod plain;
-mod sent;
 mod stream;
 
 pub use client::{Client, Pace};
--- a/crates/engine/src/plain.rs
+++ b/crates/engine/src/plain.rs
@@ -10,7 +10,6 @@
 
 use crate::client::Client;
 use crate::failure::{Failure, Kind};
-use crate::sent;
 
 /// largest body of an answer, bytes
 const ANSWER_LIMIT: u64 = 8 * 1024 * 1024;
--- a/crates/fleet/src/cloud/transport.rs
+++ b/crates/fleet/src/cloud/transport.rs
@@ -1,11 +1,8 @@
 //! Blocking HTTP calls with time limits.
 
-use std::io::{self, Read, Write};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::io::Read;
 use std::time::Duration;
 
-use attohttpc::body::{Body, BodyKind};
 use attohttpc::{Method, ProxySettings, RequestBuilder};
 
 use super::error::Error;
@@ -50,31 +47,9 @@
     pub(super) is_not_run: bool,
 }
 
-/// a body that notes when the call began to leave
-struct Tracked {
-    bytes: Vec<u8>,
-    left: Arc<AtomicBool>,
-}
-
-impl Body for Tracked {
-    fn kind(&mut self) -> io::Result<BodyKind> {
-        // the call's head waits in a buffer until the body is written, so it leaves no earlier
-        Ok(BodyKind::KnownLength(self.bytes.len() as u64))
-    }
-
-    fn write<W: Write>(&mut self, mut writer: W) -> io::Result<()> {
-        self.left.store(true, Ordering::SeqCst);
-        writer.write_all(&self.bytes)
-    }
-}
-
 /// makes a call and reads the whole answer
 pub(super) fn call(call: Call<'_>, limits: &Limits) -> Result<Answer, Error> {
-    let left = Arc::new(AtomicBool::new(false));
-    let body = Tracked {
-        bytes: call.body,
-        left: Arc::clone(&left),
-    };
+    let flag = sent::Flag::new(0);
     let unsent = |error: attohttpc::Error| Error::Unreachable(error.to_string());
     let request = RequestBuilder::try_new(call.method, call.url)
         .map_err(unsent)?
@@ -85,9 +60,10 @@
         .timeout(call.limit)
         .try_header("Content-Type", "application/json")
         .map_err(unsent)?;
+    let body = sent::Bytes::new(&call.body, &flag);
     let sent = request.body(body).send();
     let response = sent.map_err(|error| {
-        if left.load(Ordering::SeqCst) {
+        if flag.get() {
             Error::Interrupted(error.to_string())
         } else {
             Error::Unreachable(error.to_string())
--- a/crates/engine/src/sent.rs
+++ b/crates/sent/src/lib.rs
@@ -4,9 +4,9 @@
 //! for the body only once the connection stands, so a request whose body was
 //! never asked for did not reach the upstream whole.
 
-use std::cell::Cell;
 use std::io::{Result, Write};
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use attohttpc::body::{Body, BodyKind};
 
@@ -15,30 +15,30 @@
 
 /// shared note whether a request may have left
 #[derive(Debug, Clone)]
-pub(crate) struct Flag(Rc<Cell<bool>>);
+pub struct Flag(Arc<AtomicBool>);
 
 impl Flag {
     /// a note for a request with this many bytes of headers
-    pub(crate) fn new(header_bytes: usize) -> Flag {
-        Flag(Rc::new(Cell::new(header_bytes > BUFFERED_HEADERS)))
+    pub fn new(header_bytes: usize) -> Flag {
+        Flag(Arc::new(AtomicBool::new(header_bytes > BUFFERED_HEADERS)))
     }
 
     /// whether the request may have left
-    pub(crate) fn get(&self) -> bool {
-        self.0.get()
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
     }
 }
 
 /// bytes to send, with their note
 #[derive(Debug)]
-pub(crate) struct Bytes<'a> {
+pub struct Bytes<'a> {
     bytes: &'a [u8],
     flag: Flag,
 }
 
 impl<'a> Bytes<'a> {
     /// a body that sets `flag` when it begins to leave
-    pub(crate) fn new(bytes: &'a [u8], flag: &Flag) -> Bytes<'a> {
+    pub fn new(bytes: &'a [u8], flag: &Flag) -> Bytes<'a> {
         Bytes {
             bytes,
             flag: flag.clone(),
@@ -52,7 +52,7 @@
     }
 
     fn write<W: Write>(&mut self, mut writer: W) -> Result<()> {
-        self.flag.0.set(true);
+        self.flag.0.store(true, Ordering::SeqCst);
         writer.write_all(self.bytes)
     }
 }
--- a/crates/store/src/client/transport.rs
+++ b/crates/store/src/client/transport.rs
@@ -1,11 +1,8 @@
 //! One HTTP call with time limits, and the verdict on its failure.
 
-use std::io::{self, Read, Write};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::io::Read;
 use std::time::Duration;
 
-use attohttpc::body::{Body, BodyKind};
 use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
 
 use crate::error::Error;
@@ -52,24 +49,6 @@
     pub(crate) limits: Limits,
 }
 
-/// a body that notes when it began to leave
-struct Tracked {
-    bytes: Vec<u8>,
-    left: Arc<AtomicBool>,
-}
-
-impl Body for Tracked {
-    fn kind(&mut self) -> io::Result<BodyKind> {
-        // A known length makes the library call `write` for an empty body too.
-        Ok(BodyKind::KnownLength(self.bytes.len() as u64))
-    }
-
-    fn write<W: Write>(&mut self, mut writer: W) -> io::Result<()> {
-        self.left.store(true, Ordering::SeqCst);
-        writer.write_all(&self.bytes)
-    }
-}
-
 impl Transport {
     /// makes a call and reads the whole answer
     pub(crate) fn call(&self, call: Call<'_>) -> Result<Answer, Error> {
@@ -89,11 +68,7 @@
 
     /// makes a call whose answer is read as it comes, for `limit` at most
     pub(crate) fn send(&self, call: Call<'_>, limit: Duration) -> Result<Response, Error> {
-        let left = Arc::new(AtomicBool::new(false));
-        let body = Tracked {
-            bytes: call.body,
-            left: Arc::clone(&left),
-        };
+        let flag = sent::Flag::new(0);
         let unsent = |error: attohttpc::Error| Error::Unreachable(error.to_string());
         let mut request = RequestBuilder::try_new(call.method, call.url)
             .map_err(unsent)?
@@ -110,9 +85,10 @@
             let value = format!("Bearer {}", self.token);
             request = request.try_header("Authorization", value).map_err(unsent)?;
         }
+        let body = sent::Bytes::new(&call.body, &flag);
         let sent = request.body(body).send();
         sent.map_err(|error| {
-            if left.load(Ordering::SeqCst) {
+            if flag.get() {
                 Error::Interrupted(error.to_string())
             } else {
                 Error::Unreachable(error.to_string())
