--- a/crates/entry/src/call/plain.rs
+++ b/crates/entry/src/call/plain.rs
@@ -44,6 +44,8 @@
     "x-not-run",
     "x-workspace",
 ];
+/// when a caller may repeat a call that is under way elsewhere
+pub(super) const UNDER_WAY: Duration = Duration::from_secs(1);
 /// expected tokens of a plain call, for the limits
 const PLAIN_TOKENS: u32 = 0;
 
@@ -260,6 +262,3 @@
     let verdict = verdict::join(told, fault.verdict);
     fault.with_verdict(verdict)
 }
-
-/// when a caller may repeat a call that is under way elsewhere
-pub(super) const UNDER_WAY: Duration = Duration::from_secs(1);
