Serve the users' platform: gateway crate, platform adapter, pure placement, quota and capacity by zone

The request path is a new crate on hyper and one current-thread runtime; decisions are pure modules of route and fleet.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -1,6 +1,7 @@
 //! The daemon from its settings to its end.
 
 use std::fs;
+use std::path::Path;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -16,7 +17,6 @@
 use store::claim::Claims;
 use tokio::runtime::{self, Runtime};
 
-use crate::args::Args;
 use crate::capacity;
 use crate::config::{Follower, Keeper};
 use crate::error::Error;
@@ -42,10 +42,10 @@
 ///
 /// # Errors
 /// When the settings are wrong or something can't be started.
-pub fn run(args: &Args) -> Result<(), Error> {
-    let text = fs::read_to_string(&args.settings)
-        .map_err(|error| Error::File(args.settings.clone(), error))?;
-    let name = args.settings.display().to_string();
+pub fn run(path: &Path, check: bool) -> Result<(), Error> {
+    let text = fs::read_to_string(path)
+        .map_err(|error| Error::File(path.to_owned(), error))?;
+    let name = path.display().to_string();
     let settings =
         schema::text::settings(&text, &name).map_err(|error| Error::Settings(error.to_string()))?;
     if let Err(faults) = schema::check::settings(&settings) {
@@ -55,7 +55,7 @@
             .collect();
         return Err(Error::Settings(lines.join("\n")));
     }
-    if args.check {
+    if check {
         println!("{name}: the settings are right");
         return Ok(());
     }
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -7,13 +7,26 @@
 /// Serves callers of language models and plain services from this VM.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
-pub struct Args {
-    /// settings file
-    #[bpaf(long, argument("FILE"))]
-    pub settings: PathBuf,
-    /// only check the settings file
-    #[bpaf(long)]
-    pub check: bool,
+pub enum Args {
+    /// Serves on the users' platform, with the settings that it provides
+    #[bpaf(command("platform"))]
+    Platform {
+        /// only check the settings
+        #[bpaf(long)]
+        check: bool,
+        /// what to log, such as `info` or `gateway=debug,info`
+        #[bpaf(long, argument("FILTER"), fallback("info".to_owned()))]
+        log: String,
+    },
+    /// Serves with a settings file of its own
+    Own {
+        /// settings file
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+        /// only check the settings file
+        #[bpaf(long)]
+        check: bool,
+    },
 }
 
 /// reads the arguments of the process; ends it when they are wrong
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod gauges;
 mod load;
 mod logs;
+mod onplatform;
 mod operator;
 mod secret;
 mod share;
@@ -23,12 +24,17 @@
 
 use std::process::ExitCode;
 
+use args::Args;
+
 pub use error::Error;
 
 /// runs the daemon with the arguments of the process
 pub fn main() -> ExitCode {
-    let args = args::parse();
-    match app::run(&args) {
+    let result = match args::parse() {
+        Args::Own { settings, check } => app::run(&settings, check),
+        Args::Platform { check, log } => onplatform::run(check, &log),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("agateloomd: {error}");
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod state;
 mod steward;
 mod view;
+pub mod zones;
 
 pub use order::order;
 pub use plan::{Action, Start, plan, slot_name};
--- /dev/null
+++ b/crates/fleet/src/zones/order.rs
@@ -0,0 +1,137 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Memory;
+
+/// live VMs of a zone, those that leave not counted
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Stock {
+    /// reclaimable ones
+    pub reclaimable: u32,
+    /// on-demand ones
+    pub on_demand: u32,
+}
+
+/// a zone
+#[derive(Debug, Clone, PartialEq)]
+pub struct Zone {
+    /// its name
+    pub name: String,
+    /// price of an on-demand VM's second
+    pub price: f64,
+    /// its live VMs
+    pub stock: Stock,
+}
+
+/// bounds of a service's capacity
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Terms {
+    /// fewest VMs in a zone
+    pub min: u32,
+    /// most VMs in a zone
+    pub max: u32,
+    /// time from an order to a serving VM
+    pub boot: Duration,
+    /// whether there are reclaimable VMs
+    pub reclaimable: bool,
+}
+
+/// an order to send
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Want {
+    /// the zone
+    pub zone: String,
+    /// the price class
+    pub reclaimable: bool,
+    /// how many
+    pub count: u32,
+}
+
+/// the orders to send so that `needed` VMs are live, also without any one zone's
+/// reclaimable ones
+pub fn orders(
+    zones: &[Zone],
+    terms: &Terms,
+    needed: u32,
+    memory: &Memory,
+    now: Instant,
+) -> Vec<Want> {
+    let reclaimable = reclaimable_counts(zones, terms, needed);
+    let on_demand = on_demand_counts(zones, terms, needed, memory, now);
+    let mut wants = Vec::new();
+    for (index, zone) in zones.iter().enumerate() {
+        let places = [
+            (true, reclaimable[index], zone.stock.reclaimable),
+            (false, on_demand[index], zone.stock.on_demand),
+        ];
+        for (class, count, live) in places {
+            if memory.is_refused(&zone.name, class, now) && count > live {
+                continue;
+            }
+            if memory.is_due(&zone.name, class, count, live, terms.boot, now) {
+                wants.push(Want {
+                    zone: zone.name.clone(),
+                    reclaimable: class,
+                    count,
+                });
+            }
+        }
+    }
+    wants
+}
+
+/// reclaimable VMs of each zone: an even spread that bears the loss of one zone
+fn reclaimable_counts(zones: &[Zone], terms: &Terms, needed: u32) -> Vec<u32> {
+    if !terms.reclaimable {
+        return vec![0; zones.len()];
+    }
+    let others = u32::try_from(zones.len()).unwrap_or(u32::MAX).saturating_sub(1).max(1);
+    let each = needed.div_ceil(others).clamp(terms.min.max(1), terms.max);
+    vec![each; zones.len()]
+}
+
+/// on-demand VMs of each zone: what reclaimable ones do not cover, cheapest zones first
+fn on_demand_counts(
+    zones: &[Zone],
+    terms: &Terms,
+    needed: u32,
+    memory: &Memory,
+    now: Instant,
+) -> Vec<u32> {
+    let mut covered = 0;
+    for zone in zones {
+        let live = zone.stock.reclaimable;
+        covered += live + memory.pending(&zone.name, true, live, terms.boot, now);
+    }
+    let live: u32 = zones.iter().map(|zone| zone.stock.reclaimable).sum();
+    let mut left = needed.saturating_sub(covered);
+    // those that run stay until reclaimable ones are live, not just ordered
+    let spared = needed.saturating_sub(live);
+    let mut counts = vec![0; zones.len()];
+    let mut kept = 0;
+    for (index, zone) in zones.iter().enumerate() {
+        let keep = zone.stock.on_demand.min(spared.saturating_sub(kept));
+        counts[index] = keep;
+        kept += keep;
+    }
+    left = left.saturating_sub(kept);
+    let mut by_price: Vec<usize> = (0..zones.len()).collect();
+    by_price.sort_by(|one, other| zones[*one].price.total_cmp(&zones[*other].price));
+    for index in by_price {
+        let zone = &zones[index];
+        if memory.is_refused(&zone.name, false, now) {
+            continue;
+        }
+        let room = terms.max.saturating_sub(counts[index] + zone.stock.reclaimable);
+        let more = left.min(room);
+        counts[index] += more;
+        left -= more;
+    }
+    if !terms.reclaimable {
+        for count in &mut counts {
+            *count = (*count).max(terms.min);
+        }
+    }
+    counts
+}
--- /dev/null
+++ b/crates/gateway/src/duty/capacity.rs
@@ -0,0 +1,177 @@
+//! Ordering upstream VMs by zone and price class, as `fleet::zones` decides.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::zones::{self, Demand, Memory, Peak, Stock, Terms, Want, Zone};
+use tokio::time::{Instant, sleep};
+
+use super::{Holder, Peers};
+use crate::model::{Health, Scaling, Service};
+use crate::seam::{Cloud, CloudFault, Dialect, Order};
+use crate::shared::Shared;
+
+/// time between two plans
+const TICK: Duration = Duration::from_millis(500);
+
+/// part of an engine's capacity to fill on ordinary days
+const FILL: f64 = 0.35;
+
+/// part of the VMs found at the start of a term that is kept until demand is known
+const FOUND_PART: f64 = 0.75;
+
+/// time of a term in which demand is not known well enough to go below what was found
+const WARM_UP: Duration = Duration::from_secs(20);
+
+/// what is remembered of a service during a term
+struct State {
+    memory: Memory,
+    peak: Peak,
+    found: u32,
+    since: Instant,
+}
+
+/// orders VMs for as long as the process runs
+pub async fn capacity<D: Dialect, C: Cloud>(
+    shared: Rc<Shared<D>>,
+    cloud: Rc<C>,
+    duty: (Rc<Holder>, Rc<Peers>),
+) {
+    let (holder, peers) = duty;
+    let mut states: HashMap<String, State> = HashMap::new();
+    let mut term = None;
+    loop {
+        sleep(TICK).await;
+        let fence = holder.fence();
+        if fence != term {
+            states.clear();
+            term = fence;
+        }
+        if fence.is_none() || !shared.listed.get() {
+            continue;
+        }
+        let Some(config) = shared.config() else {
+            continue;
+        };
+        for service in config.services.values() {
+            if let Some(scaling) = &service.scaling {
+                let wants = plan(&shared, &peers, service, scaling, &mut states);
+                for want in wants {
+                    let state = states.get_mut(&service.name);
+                    send(&*cloud, &holder, service, &want, state).await;
+                }
+            }
+        }
+    }
+}
+
+/// decides what to order for a service
+fn plan<D: Dialect>(
+    shared: &Shared<D>,
+    peers: &Peers,
+    service: &Service,
+    scaling: &Scaling,
+    states: &mut HashMap<String, State>,
+) -> Vec<Want> {
+    let now = Instant::now();
+    let zones = zones(shared, service, scaling);
+    let live: u32 = zones.iter().map(|zone| zone.stock.reclaimable + zone.stock.on_demand).sum();
+    let state = states.entry(service.name.clone()).or_insert_with(|| State {
+        memory: Memory::new(),
+        peak: Peak::new(),
+        found: live,
+        since: now,
+    });
+    let total = shared.board.borrow().total(&service.name, now);
+    let demand = Demand {
+        unread: peers.rate(shared, &service.name).unread,
+        running: f64::from(total.running),
+    };
+    let mut needed = state.peak.see(demand.vms(FILL), now);
+    if now < state.since + WARM_UP {
+        needed = needed.max(f64::from(state.found) * FOUND_PART);
+    }
+    let needed = needed.ceil() as u32;
+    let terms = Terms {
+        min: scaling.min,
+        max: scaling.max,
+        boot: scaling.boot,
+        reclaimable: scaling.reclaimable_price.is_some(),
+    };
+    let wants = zones::orders(&zones, &terms, needed, &state.memory, now);
+    if !wants.is_empty() {
+        tracing::info!(
+            event = "capacity_planned",
+            service = service.name,
+            needed,
+            live,
+            unread_per_second = demand.unread.round(),
+            running = demand.running,
+            orders = wants.len(),
+        );
+    }
+    wants
+}
+
+/// the live VMs of a service by zone
+fn zones<D: Dialect>(shared: &Shared<D>, service: &Service, scaling: &Scaling) -> Vec<Zone> {
+    let mut stocks: HashMap<&str, Stock> = HashMap::new();
+    let vms = shared.vms.borrow();
+    for vm in vms.values() {
+        if vm.service != service.name || vm.health != Health::Ready {
+            continue;
+        }
+        let stock = stocks.entry(&vm.zone).or_default();
+        if vm.reclaimable {
+            stock.reclaimable += 1;
+        } else {
+            stock.on_demand += 1;
+        }
+    }
+    let mut names: Vec<(&String, &f64)> = scaling.zone_prices.iter().collect();
+    names.sort_by(|one, other| one.0.cmp(other.0));
+    let zone = |(name, price): (&String, &f64)| Zone {
+        name: name.clone(),
+        price: *price,
+        stock: stocks.get(name.as_str()).copied().unwrap_or_default(),
+    };
+    names.into_iter().map(zone).collect()
+}
+
+async fn send<C: Cloud>(
+    cloud: &C,
+    holder: &Holder,
+    service: &Service,
+    want: &Want,
+    state: Option<&mut State>,
+) {
+    let (Some(permit), Some(state)) = (holder.permit(), state) else {
+        return;
+    };
+    let order = Order {
+        service: service.name.clone(),
+        zone: want.zone.clone(),
+        reclaimable: want.reclaimable,
+        count: want.count,
+    };
+    let result = cloud.order(&permit, &order).await;
+    let now = Instant::now();
+    let memory = &mut state.memory;
+    match &result {
+        Ok(()) => memory.accepted(&want.zone, want.reclaimable, want.count, now),
+        Err(CloudFault::Unavailable | CloudFault::Refused(_)) => {
+            memory.refused(&want.zone, want.reclaimable, now);
+        }
+        Err(CloudFault::Unknown(_)) => memory.unknown(&want.zone, want.reclaimable),
+    }
+    tracing::info!(
+        event = "capacity_ordered",
+        service = order.service,
+        zone = order.zone,
+        reclaimable = order.reclaimable,
+        count = order.count,
+        fence = permit.fence,
+        fault = result.err().map(|fault| fault.to_string()),
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/follow/vms.rs
@@ -0,0 +1,195 @@
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, timeout_at};
+
+use super::pace::Pace;
+use crate::model::Vm;
+use crate::seam::{Dialect, Event, Fault, Object, Objects};
+use crate::shared::Shared;
+
+/// longest wait of a watch; bounds how long a silent connection goes unnoticed
+const WAIT: Duration = Duration::from_millis(2000);
+
+/// silence of the store after which entries may have lapsed without their VMs' fault
+const OUTAGE: Duration = Duration::from_millis(2500);
+
+/// VMs that are missing though they may live, until when they are waited for
+struct Missing {
+    until: Option<Instant>,
+    vms: HashMap<String, Rc<Vm>>,
+}
+
+/// follows the upstream VMs for as long as the process runs
+pub async fn vms<D: Dialect, S: Objects>(shared: Rc<Shared<D>>, store: Rc<S>) {
+    let mut pace = Pace::default();
+    let mut missing = Missing {
+        until: None,
+        vms: HashMap::new(),
+    };
+    let mut heard: Option<Instant> = None;
+    loop {
+        let failed = match store.list(S::VM_KIND).await {
+            Ok(list) => {
+                if pace.is_failing() {
+                    tracing::info!(event = "store_regained", what = "vms");
+                }
+                pace.succeeded();
+                let now = Instant::now();
+                if heard.is_some_and(|heard| now > heard + OUTAGE) {
+                    missing.until = Some(now + shared.settings.promises.relist);
+                }
+                replace(&shared, &*store, &list.objects, &mut missing);
+                watch(&shared, &*store, list.revision, &mut missing, &mut heard).await
+            }
+            Err(fault) => fault,
+        };
+        if !pace.is_failing() {
+            tracing::warn!(event = "store_lost", what = "vms", cause = %failed);
+        }
+        missing.settle(&shared);
+        pace.wait().await;
+    }
+}
+
+/// takes in a whole list
+fn replace<D: Dialect, S: Objects>(
+    shared: &Shared<D>,
+    store: &S,
+    objects: &[Object],
+    missing: &mut Missing,
+) {
+    let mut listed: HashMap<String, Rc<Vm>> = HashMap::new();
+    for object in objects {
+        match store.vm(&object.name, &object.spec) {
+            Ok(vm) => {
+                listed.insert(vm.id.clone(), Rc::new(vm));
+            }
+            Err(cause) => {
+                tracing::debug!(event = "vm_unreadable", vm = object.name, cause);
+            }
+        }
+    }
+    let known = std::mem::take(&mut *shared.vms.borrow_mut());
+    if missing.until.is_some() {
+        for (id, vm) in known {
+            if !listed.contains_key(&id) {
+                missing.vms.insert(id, vm);
+            }
+        }
+        listed.extend(missing.vms.iter().map(|(id, vm)| (id.clone(), Rc::clone(vm))));
+    }
+    tracing::info!(event = "vms_listed", vms = listed.len(), waited_for = missing.vms.len());
+    *shared.vms.borrow_mut() = listed;
+    shared.listed.set(true);
+    shared.list_board();
+}
+
+/// watches until a call fails
+async fn watch<D: Dialect, S: Objects>(
+    shared: &Shared<D>,
+    store: &S,
+    revision: u64,
+    missing: &mut Missing,
+    heard: &mut Option<Instant>,
+) -> Fault {
+    let mut revision = revision;
+    loop {
+        *heard = Some(Instant::now());
+        let watching = store.watch(S::VM_KIND, revision, WAIT);
+        let result = match missing.until {
+            Some(until) => match timeout_at(until, watching).await {
+                Ok(result) => result,
+                Err(_) => {
+                    missing.settle(shared);
+                    continue;
+                }
+            },
+            None => watching.await,
+        };
+        let watch = match result {
+            Ok(watch) => watch,
+            Err(fault) => return fault,
+        };
+        for event in &watch.events {
+            take(shared, store, event, missing);
+        }
+        missing.settle(shared);
+        if !watch.events.is_empty() {
+            shared.list_board();
+        }
+        revision = revision.max(watch.revision);
+    }
+}
+
+/// takes in one change
+fn take<D: Dialect, S: Objects>(
+    shared: &Shared<D>,
+    store: &S,
+    event: &Event,
+    missing: &mut Missing,
+) {
+    let name = &event.object.name;
+    let vm = if event.deleted {
+        None
+    } else {
+        match store.vm(name, &event.object.spec) {
+            Ok(vm) => Some(vm),
+            Err(cause) => {
+                tracing::debug!(event = "vm_unreadable", vm = name, cause);
+                None
+            }
+        }
+    };
+    let mut vms = shared.vms.borrow_mut();
+    match vm {
+        Some(vm) => {
+            missing.vms.remove(name);
+            let known = vms.insert(name.clone(), Rc::new(vm.clone()));
+            note(known.as_deref(), &vm);
+        }
+        None => {
+            if let Some(vm) = vms.remove(name) {
+                tracing::info!(event = "vm_gone", vm = name, service = vm.service, zone = vm.zone);
+            }
+        }
+    }
+}
+
+fn note(known: Option<&Vm>, vm: &Vm) {
+    if known.is_some_and(|known| known.health == vm.health && known.born == vm.born) {
+        return;
+    }
+    tracing::info!(
+        event = "vm_listed",
+        vm = vm.id,
+        service = vm.service,
+        zone = vm.zone,
+        address = %vm.address,
+        health = ?vm.health,
+        reclaimable = vm.reclaimable,
+    );
+}
+
+impl Missing {
+    /// takes VMs that did not come back in time to be gone
+    fn settle<D: Dialect>(&mut self, shared: &Shared<D>) {
+        if self.until.is_none_or(|until| Instant::now() < until) {
+            return;
+        }
+        self.until = None;
+        if self.vms.is_empty() {
+            return;
+        }
+        let mut vms = shared.vms.borrow_mut();
+        for (id, vm) in self.vms.drain() {
+            if vms.get(&id).is_some_and(|known| Rc::ptr_eq(known, &vm)) {
+                tracing::info!(event = "vm_gone", vm = id, service = vm.service, zone = vm.zone);
+                vms.remove(&id);
+            }
+        }
+        drop(vms);
+        shared.list_board();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/listener.rs
@@ -0,0 +1,68 @@
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nix::sys::socket::{setsockopt, sockopt};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::sleep;
+
+use super::connection;
+use crate::seam::Dialect;
+use crate::shared::Shared;
+
+/// connections that wait to be accepted: callers of a failed daemon come all at once
+const BACKLOG: u32 = 1024;
+
+/// part of the descriptors that callers' connections may take
+const CALLERS_PART: f64 = 0.6;
+
+/// time for which a caller may leave bytes unacknowledged, milliseconds
+const UNACKNOWLEDGED_MS: u32 = 10_000;
+
+/// pause after a failed accept: descriptors come free within about this time
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// listens on an address
+///
+/// # Errors
+/// When the address can't be listened on.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// accepts callers for as long as the process runs
+pub async fn serve<D: Dialect + 'static>(shared: Rc<Shared<D>>, listener: TcpListener) {
+    let most = (shared.settings.descriptors as f64 * CALLERS_PART) as usize;
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if shared.callers.get() >= most {
+            tracing::warn!(event = "caller_turned_away", connections = most);
+            continue;
+        }
+        let options = [
+            stream.set_nodelay(true).map_err(|error| error.to_string()),
+            setsockopt(&stream, sockopt::TcpUserTimeout, &UNACKNOWLEDGED_MS)
+                .map_err(|error| error.to_string()),
+        ];
+        for error in options.into_iter().filter_map(Result::err) {
+            tracing::debug!(event = "socket_option_refused", error);
+        }
+        let shared = Rc::clone(&shared);
+        shared.callers.set(shared.callers.get() + 1);
+        tokio::task::spawn_local(async move {
+            connection::run(Rc::clone(&shared), stream).await;
+            shared.callers.set(shared.callers.get() - 1);
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! Serves callers from upstream VMs on one event loop.
+//!
+//! A gateway follows its configuration and its upstream VMs in an object API, forwards
+//! callers' requests, tells its peers what it has under way, and takes its turn in the
+//! duties of all daemons. What is particular to a deployment, such as names, formats and
+//! calls, is in the traits of [`seam`], which an adapter implements.
+//!
+//! Decisions are elsewhere and do no I/O: `route::place` chooses VMs, `route::retry`
+//! repeats, `route::quota` limits, `route::trust` judges the configuration's age,
+//! `fleet::zones` orders VMs.
+
+mod app;
+mod clock;
+pub mod duty;
+pub mod follow;
+pub mod front;
+pub mod log;
+pub mod metrics;
+pub mod model;
+pub mod pool;
+pub mod seam;
+pub mod serve;
+mod settings;
+mod shared;
+mod stage;
+pub mod usage;
+
+pub use app::{Adapter, run};
+pub use clock::Clock;
+pub use settings::{Promises, Settings};
+pub use shared::Shared;
+pub use stage::Stage;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,93 @@
+//! Counters and latencies, as Prometheus reads them.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+/// bounds of the latency histograms, seconds
+const BUCKETS: [f64; 11] = [
+    0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0,
+];
+
+/// what a process counts
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// requests by route and outcome
+    pub requests: IntCounterVec,
+    /// attempts by service and outcome
+    pub attempts: IntCounterVec,
+    /// time to the answer or the first event, by route
+    pub latency: HistogramVec,
+    /// calls to the platform by call and outcome
+    pub calls: IntCounterVec,
+    /// states: configuration version and age, VMs, connections, requests
+    pub states: IntGaugeVec,
+}
+
+impl Metrics {
+    /// counters at zero
+    ///
+    /// # Panics
+    /// Never: the names are constants and distinct.
+    pub fn new() -> Metrics {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels);
+            let counter = counter.expect("the name is valid");
+            let added = registry.register(Box::new(counter.clone()));
+            added.expect("the name is new");
+            counter
+        };
+        let requests = counter(
+            "agateloom_requests_total",
+            "Requests of callers by route and outcome.",
+            &["route", "outcome"],
+        );
+        let attempts = counter(
+            "agateloom_attempts_total",
+            "Attempts at upstream VMs by service and outcome.",
+            &["service", "outcome"],
+        );
+        let calls = counter(
+            "agateloom_platform_calls_total",
+            "Calls to the platform by call and outcome.",
+            &["call", "outcome"],
+        );
+        let options = HistogramOpts::new(
+            "agateloom_latency_seconds",
+            "Time to the answer or the first event by route.",
+        );
+        let latency = HistogramVec::new(options.buckets(BUCKETS.to_vec()), &["route"]);
+        let latency = latency.expect("the name is valid");
+        let states = IntGaugeVec::new(Opts::new("agateloom_state", "States by name."), &["name"]);
+        let states = states.expect("the name is valid");
+        let added = registry.register(Box::new(latency.clone()));
+        added.expect("the name is new");
+        let added = registry.register(Box::new(states.clone()));
+        added.expect("the name is new");
+        Metrics {
+            registry,
+            requests,
+            attempts,
+            latency,
+            calls,
+            states,
+        }
+    }
+
+    /// all of them as text
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            tracing::error!(event = "metrics_unreadable", %error);
+        }
+        String::from_utf8(text).unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,66 @@
+//! Settings of one process, as a deployment's adapter reads them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// times and budgets that the deployment promises or is promised
+#[derive(Debug, Clone, PartialEq)]
+pub struct Promises {
+    /// time after an upstream VM's leaving in which requests may still reach it
+    pub drain: Duration,
+    /// time from the order to stop until the process is killed
+    pub grace: Duration,
+    /// time in which a configuration is in force everywhere
+    pub apply: Duration,
+    /// age of the configuration beyond which keys are not trusted; none if they always are
+    pub key_trust: Option<Duration>,
+    /// retries allowed for each request of a service
+    pub retry_ratio: f64,
+    /// window over which retries are counted
+    pub retry_window: Duration,
+    /// retries allowed in a window besides
+    pub retry_burst: f64,
+    /// time for which a lease binds others
+    pub lease: Duration,
+    /// length of a window of usage
+    pub usage_window: Duration,
+    /// time after the end of a window in which its usage has to be reported
+    pub usage_late: Duration,
+    /// time in which VMs that lapsed while the object API was out are back in its lists
+    pub relist: Duration,
+}
+
+/// what a process has to know to start
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// name of this daemon
+    pub name: String,
+    /// its zone
+    pub zone: String,
+    /// region of each zone
+    pub regions: HashMap<String, String>,
+    /// where callers connect
+    pub callers: SocketAddr,
+    /// where the balancer asks whether this daemon is ready
+    pub ready: SocketAddr,
+    /// where other daemons connect
+    pub peers: SocketAddr,
+    /// where metrics are served
+    pub metrics: SocketAddr,
+    /// most connections and files that the process may have open
+    pub descriptors: usize,
+    /// whether usage is to be reported
+    pub reports_usage: bool,
+    /// whether upstream VMs are to be ordered
+    pub orders_capacity: bool,
+    /// times and budgets
+    pub promises: Promises,
+}
+
+impl Settings {
+    /// the region of a zone; a zone that is not listed is a region of its own
+    pub fn region<'a>(&'a self, zone: &'a str) -> &'a str {
+        self.regions.get(zone).map_or(zone, String::as_str)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,236 @@
+//! What all tasks of the gateway share on its one thread.
+//!
+//! Every field that changes is in a cell of its own. No cell is borrowed across an
+//! `await`, and none while another is borrowed, but for the board while VMs are listed.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use route::place::{Board, Choice, Member, Near};
+use route::quota::Quota;
+use route::retry::{Allowance, Terms};
+use route::trust::{self, Trust};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::clock::Clock;
+use crate::log::Sampler;
+use crate::metrics::Metrics;
+use crate::model::{Config, Health, Limit, Vm};
+use crate::pool::Pool;
+use crate::seam::Dialect;
+use crate::serve::{Own, Reason};
+use crate::settings::Settings;
+use crate::stage::Stage;
+use crate::usage::Tally;
+
+/// the state of the gateway
+pub struct Shared<D: Dialect> {
+    /// settings of the process
+    pub settings: Settings,
+    /// how callers and VMs are spoken to
+    pub dialect: D,
+    /// the clock that counts suspension
+    pub clock: Clock,
+    /// connections to other processes
+    pub pool: Rc<Pool>,
+    /// callers' connections
+    pub callers: Cell<usize>,
+    /// the configuration in force
+    pub config: RefCell<Option<Rc<Config>>>,
+    /// until when the object API is known to have had no newer configuration
+    pub agreed: Cell<Option<Instant>>,
+    /// VMs by instance id, those that leave included
+    pub vms: RefCell<HashMap<String, Rc<Vm>>>,
+    /// whether VMs have been listed
+    pub listed: Cell<bool>,
+    /// loads and choice
+    pub board: RefCell<Board>,
+    /// limits by workspace
+    pub quotas: RefCell<HashMap<String, Quota>>,
+    /// repeats by service
+    pub allowances: RefCell<HashMap<String, Allowance>>,
+    /// number of daemons, this one included
+    pub daemons: Cell<usize>,
+    /// requests that began, by workspace and window
+    pub tally: RefCell<Tally>,
+    /// whether the process starts, serves or leaves
+    pub stage: watch::Sender<Stage>,
+    /// counters and latencies
+    pub metrics: Metrics,
+    /// bounds the volume of the log
+    pub sampler: RefCell<Sampler>,
+}
+
+impl<D: Dialect> Shared<D> {
+    /// the state of a process that has just started
+    pub fn new(settings: Settings, dialect: D, pool: Rc<Pool>) -> Rc<Shared<D>> {
+        let tally = Tally::new(settings.promises.usage_window);
+        Rc::new(Shared {
+            settings,
+            dialect,
+            clock: Clock::start(),
+            pool,
+            callers: Cell::default(),
+            config: RefCell::default(),
+            agreed: Cell::default(),
+            vms: RefCell::default(),
+            listed: Cell::default(),
+            board: RefCell::new(Board::new()),
+            quotas: RefCell::default(),
+            allowances: RefCell::default(),
+            daemons: Cell::new(1),
+            tally: RefCell::new(tally),
+            stage: watch::Sender::new(Stage::Serving),
+            metrics: Metrics::new(),
+            sampler: RefCell::new(Sampler::new(Instant::now())),
+        })
+    }
+
+    /// the configuration in force
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// age of the configuration: since when the object API may have had a newer one
+    pub fn config_age(&self) -> Option<Duration> {
+        let agreed = self.agreed.get()?;
+        Some(self.clock.now().saturating_duration_since(agreed))
+    }
+
+    /// what the configuration may be used for
+    pub fn trust(&self) -> Trust {
+        let promises = &self.settings.promises;
+        let bounds = trust::Bounds {
+            apply: promises.apply,
+            keys: promises.key_trust,
+        };
+        let age = self.config_age();
+        age.map_or(Trust::Stale, |age| trust::judge(age, &bounds))
+    }
+
+    /// whether new callers are welcome
+    pub fn is_ready(&self) -> bool {
+        let serving = *self.stage.borrow() == Stage::Serving;
+        serving && self.listed.get() && self.trust() != Trust::Stale
+    }
+
+    /// takes in a configuration that is newer than the one in force
+    pub fn configure(&self, config: Config) {
+        let now = Instant::now();
+        let mut quotas = self.quotas.borrow_mut();
+        let mut limits: HashMap<&str, Limit> = HashMap::new();
+        for workspace in config.keys.values() {
+            if let Some(limit) = workspace.limit {
+                limits.insert(&workspace.name, limit);
+            }
+        }
+        quotas.retain(|name, _| limits.contains_key(name.as_str()));
+        let share = 1.0 / self.daemons.get() as f64;
+        for (name, limit) in limits {
+            match quotas.get_mut(name) {
+                Some(quota) => quota.configure(limit.rate, limit.burst, now),
+                None => {
+                    let quota = Quota::new(limit.rate, limit.burst, share, now);
+                    quotas.insert(name.to_owned(), quota);
+                }
+            }
+        }
+        drop(quotas);
+        *self.config.borrow_mut() = Some(Rc::new(config));
+        self.list_board();
+    }
+
+    /// makes the board follow the VMs that are known
+    pub fn list_board(&self) {
+        let Some(config) = self.config() else {
+            return;
+        };
+        let mut members: HashMap<&str, Vec<Member>> = HashMap::new();
+        for name in config.services.keys() {
+            members.insert(name, Vec::new());
+        }
+        let vms = self.vms.borrow();
+        for vm in vms.values().filter(|vm| vm.health == Health::Ready) {
+            let Some(service) = config.services.get(&vm.service) else {
+                continue;
+            };
+            let member = Member {
+                id: vm.id.clone(),
+                near: self.near(&vm.zone),
+                slots: vm.slots,
+                cache_tokens: service.engine.map(|engine| engine.cache_tokens),
+            };
+            members.entry(&service.name).or_default().push(member);
+        }
+        let mut board = self.board.borrow_mut();
+        for (service, members) in members {
+            board.list(service, members);
+        }
+    }
+
+    /// takes a repeat from the allowance of a service
+    pub fn take_repeat(&self, service: &str) -> bool {
+        let mut allowances = self.allowances.borrow_mut();
+        let allowance = allowances
+            .entry(service.to_owned())
+            .or_insert_with(|| Allowance::new(self.terms()));
+        allowance.take(self.daemons.get(), Instant::now())
+    }
+
+    /// counts a request for the allowance of its service
+    pub fn count_request(&self, service: &str) {
+        let mut allowances = self.allowances.borrow_mut();
+        let allowance = allowances
+            .entry(service.to_owned())
+            .or_insert_with(|| Allowance::new(self.terms()));
+        allowance.earn(Instant::now());
+    }
+
+    /// the VM that a choice names, or why there is none
+    pub fn chosen(&self, choice: Choice) -> Result<(Rc<Vm>, route::place::Pick), Own> {
+        match choice {
+            Choice::Send(pick) => match self.vms.borrow().get(&pick.id) {
+                Some(vm) => Ok((Rc::clone(vm), pick)),
+                None => Err(Own::after(Reason::NoVm, NO_VM_WAIT)),
+            },
+            Choice::Full(wait) => Err(Own::after(Reason::Full, wait)),
+            Choice::Nobody => Err(Own::after(Reason::NoVm, NO_VM_WAIT)),
+        }
+    }
+
+    fn near(&self, zone: &str) -> Near {
+        let own = &self.settings.zone;
+        if zone == own {
+            Near::Zone
+        } else if self.settings.region(zone) == self.settings.region(own) {
+            Near::Region
+        } else {
+            Near::Link
+        }
+    }
+
+    fn terms(&self) -> Terms {
+        let promises = &self.settings.promises;
+        Terms {
+            ratio: promises.retry_ratio,
+            window: promises.retry_window,
+            burst: promises.retry_burst,
+        }
+    }
+}
+
+/// time to come back when a service has no VM: about as long as one takes to register
+pub const NO_VM_WAIT: Duration = Duration::from_secs(1);
+
+impl<D: Dialect> Shared<D> {
+    /// takes a VM out until it is listed again
+    pub fn drop_vm(&self, id: &str, cause: &str) {
+        if let Some(vm) = self.vms.borrow_mut().remove(id) {
+            tracing::info!(event = "vm_dropped", vm = id, address = %vm.address, cause);
+        }
+        self.list_board();
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,11 +8,14 @@
 pub mod level;
 pub mod limit;
 pub mod overload;
+pub mod place;
 pub mod prefix;
+pub mod quota;
 mod refusal;
 pub mod resume;
 pub mod retry;
 pub mod table;
+pub mod trust;
 pub mod verdict;
 
 pub use refusal::{Reason, Refusal};
--- /dev/null
+++ b/crates/route/src/place/board.rs
@@ -0,0 +1,362 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::ask::{Ask, Choice, Near, Pick};
+use super::engine::{self, Figures};
+use super::fault::Record;
+use super::load::{Load, Meter, Rate, Work};
+use super::memory::Memory;
+use super::plain;
+
+/// part of a prompt's shared tokens that its home is taken to hold before this daemon
+/// knows: other daemons send there as well
+const HOME_PART: f64 = 0.85;
+
+/// price of a VM in another zone of the region, as time
+const ZONE_PRICE: Duration = Duration::from_millis(2);
+
+/// price of a VM across the link between regions, as time: the round trip, and the bytes
+const LINK_PRICE: Duration = Duration::from_millis(70);
+
+/// time after which the load that a peer told is not counted any more
+const PEER_AGE: Duration = Duration::from_millis(2500);
+
+/// weight of one more answer in the time that a VM takes
+const WORK_WEIGHT: f64 = 0.1;
+
+/// weight of one more outcome in a service's usual share of failures
+const USUAL_WEIGHT: f64 = 0.01;
+
+/// shortest time to come back that a refused caller is told
+const RETURN_LEAST: Duration = Duration::from_millis(300);
+
+/// a VM that may be chosen
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// its instance id
+    pub id: String,
+    /// how far it is
+    pub near: Near,
+    /// requests that it runs at once
+    pub slots: u32,
+    /// its KV cache in tokens, if it is an engine
+    pub cache_tokens: Option<u64>,
+}
+
+/// how a request ended at a VM
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// answered
+    Answered,
+    /// answered with a failure of the VM's own
+    Failed,
+    /// refused without being run
+    Refused,
+    /// the connection broke, or could not be made
+    Broken,
+    /// ended by this side
+    Left,
+}
+
+/// a VM and what is known of it
+#[derive(Debug, Clone)]
+struct Entry {
+    member: Member,
+    own: Load,
+    memory: Memory,
+    record: Record,
+    work: Duration,
+}
+
+/// the VMs of one service
+#[derive(Debug, Clone, Default)]
+struct Group {
+    entries: HashMap<String, Entry>,
+    usual_failures: f64,
+    meter: Meter,
+}
+
+/// what a peer said that it has under way, by VM
+#[derive(Debug, Clone)]
+struct Told {
+    at: Instant,
+    loads: HashMap<String, Load>,
+}
+
+/// all VMs that may be chosen, and what is under way there
+#[derive(Debug, Clone, Default)]
+pub struct Board {
+    groups: HashMap<String, Group>,
+    told: HashMap<String, Told>,
+}
+
+impl Board {
+    /// a board without VMs
+    pub fn new() -> Board {
+        Board::default()
+    }
+
+    /// replaces the VMs of a service; what is known of those that stay is kept
+    pub fn list(&mut self, service: &str, members: Vec<Member>) {
+        let group = self.groups.entry(service.to_owned()).or_default();
+        let mut known = std::mem::take(&mut group.entries);
+        for member in members {
+            let entry = match known.remove(&member.id) {
+                Some(entry) => Entry { member, ..entry },
+                None => Entry::new(member),
+            };
+            group.entries.insert(entry.member.id.clone(), entry);
+        }
+    }
+
+    /// takes in what a peer has under way
+    pub fn hear(&mut self, peer: &str, loads: HashMap<String, Load>, now: Instant) {
+        let told = Told { at: now, loads };
+        self.told.insert(peer.to_owned(), told);
+        self.told
+            .retain(|_, told| now.saturating_duration_since(told.at) < PEER_AGE);
+    }
+
+    /// what this daemon has under way, by VM
+    pub fn loads(&self) -> HashMap<String, Load> {
+        let entries = self.groups.values().flat_map(|group| group.entries.values());
+        let busy = entries.filter(|entry| entry.own.running > 0);
+        busy.map(|entry| (entry.member.id.clone(), entry.own)).collect()
+    }
+
+    /// counts a request of a service that callers bring, with the tokens to read
+    pub fn offer(&mut self, service: &str, unread: u32, now: Instant) {
+        let group = self.groups.entry(service.to_owned()).or_default();
+        group.meter.count(unread, now);
+    }
+
+    /// the work that this daemon's callers bring to a service
+    pub fn rate(&mut self, service: &str, now: Instant) -> Rate {
+        let group = self.groups.get_mut(service);
+        group.map_or_else(Rate::default, |group| group.meter.read(now))
+    }
+
+    /// the work that this daemon's callers bring, by service
+    pub fn rates(&mut self, now: Instant) -> HashMap<String, Rate> {
+        let groups = self.groups.iter_mut();
+        groups.map(|(name, group)| (name.clone(), group.meter.read(now))).collect()
+    }
+
+    /// number of VMs of a service
+    pub fn count(&self, service: &str) -> usize {
+        self.groups.get(service).map_or(0, |group| group.entries.len())
+    }
+
+    /// what is under way at all VMs of a service, as far as known
+    pub fn total(&self, service: &str, now: Instant) -> Load {
+        let mut total = Load::default();
+        if let Some(group) = self.groups.get(service) {
+            for entry in group.entries.values() {
+                total.add(&self.load(entry, now));
+            }
+        }
+        total
+    }
+
+    /// chooses a VM for a request
+    pub fn choose(&self, ask: &Ask<'_>, now: Instant) -> Choice {
+        let Some(group) = self.groups.get(ask.service) else {
+            return Choice::Nobody;
+        };
+        let home = home(group, ask);
+        let mut best: Option<(bool, Duration, Pick)> = None;
+        for entry in group.entries.values() {
+            let avoided = ask.avoid.contains(&entry.member.id);
+            let last = avoided || entry.record.is_suspect(now);
+            let pick = self.pick(entry, ask, home, now);
+            let cost = pick.expected
+                + price(pick.near)
+                + entry.record.penalty(group.usual_failures)
+                + tie(&entry.member.id, ask);
+            let better = match &best {
+                Some((best_last, best_cost, _)) => (last, cost) < (*best_last, *best_cost),
+                None => true,
+            };
+            if better {
+                best = Some((last, cost, pick));
+            }
+        }
+        match best {
+            None => Choice::Nobody,
+            Some((_, _, pick)) if pick.expected > ask.patience => {
+                Choice::Full((pick.expected - ask.patience).max(RETURN_LEAST))
+            }
+            Some((_, _, pick)) => Choice::Send(pick),
+        }
+    }
+
+    /// notes that a request is sent to a VM
+    pub fn begin(&mut self, ask: &Ask<'_>, id: &str, work: &Work, now: Instant) {
+        let Some(entry) = self.entry(ask.service, id) else {
+            return;
+        };
+        if entry.own.running == 0 {
+            entry.record.wake(now);
+        }
+        entry.own.begin(work);
+        if let Some(capacity) = entry.member.cache_tokens {
+            entry.memory.read(ask.parts, capacity, now);
+        }
+    }
+
+    /// notes that a VM said something
+    pub fn heard(&mut self, service: &str, id: &str, now: Instant) {
+        if let Some(entry) = self.entry(service, id) {
+            entry.record.hear(now);
+        }
+    }
+
+    /// notes that the first token of a request came
+    pub fn first_token(&mut self, service: &str, id: &str, work: &Work) {
+        if let Some(entry) = self.entry(service, id) {
+            entry.own.read(work);
+        }
+    }
+
+    /// notes that a request ended; `took` is the time to its answer, if it is a plain one
+    pub fn end(&mut self, done: &Done<'_>, now: Instant) {
+        let Some(group) = self.groups.get_mut(done.service) else {
+            return;
+        };
+        if matches!(done.outcome, Outcome::Answered | Outcome::Failed) {
+            let failed = if done.outcome == Outcome::Failed { 1.0 } else { 0.0 };
+            group.usual_failures += (failed - group.usual_failures) * USUAL_WEIGHT;
+        }
+        let Some(entry) = group.entries.get_mut(done.id) else {
+            return;
+        };
+        entry.own.end(done.work);
+        if entry.own.running == 0 {
+            entry.record.rest();
+        }
+        match done.outcome {
+            Outcome::Answered => entry.record.answered(true),
+            Outcome::Failed => entry.record.answered(false),
+            Outcome::Broken => entry.record.broke(now),
+            Outcome::Refused => entry.record.pause(RETURN_LEAST, now),
+            Outcome::Left => {}
+        }
+        if let Some(took) = done.took {
+            let change = took.as_secs_f64() - entry.work.as_secs_f64();
+            let work = entry.work.as_secs_f64() + change * WORK_WEIGHT;
+            entry.work = Duration::from_secs_f64(work.max(0.0));
+        }
+    }
+
+    fn entry(&mut self, service: &str, id: &str) -> Option<&mut Entry> {
+        self.groups.get_mut(service)?.entries.get_mut(id)
+    }
+
+    /// what all daemons have under way at a VM
+    fn load(&self, entry: &Entry, now: Instant) -> Load {
+        let mut load = entry.own;
+        for told in self.told.values() {
+            if now.saturating_duration_since(told.at) >= PEER_AGE {
+                continue;
+            }
+            if let Some(other) = told.loads.get(&entry.member.id) {
+                load.add(other);
+            }
+        }
+        load
+    }
+
+    fn pick(&self, entry: &Entry, ask: &Ask<'_>, home: Option<Home<'_>>, now: Instant) -> Pick {
+        let member = &entry.member;
+        let load = self.load(entry, now);
+        let (expected, uncached) = match member.cache_tokens {
+            None => (plain::expected(member.slots, &load, entry.work), 0),
+            Some(cache_tokens) => {
+                let known = entry.memory.cached(ask.parts);
+                let guessed = match home {
+                    Some(home) if home.id == member.id => home.tokens,
+                    _ => 0,
+                };
+                let uncached = ask.prompt_tokens.saturating_sub(known.max(guessed));
+                let figures = Figures {
+                    slots: member.slots,
+                    cache_tokens,
+                };
+                let held = uncached.saturating_add(ask.output_tokens);
+                let expected = engine::expected(&figures, &load, uncached, held);
+                (expected, uncached)
+            }
+        };
+        Pick {
+            id: member.id.clone(),
+            expected,
+            uncached,
+            near: member.near,
+        }
+    }
+}
+
+/// the end of a request at a VM
+#[derive(Debug, Clone, Copy)]
+pub struct Done<'a> {
+    /// the service
+    pub service: &'a str,
+    /// the VM's instance id
+    pub id: &'a str,
+    /// what [`Board::begin`] counted
+    pub work: &'a Work,
+    /// how it ended
+    pub outcome: Outcome,
+    /// time to the answer, if it is a plain one
+    pub took: Option<Duration>,
+}
+
+impl Entry {
+    fn new(member: Member) -> Entry {
+        Entry {
+            member,
+            own: Load::default(),
+            memory: Memory::default(),
+            record: Record::new(),
+            work: plain::WORK,
+        }
+    }
+}
+
+/// the VM that a prompt's shared parts belong to, and the tokens it is taken to hold
+#[derive(Debug, Clone, Copy)]
+struct Home<'a> {
+    id: &'a str,
+    tokens: u32,
+}
+
+/// finds the home of a prompt: the VM with the highest hash for its last shared part
+fn home<'a>(group: &'a Group, ask: &Ask<'_>) -> Option<Home<'a>> {
+    let (_, shared) = ask.parts.split_last()?;
+    let (part, _) = shared.last()?;
+    let entries = group.entries.values();
+    let best = entries.max_by_key(|entry| xxh3_64_with_seed(entry.member.id.as_bytes(), *part))?;
+    let tokens: u32 = shared.iter().map(|(_, tokens)| tokens).sum();
+    Some(Home {
+        id: &best.member.id,
+        tokens: (f64::from(tokens) * HOME_PART) as u32,
+    })
+}
+
+/// what the way to a VM costs, as time
+fn price(near: Near) -> Duration {
+    match near {
+        Near::Zone => Duration::ZERO,
+        Near::Region => ZONE_PRICE,
+        Near::Link => LINK_PRICE,
+    }
+}
+
+/// a fraction of a millisecond that spreads requests over VMs that are alike
+fn tie(id: &str, ask: &Ask<'_>) -> Duration {
+    let seed = ask.parts.last().map_or(0, |(id, _)| *id);
+    Duration::from_nanos(xxh3_64_with_seed(id.as_bytes(), seed) % 1_000_000)
+}
--- /dev/null
+++ b/crates/route/src/place/mod.rs
@@ -0,0 +1,30 @@
+//! The choice of an upstream VM by what this daemon and its peers have sent.
+//!
+//! Engines' own reports are late and each one is paid for, so the board counts what was
+//! sent: requests that run, prompt tokens that wait to be read, and which VM has read
+//! which parts of prompts. Peers add their counts. The expected time to the first token
+//! follows from these and is compared over all VMs of the service.
+//!
+//! Load patterns, each replayed in `tests/place.rs`:
+//!
+//! * Many prompts begin with the same long part. Every daemon must find the VM that has
+//!   read it without being told: the part's home by rendezvous hashing counts as a VM
+//!   that probably holds it.
+//! * One prompt takes a large part of the traffic. Its home fills up, its expected time
+//!   grows past the cost of reading the part once more, and the next home is used.
+//! * A VM fails part of its requests, or goes dark while its entry stays. Failures raise
+//!   its cost; one that says nothing while it has work is not chosen while others are.
+//! * The load is more than the VMs can take in time. A request whose expected time is
+//!   past what its caller waits for is refused at once, with the time until there is room.
+
+mod ask;
+mod board;
+mod engine;
+mod fault;
+mod load;
+mod memory;
+mod plain;
+
+pub use ask::{Ask, Choice, Near, Pick};
+pub use board::{Board, Done, Member, Outcome};
+pub use load::{Load, Rate, Work};
