--- a/crates/fleet/src/zones/demand.rs
+++ b/crates/fleet/src/zones/demand.rs
@@ -9,6 +9,9 @@
 /// streams that an engine runs at once without slowing each of them much
 const STREAMS: f64 = 16.0;
 
+/// time that a stream runs at an engine that is not full, seconds
+const STREAM_SECONDS: f64 = 1.0;
+
 /// time for which a peak of the demand is held: orders take seconds to take effect, and
 /// callers' traffic moves in waves
 const HOLD: Duration = Duration::from_secs(20);
@@ -18,14 +21,14 @@
 pub struct Demand {
     /// prompt tokens per second that have to be read
     pub unread: f64,
-    /// streams that run
-    pub running: f64,
+    /// streams that begin per second; those that run would count a slow engine as demand
+    pub streams: f64,
 }
 
 impl Demand {
     /// VMs that this demand would fill to a part of their capacity
     pub fn vms(&self, fill: f64) -> f64 {
-        (self.unread / READ_TOKENS_PER_SECOND + self.running / STREAMS) / fill
+        (self.unread / READ_TOKENS_PER_SECOND + self.streams * STREAM_SECONDS / STREAMS) / fill
     }
 }
 
--- a/crates/gateway/src/duty/capacity.rs
+++ b/crates/gateway/src/duty/capacity.rs
@@ -19,7 +19,10 @@
 const FILL: f64 = 0.35;
 
 /// part of the VMs found at the start of a term that is kept until demand is known
-const FOUND_PART: f64 = 0.75;
+const FOUND_PART: f64 = 0.85;
+
+/// time at the start of a term in which VMs that are there register themselves
+const LOOK: Duration = Duration::from_secs(2);
 
 /// time of a term in which demand is not known well enough to go below what was found
 const WARM_UP: Duration = Duration::from_secs(20);
@@ -83,13 +86,18 @@
         found: live,
         since: now,
     });
-    let total = shared.board.borrow().total(&service.name, now);
+    let rate = peers.rate(shared, &service.name);
     let demand = Demand {
-        unread: peers.rate(shared, &service.name).unread,
-        running: f64::from(total.running),
+        unread: rate.unread,
+        streams: rate.requests,
     };
     let mut needed = state.peak.see(demand.vms(FILL), now);
-    if now < state.since + WARM_UP {
+    let age = now - state.since;
+    if age < LOOK {
+        state.found = state.found.max(live);
+        return Vec::new();
+    }
+    if age < WARM_UP {
         needed = needed.max(f64::from(state.found) * FOUND_PART);
     }
     let needed = needed.ceil() as u32;
@@ -107,7 +115,7 @@
             needed,
             live,
             unread_per_second = demand.unread.round(),
-            running = demand.running,
+            streams_per_second = demand.streams.round(),
             orders = wants.len(),
         );
     }
--- a/crates/gateway/src/duty/peers.rs
+++ b/crates/gateway/src/duty/peers.rs
@@ -14,6 +14,7 @@
 use peer::Node;
 use rand::Rng;
 use route::place::{Load, Rate};
+use route::quota::Others;
 use schema::member::Member;
 use schema::message;
 use serde_json::{Value, json};
@@ -47,6 +48,9 @@
 /// goes on spending its share
 const DEMAND_AGE: Duration = Duration::from_secs(10);
 
+/// time without a word after which a peer is taken to go on spending as it last asked
+const SILENCE: Duration = Duration::from_secs(2);
+
 /// time for which the counts of a silent peer are kept for reports
 const COUNTS_AGE: Duration = Duration::from_secs(30);
 
@@ -67,18 +71,38 @@
     from: String,
     /// what it has under way, by VM
     loads: HashMap<String, Load>,
-    /// units per second that its callers ask for, by workspace
-    demand: HashMap<String, f64>,
+    /// random number of the process, as sums begin anew with it
+    instance: u64,
+    /// what its callers ask for and have spent, by workspace
+    spending: HashMap<String, Spending>,
     /// work per second that its callers bring, by service
     rates: HashMap<String, Rate>,
     /// requests that began, by window and workspace
     counts: Told,
 }
 
+/// a workspace's spending at one daemon
+#[apply(message!)]
+#[derive(Copy, Default)]
+struct Spending {
+    /// units per second that its callers ask for
+    demand: f64,
+    /// units spent since the daemon's start
+    spent: f64,
+}
+
+/// a message and when it came
+struct Heard {
+    at: Instant,
+    tell: Tell,
+}
+
 /// what is known of the other daemons
 #[derive(Default)]
 pub struct Peers {
-    heard: RefCell<HashMap<String, (Instant, Tell)>>,
+    heard: RefCell<HashMap<String, Heard>>,
+    /// units that others spent and that are not divided yet, by workspace
+    spent: RefCell<HashMap<String, f64>>,
 }
 
 impl Peers {
@@ -91,7 +115,7 @@
     pub fn counts<D: Dialect>(&self, shared: &Shared<D>, window: u64) -> Counts {
         let own = shared.tally.borrow().told();
         let heard = self.heard.borrow();
-        let told = heard.values().map(|(_, tell)| &tell.counts);
+        let told = heard.values().map(|heard| &heard.tell.counts);
         usage::sum(told.chain([&own]), window)
     }
 
@@ -99,9 +123,9 @@
     pub fn rate<D: Dialect>(&self, shared: &Shared<D>, service: &str) -> Rate {
         let now = Instant::now();
         let mut sum = shared.board.borrow_mut().rate(service, now);
-        for (at, tell) in self.heard.borrow().values() {
-            if now < *at + DEMAND_AGE
-                && let Some(rate) = tell.rates.get(service)
+        for heard in self.heard.borrow().values() {
+            if now < heard.at + DEMAND_AGE
+                && let Some(rate) = heard.tell.rates.get(service)
             {
                 sum.add(rate);
             }
@@ -116,28 +140,49 @@
         board.hear(&tell.from, tell.loads.clone(), now);
         drop(board);
         let mut heard = self.heard.borrow_mut();
-        let tell = match heard.remove(&tell.from) {
-            Some((_, before)) => tell.keep_windows(before),
+        let before = heard.remove(&tell.from);
+        let mut spent = self.spent.borrow_mut();
+        for (workspace, spending) in &tell.spending {
+            let known = before.as_ref().filter(|before| before.tell.instance == tell.instance);
+            let known = known.and_then(|before| before.tell.spending.get(workspace));
+            let more = spending.spent - known.map_or(0.0, |known| known.spent);
+            *spent.entry(workspace.clone()).or_default() += more.max(0.0);
+        }
+        let tell = match before {
+            Some(before) => tell.keep_windows(before.tell),
             None => tell,
         };
-        heard.insert(tell.from.clone(), (now, tell));
-        heard.retain(|_, (at, _)| now < *at + COUNTS_AGE);
+        heard.insert(tell.from.clone(), Heard { at: now, tell });
+        heard.retain(|_, heard| now < heard.at + COUNTS_AGE);
     }
 
-    /// divides the limits by what all daemons ask for
-    fn divide<D: Dialect>(&self, shared: &Shared<D>) {
+    /// divides the limits by what all daemons spent and ask for
+    fn divide<D: Dialect>(&self, shared: &Shared<D>, passed: Duration) {
         let now = Instant::now();
         let heard = self.heard.borrow();
-        let current: Vec<&Tell> = heard
+        let current: Vec<&Heard> = heard
             .values()
-            .filter(|(at, _)| now < *at + DEMAND_AGE)
-            .map(|(_, tell)| tell)
+            .filter(|heard| now < heard.at + DEMAND_AGE)
             .collect();
         let daemons = current.len() + 1;
         shared.daemons.set(daemons);
+        let mut spent = self.spent.borrow_mut();
         for (workspace, quota) in shared.quotas.borrow_mut().iter_mut() {
-            let demands = current.iter().filter_map(|tell| tell.demand.get(workspace));
-            quota.divide(demands.sum(), daemons, now);
+            let mut others = Others {
+                spent: spent.remove(workspace).unwrap_or_default(),
+                demand: 0.0,
+                daemons,
+            };
+            for heard in &current {
+                let Some(spending) = heard.tell.spending.get(workspace) else {
+                    continue;
+                };
+                others.demand += spending.demand;
+                if now > heard.at + SILENCE {
+                    others.spent += spending.demand * passed.as_secs_f64();
+                }
+            }
+            quota.hear(&others, now);
         }
     }
 }
@@ -182,6 +227,8 @@
 /// tells the others in turn
 async fn tell<D: Dialect>(shared: &Shared<D>, peers: &Peers, node: &Node) {
     let mut next = Instant::now();
+    let mut divided = next;
+    let instance = rand::rng().random::<u32>().into();
     loop {
         let me = &node.me().vm;
         let members = node.members();
@@ -189,7 +236,7 @@
         let least = others.len() as f64 / TELLS_PER_SECOND;
         let round = ROUND.max(Duration::from_secs_f64(least));
         next = (next + round.mul_f64(rand::rng().random_range(0.9..1.1))).max(Instant::now());
-        let message = message(shared);
+        let message = message(shared, instance);
         let calls = others.iter().map(|member| {
             let node = node.clone();
             let member = (*member).clone();
@@ -207,22 +254,25 @@
                 tracing::error!(event = "peer_call_panicked");
             }
         }
-        peers.divide(shared);
+        let now = Instant::now();
+        peers.divide(shared, now - divided);
+        divided = now;
         sleep_until(next).await;
     }
 }
 
-fn message<D: Dialect>(shared: &Shared<D>) -> Tell {
+fn message<D: Dialect>(shared: &Shared<D>, instance: u64) -> Tell {
     let now = Instant::now();
     let mut board = shared.board.borrow_mut();
     let loads = board.loads();
     let rates = board.rates(now);
     drop(board);
-    let mut demand = HashMap::new();
+    let mut spending = HashMap::new();
     for (workspace, quota) in shared.quotas.borrow_mut().iter_mut() {
-        let asked = quota.demand(now).round();
-        if asked > 0.0 {
-            demand.insert(workspace.clone(), asked);
+        let demand = quota.demand(now).round();
+        let spent = quota.spent().round();
+        if spent > 0.0 || demand > 0.0 {
+            spending.insert(workspace.clone(), Spending { demand, spent });
         }
     }
     let told = shared.tally.borrow().told();
@@ -231,7 +281,8 @@
     Tell {
         from: shared.settings.name.clone(),
         loads,
-        demand,
+        instance,
+        spending,
         rates,
         counts: Told { windows },
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,6 @@
 
 pub use app::{Adapter, run};
 pub use clock::Clock;
-pub use settings::{Promises, Settings};
+pub use settings::{Promises, QuotaSlack, Settings};
 pub use shared::Shared;
 pub use stage::Stage;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,35 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use route::quota::Terms;
+
+use crate::model::{Limit, Unit};
+
+/// what a workspace's limit may be exceeded by, as it is measured over all daemons
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaSlack {
+    /// units of a limit counted in tokens that may be spent beyond it in a window
+    pub tokens: f64,
+}
+
+/// part of the slack that a bucket holds besides its burst: daemons hear of each other's
+/// spending late, and may have spent a level twice when they do
+const SLACK_PART: f64 = 0.3;
+
+impl QuotaSlack {
+    /// the limit to keep
+    pub fn terms(&self, limit: &Limit) -> Terms {
+        let slack = match limit.unit {
+            Unit::Tokens { .. } => self.tokens * SLACK_PART,
+            Unit::Requests => 0.0,
+        };
+        Terms {
+            rate: limit.rate,
+            burst: limit.burst + slack,
+        }
+    }
+}
+
 /// times and budgets that the deployment promises or is promised
 #[derive(Debug, Clone, PartialEq)]
 pub struct Promises {
@@ -21,6 +50,8 @@
     pub retry_window: Duration,
     /// retries allowed in a window besides
     pub retry_burst: f64,
+    /// what limits may be exceeded by
+    pub quota: QuotaSlack,
     /// time for which a lease binds others
     pub lease: Duration,
     /// length of a window of usage
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -81,7 +81,7 @@
             board: RefCell::new(Board::new()),
             quotas: RefCell::default(),
             allowances: RefCell::default(),
-            daemons: Cell::new(1),
+            daemons: Cell::new(DAEMONS_UNKNOWN),
             tally: RefCell::new(tally),
             stage: watch::Sender::new(Stage::Serving),
             metrics: Metrics::new(),
@@ -130,11 +130,11 @@
         quotas.retain(|name, _| limits.contains_key(name.as_str()));
         let share = 1.0 / self.daemons.get() as f64;
         for (name, limit) in limits {
+            let terms = self.settings.promises.quota.terms(&limit);
             match quotas.get_mut(name) {
-                Some(quota) => quota.configure(limit.rate, limit.burst, now),
+                Some(quota) => quota.configure(terms, now),
                 None => {
-                    let quota = Quota::new(limit.rate, limit.burst, share, now);
-                    quotas.insert(name.to_owned(), quota);
+                    quotas.insert(name.to_owned(), Quota::new(terms, share, now));
                 }
             }
         }
@@ -222,6 +222,10 @@
     }
 }
 
+/// daemons that are taken to share the limits until the others are known: small
+/// deployments have fewer, and a share that is too small is corrected within a second
+const DAEMONS_UNKNOWN: usize = 16;
+
 /// time to come back when a service has no VM: about as long as one takes to register
 pub const NO_VM_WAIT: Duration = Duration::from_secs(1);
 
--- a/crates/route/src/quota.rs
+++ b/crates/route/src/quota.rs
@@ -1,70 +1,101 @@
 //! A daemon's share of a workspace's limit.
 //!
-//! A limit holds over all daemons. Each spends from a bucket that is filled at its share
-//! of the rate and holds its share of the burst. Shares follow the demand that daemons
-//! tell each other; a part is split evenly, so that a daemon without demand so far can
-//! start. A daemon that hears nothing keeps its last share, and the others go on counting
-//! it, so that the shares of all never exceed the limit.
+//! A limit holds over all daemons, each of which sees a part of the traffic. Every daemon
+//! keeps the level of one bucket for all of them: filled at the rate, drained by what it
+//! spent itself and what the others say they spent. Between two words from the others it
+//! may spend a share of that level, by its part of the demand; a part is split evenly, so
+//! that a daemon without demand so far can start. So a workspace below its limit is
+//! refused nowhere, however uneven its callers are, and one beyond it is held to the limit
+//! by all daemons together. Peers that fall silent are taken to go on spending as they
+//! last asked.
 //!
 //! Load pattern: one workspace sends many times its limit through a few daemons, while
-//! the others' traffic is below theirs and must not be refused.
+//! the others' traffic is below theirs and must not be refused; a large request of a
+//! small workspace at a daemon that rarely sees it.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// part of a limit that is split evenly between the daemons
-const EVEN_PART: f64 = 0.2;
+/// part of the level that is split evenly between the daemons
+const EVEN_PART: f64 = 0.3;
 
-/// part of a full bucket that is enough for a request of any size; the bucket is then in
-/// debt, which later requests wait for
+/// part of the bucket that is enough for a request of any size; the level may then go
+/// below zero, which later requests wait for
 const LARGE_PART: f64 = 0.9;
 
 /// time constant of the measured demand
 const DEMAND_TIME: Duration = Duration::from_secs(3);
 
-/// a bucket of units, and the demand on it
+/// shortest time to come back: that of a word from the others
+const RETURN_LEAST: Duration = Duration::from_millis(700);
+
+/// a limit over all daemons, in units per second
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Terms {
+    /// units per second
+    pub rate: f64,
+    /// units that may be spent at once
+    pub burst: f64,
+}
+
+/// what the others have spent and ask for
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Others {
+    /// units spent since the last word
+    pub spent: f64,
+    /// units asked for per second
+    pub demand: f64,
+    /// number of daemons, this one included
+    pub daemons: usize,
+}
+
+/// the level of a limit's bucket, and this daemon's part of it
 #[derive(Debug, Clone)]
 pub struct Quota {
-    rate: f64,
-    burst: f64,
+    terms: Terms,
+    level: f64,
+    allowance: f64,
     share: f64,
-    left: f64,
+    spent: f64,
     offered: f64,
     at: Instant,
 }
 
 impl Quota {
-    /// a full bucket for a share of a limit in units per second
-    pub fn new(rate: f64, burst: f64, share: f64, now: Instant) -> Quota {
+    /// a full bucket of which a share may be spent until the others are heard
+    pub fn new(terms: Terms, share: f64, now: Instant) -> Quota {
         Quota {
-            rate,
-            burst,
+            terms,
+            level: terms.burst,
+            allowance: terms.burst * share,
             share,
-            left: burst * share,
+            spent: 0.0,
             offered: 0.0,
             at: now,
         }
     }
 
-    /// takes in a changed limit; what is left in the bucket keeps its part
-    pub fn configure(&mut self, rate: f64, burst: f64, now: Instant) {
+    /// takes in a changed limit; what is left of the burst keeps its part
+    pub fn configure(&mut self, terms: Terms, now: Instant) {
         self.advance(now);
-        if self.burst > 0.0 {
-            self.left *= burst / self.burst;
+        if self.terms.burst > 0.0 && terms.burst < self.terms.burst {
+            let part = terms.burst / self.terms.burst;
+            self.level *= part;
+            self.allowance *= part;
         }
-        self.rate = rate;
-        self.burst = burst;
+        self.terms = terms;
     }
 
-    /// takes in the demand of all other daemons, and how many daemons there are in all
-    pub fn divide(&mut self, others: f64, daemons: usize, now: Instant) {
+    /// takes in what the others spent, and divides the level anew
+    pub fn hear(&mut self, others: &Others, now: Instant) {
         self.advance(now);
-        let even = 1.0 / daemons.max(1) as f64;
-        let all = self.offered + others;
+        self.level -= others.spent;
+        let even = 1.0 / others.daemons.max(1) as f64;
+        let all = self.offered + others.demand;
         let by_demand = if all > 0.0 { self.offered / all } else { even };
         self.share = EVEN_PART * even + (1.0 - EVEN_PART) * by_demand;
-        self.left = self.left.min(self.burst * self.share);
+        self.allowance = self.level * self.share;
     }
 
     /// spends units
@@ -74,14 +105,18 @@
     pub fn spend(&mut self, units: f64, now: Instant) -> Result<(), Duration> {
         self.advance(now);
         self.offered += units / DEMAND_TIME.as_secs_f64();
-        let needed = units.min(LARGE_PART * self.burst * self.share);
-        if needed <= self.left {
-            self.left -= units;
+        let most = LARGE_PART * self.terms.burst * self.share;
+        let needed = units.min(most);
+        if needed <= self.allowance {
+            self.allowance -= units;
+            self.level -= units;
+            self.spent += units;
             return Ok(());
         }
-        let missing = needed - self.left;
-        let rate = (self.rate * self.share).max(f64::MIN_POSITIVE);
-        Err(Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX))
+        let missing = needed - self.allowance;
+        let rate = (self.terms.rate * self.share).max(f64::MIN_POSITIVE);
+        let wait = Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX);
+        Err(wait.max(RETURN_LEAST))
     }
 
     /// units asked for per second, refused ones included
@@ -90,6 +125,11 @@
         self.offered
     }
 
+    /// units spent since the start
+    pub fn spent(&self) -> f64 {
+        self.spent
+    }
+
     /// the part of the limit that this daemon may spend
     pub fn share(&self) -> f64 {
         self.share
@@ -97,8 +137,10 @@
 
     fn advance(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        let filled = self.left + self.rate * self.share * passed;
-        self.left = filled.min(self.burst * self.share);
+        let filled = self.terms.rate * passed;
+        self.level = (self.level + filled).min(self.terms.burst);
+        let most = self.terms.burst * self.share;
+        self.allowance = (self.allowance + filled * self.share).min(most);
         self.offered *= (-passed / DEMAND_TIME.as_secs_f64()).exp();
         self.at = self.at.max(now);
     }
