--- a/crates/gateway/src/duty/peers.rs
+++ b/crates/gateway/src/duty/peers.rs
@@ -1,8 +1,8 @@
 //! What daemons tell each other: loads, demand and usage counts.
 //!
 //! Every daemon tells the others in turn what it has under way. What is told is a sum
-//! since a start or a state, never a change, so that a lost or repeated message does no
-//! harm. The message rate is constant: with more daemons each is told less often.
+//! since a start or a state, so that a lost or repeated message does no harm; only which
+//! VM reads what is told once, as a hint. The message rate is constant: with more daemons each is told less often.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -13,7 +13,7 @@
 use macro_rules_attribute::apply;
 use peer::Node;
 use rand::Rng;
-use route::place::{Load, Rate};
+use route::place::{Load, Rate, Read};
 use route::quota::Others;
 use schema::member::Member;
 use schema::message;
@@ -75,6 +75,8 @@
     instance: u64,
     /// what its callers ask for and have spent, by workspace
     spending: HashMap<String, Spending>,
+    /// which VMs have begun to read what for it; a hint that may be lost
+    reads: Vec<Read>,
     /// work per second that its callers bring, by service
     rates: HashMap<String, Rate>,
     /// requests that began, by window and workspace
@@ -138,6 +140,7 @@
         let now = Instant::now();
         let mut board = shared.board.borrow_mut();
         board.hear(&tell.from, tell.loads.clone(), now);
+        board.learn(&tell.reads, now);
         drop(board);
         let mut heard = self.heard.borrow_mut();
         let before = heard.remove(&tell.from);
@@ -266,6 +269,7 @@
     let mut board = shared.board.borrow_mut();
     let loads = board.loads();
     let rates = board.rates(now);
+    let reads = board.news();
     drop(board);
     let mut spending = HashMap::new();
     for (workspace, quota) in shared.quotas.borrow_mut().iter_mut() {
@@ -283,6 +287,7 @@
         loads,
         instance,
         spending,
+        reads,
         rates,
         counts: Told { windows },
     }
--- a/crates/route/src/place/board.rs
+++ b/crates/route/src/place/board.rs
@@ -1,6 +1,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use macro_rules_attribute::apply;
+use schema::message;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -11,9 +13,12 @@
 use super::memory::Memory;
 use super::plain;
 
-/// part of a prompt's shared tokens that its home is taken to hold before this daemon
-/// knows: other daemons send there as well
-const HOME_PART: f64 = 0.85;
+/// part of the time to read a prompt's shared tokens by which its home is preferred: other
+/// daemons send there as well, and tell of it later
+const HOME_PART: f64 = 0.5;
+
+/// parts of prompts that are kept to be told to peers
+const NEWS: usize = 256;
 
 /// price of a VM in another zone of the region, as time
 const ZONE_PRICE: Duration = Duration::from_millis(2);
@@ -79,6 +84,17 @@
     meter: Meter,
 }
 
+/// a VM that reads the shared parts of a prompt
+#[apply(message!)]
+pub struct Read {
+    /// the service
+    pub service: String,
+    /// the VM's instance id
+    pub vm: String,
+    /// ids and tokens of the parts
+    pub parts: Vec<(u64, u32)>,
+}
+
 /// what a peer said that it has under way, by VM
 #[derive(Debug, Clone)]
 struct Told {
@@ -91,6 +107,7 @@
 pub struct Board {
     groups: HashMap<String, Group>,
     told: HashMap<String, Told>,
+    news: Vec<Read>,
 }
 
 impl Board {
@@ -120,6 +137,23 @@
             .retain(|_, told| now.saturating_duration_since(told.at) < PEER_AGE);
     }
 
+    /// takes in which VMs read what for a peer
+    pub fn learn(&mut self, reads: &[Read], now: Instant) {
+        for read in reads {
+            let Some(entry) = self.entry(&read.service, &read.vm) else {
+                continue;
+            };
+            if let Some(capacity) = entry.member.cache_tokens {
+                entry.memory.read(&read.parts, capacity, now);
+            }
+        }
+    }
+
+    /// which VMs read what for this daemon since the last call
+    pub fn news(&mut self) -> Vec<Read> {
+        std::mem::take(&mut self.news)
+    }
+
     /// what this daemon has under way, by VM
     pub fn loads(&self) -> HashMap<String, Load> {
         let entries = self.groups.values().flat_map(|group| group.entries.values());
@@ -171,11 +205,13 @@
         for entry in group.entries.values() {
             let avoided = ask.avoid.contains(&entry.member.id);
             let last = avoided || entry.record.is_suspect(now);
-            let pick = self.pick(entry, ask, home, now);
+            let pick = self.pick(entry, ask, now);
+            let bonus = home.filter(|home| home.id == entry.member.id);
             let cost = pick.expected
                 + price(pick.near)
                 + entry.record.penalty(group.usual_failures)
                 + tie(&entry.member.id, ask);
+            let cost = cost.saturating_sub(bonus.map_or(Duration::ZERO, |home| home.bonus));
             let better = match &best {
                 Some((best_last, best_cost, _)) => (last, cost) < (*best_last, *best_cost),
                 None => true,
@@ -202,8 +238,18 @@
             entry.record.wake(now);
         }
         entry.own.begin(work);
-        if let Some(capacity) = entry.member.cache_tokens {
-            entry.memory.read(ask.parts, capacity, now);
+        let Some(capacity) = entry.member.cache_tokens else {
+            return;
+        };
+        let shared = ask.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let is_news = entry.memory.cached(shared) < tokens(shared);
+        entry.memory.read(ask.parts, capacity, now);
+        if is_news && self.news.len() < NEWS {
+            self.news.push(Read {
+                service: ask.service.to_owned(),
+                vm: id.to_owned(),
+                parts: shared.to_vec(),
+            });
         }
     }
 
@@ -269,18 +315,14 @@
         load
     }
 
-    fn pick(&self, entry: &Entry, ask: &Ask<'_>, home: Option<Home<'_>>, now: Instant) -> Pick {
+    fn pick(&self, entry: &Entry, ask: &Ask<'_>, now: Instant) -> Pick {
         let member = &entry.member;
         let load = self.load(entry, now);
         let (expected, uncached) = match member.cache_tokens {
             None => (plain::expected(member.slots, &load, entry.work), 0),
             Some(cache_tokens) => {
                 let known = entry.memory.cached(ask.parts);
-                let guessed = match home {
-                    Some(home) if home.id == member.id => home.tokens,
-                    _ => 0,
-                };
-                let uncached = ask.prompt_tokens.saturating_sub(known.max(guessed));
+                let uncached = ask.prompt_tokens.saturating_sub(known);
                 let figures = Figures {
                     slots: member.slots,
                     cache_tokens,
@@ -326,11 +368,11 @@
     }
 }
 
-/// the VM that a prompt's shared parts belong to, and the tokens it is taken to hold
+/// the VM that a prompt's shared parts belong to, and by how much it is preferred
 #[derive(Debug, Clone, Copy)]
 struct Home<'a> {
     id: &'a str,
-    tokens: u32,
+    bonus: Duration,
 }
 
 /// finds the home of a prompt: the VM with the highest hash for its last shared part
@@ -339,13 +381,16 @@
     let (part, _) = shared.last()?;
     let entries = group.entries.values();
     let best = entries.max_by_key(|entry| xxh3_64_with_seed(entry.member.id.as_bytes(), *part))?;
-    let tokens: u32 = shared.iter().map(|(_, tokens)| tokens).sum();
     Some(Home {
         id: &best.member.id,
-        tokens: (f64::from(tokens) * HOME_PART) as u32,
+        bonus: engine::reading(u64::from(tokens(shared))).mul_f64(HOME_PART),
     })
 }
 
+fn tokens(parts: &[(u64, u32)]) -> u32 {
+    parts.iter().map(|(_, tokens)| tokens).sum()
+}
+
 /// what the way to a VM costs, as time
 fn price(near: Near) -> Duration {
     match near {
--- a/crates/route/src/place/engine.rs
+++ b/crates/route/src/place/engine.rs
@@ -24,10 +24,14 @@
     pub cache_tokens: u64,
 }
 
+/// time to read prompt tokens
+pub(super) fn reading(tokens: u64) -> Duration {
+    Duration::from_secs_f64(tokens as f64 / READ_TOKENS_PER_MS / 1000.0)
+}
+
 /// expected time to the first token of a request with tokens to read and to hold
 pub(super) fn expected(figures: &Figures, load: &Load, unread: u32, held: u32) -> Duration {
-    let tokens = load.unread + u64::from(unread);
-    let reading = Duration::from_secs_f64(tokens as f64 / READ_TOKENS_PER_MS / 1000.0);
+    let reading = reading(load.unread + u64::from(unread));
     let slots = figures.slots.max(1);
     let waiting = (load.running + 1).saturating_sub(slots);
     let queue = SLOT_TIME.mul_f64(f64::from(waiting) / f64::from(slots));
--- a/crates/route/src/place/mod.rs
+++ b/crates/route/src/place/mod.rs
@@ -7,9 +7,9 @@
 //!
 //! Load patterns, each replayed in `tests/place.rs`:
 //!
-//! * Many prompts begin with the same long part. Every daemon must find the VM that has
-//!   read it without being told: the part's home by rendezvous hashing counts as a VM
-//!   that probably holds it.
+//! * Many prompts begin with the same long part. Daemons tell each other which VM reads
+//!   what; until they have, the part's home by rendezvous hashing is preferred, so that
+//!   daemons that know nothing send it to the same VM.
 //! * One prompt takes a large part of the traffic. Its home fills up, its expected time
 //!   grows past the cost of reading the part once more, and the next home is used.
 //! * A VM fails part of its requests, or goes dark while its entry stays. Failures raise
@@ -26,5 +26,5 @@
 mod plain;
 
 pub use ask::{Ask, Choice, Near, Pick};
-pub use board::{Board, Done, Member, Outcome};
+pub use board::{Board, Done, Member, Outcome, Read};
 pub use load::{Load, Rate, Work};
--- /dev/null
+++ b/crates/route/tests/repeat.rs
@@ -0,0 +1,73 @@
+//! Whether a request may be sent again, as a table, and how often all may be.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use route::retry::{Again, Allowance, Failed, Terms, again};
+use route::verdict::Progress::{self, Answered, Refused, Sent, Unsent};
+use tokio::time::Instant;
+
+#[test]
+fn whether_a_request_may_be_sent_again() {
+    // progress, repeatable, VMs sent to, VMs not reached, attempts allowed
+    let table: [(Progress, bool, u32, u32, u32, Again); 13] = [
+        (Unsent, false, 0, 1, 1, Again::Free),
+        (Unsent, false, 1, 1, 1, Again::Free),
+        (Unsent, true, 0, 4, 3, Again::Never),
+        (Refused, false, 1, 0, 1, Again::Never),
+        (Refused, false, 1, 0, 2, Again::Allowed),
+        (Refused, true, 2, 0, 2, Again::Never),
+        (Sent, false, 1, 0, 3, Again::Never),
+        (Sent, true, 1, 0, 2, Again::Allowed),
+        (Sent, true, 2, 0, 2, Again::Never),
+        (Answered, false, 1, 0, 3, Again::Never),
+        (Answered, true, 1, 0, 2, Again::Allowed),
+        (Answered, true, 2, 0, 2, Again::Never),
+        (Sent, true, 1, 3, 2, Again::Allowed),
+    ];
+    for (progress, repeatable, sent, unsent, attempts, expected) in table {
+        let failed = Failed {
+            progress,
+            repeatable,
+            sent,
+            unsent,
+            attempts,
+        };
+        assert_eq!(again(&failed), expected, "{failed:?}");
+    }
+}
+
+const TERMS: Terms = Terms {
+    ratio: 0.2,
+    window: Duration::from_secs(10),
+    burst: 56.0,
+};
+
+proptest! {
+    /// no window has more repeats than the deployment allows, over all daemons
+    #[test]
+    fn repeats_stay_within_the_bound(gaps_ms in prop::collection::vec(0u64..40, 200..600)) {
+        const DAEMONS: usize = 8;
+        let start = Instant::now();
+        let mut allowances = vec![Allowance::new(TERMS); DAEMONS];
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut now = start;
+        for (index, gap) in gaps_ms.iter().enumerate() {
+            now += Duration::from_millis(*gap);
+            let allowance = &mut allowances[index % DAEMONS];
+            allowance.earn(now);
+            requests.push(now);
+            for _ in 0..3 {
+                if allowance.take(DAEMONS, now) {
+                    repeats.push(now);
+                }
+            }
+        }
+        for end in &repeats {
+            let within = |at: &&Instant| **at <= *end && *end - **at <= TERMS.window;
+            let asked = requests.iter().filter(within).count() as f64;
+            let again = repeats.iter().filter(within).count() as f64;
+            prop_assert!(again <= asked * TERMS.ratio + TERMS.burst);
+        }
+    }
+}
