--- a/crates/fleet/src/zones/mod.rs
+++ b/crates/fleet/src/zones/mod.rs
@@ -18,4 +18,4 @@
 
 pub use demand::{Demand, Peak};
 pub use memory::Memory;
-pub use order::{Stock, Terms, Want, Zone, orders};
+pub use order::{Need, Stock, Terms, Want, Zone, orders};
--- a/crates/fleet/src/zones/order.rs
+++ b/crates/fleet/src/zones/order.rs
@@ -37,6 +37,15 @@
     pub reclaimable: bool,
 }
 
+/// how many VMs a service needs
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Need {
+    /// to answer all in time, also at the next rise of the load
+    pub ample: u32,
+    /// to answer at all; on-demand VMs, which cost a multiple, are ordered up to this
+    pub least: u32,
+}
+
 /// an order to send
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Want {
@@ -48,17 +57,18 @@
     pub count: u32,
 }
 
-/// the orders to send so that `needed` VMs are live, also without any one zone's
-/// reclaimable ones
+/// the orders to send so that enough VMs are live, also without any one zone's reclaimable
+/// ones
 pub fn orders(
     zones: &[Zone],
     terms: &Terms,
-    needed: u32,
+    need: Need,
     memory: &Memory,
     now: Instant,
 ) -> Vec<Want> {
-    let reclaimable = reclaimable_counts(zones, terms, needed);
-    let on_demand = on_demand_counts(zones, terms, needed, memory, now);
+    let reclaimable = reclaimable_counts(zones, terms, need.ample);
+    let least = if terms.reclaimable { need.least } else { need.ample };
+    let on_demand = on_demand_counts(zones, terms, least, memory, now);
     let mut wants = Vec::new();
     for (index, zone) in zones.iter().enumerate() {
         let places = [
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fleet::zones::{Demand, Memory, Peak, Stock, Terms, Want, Zone, orders};
+use fleet::zones::{Demand, Memory, Need, Peak, Stock, Terms, Want, Zone, orders};
 use proptest::prelude::*;
 use tokio::time::Instant;
 
@@ -13,6 +13,13 @@
     reclaimable: true,
 };
 
+fn need(vms: u32) -> Need {
+    Need {
+        ample: vms,
+        least: vms,
+    }
+}
+
 fn zones(stocks: &[(u32, u32)]) -> Vec<Zone> {
     let prices = [1.0, 0.8, 1.25];
     let zone = |(index, (reclaimable, on_demand)): (usize, &(u32, u32))| Zone {
@@ -82,7 +89,7 @@
         let mut fewest = self.live();
         while self.now < end {
             let zones = zones(&self.stocks);
-            for want in orders(&zones, &TERMS, needed, &self.memory, self.now) {
+            for want in orders(&zones, &TERMS, need(needed), &self.memory, self.now) {
                 self.take(&want);
             }
             self.now += Duration::from_millis(500);
@@ -140,6 +147,20 @@
     assert_eq!(cloud.stocks, [(4, 0), (4, 0), (4, 0)]);
 }
 
+#[test]
+fn on_demand_vms_are_ordered_for_what_is_needed_at_least() {
+    let need = Need { ample: 8, least: 3 };
+    let zones = zones(&[(0, 0), (2, 0), (0, 0)]);
+    let mut memory = Memory::new();
+    let now = Instant::now();
+    memory.refused("zone-0", true, now);
+    memory.refused("zone-1", true, now);
+    memory.refused("zone-2", true, now);
+    let wants = orders(&zones, &TERMS, need, &memory, now);
+    let on_demand: u32 = wants.iter().filter(|want| !want.reclaimable).map(|want| want.count).sum();
+    assert_eq!(on_demand, 1);
+}
+
 #[test]
 fn a_steady_state_needs_no_orders() {
     let mut cloud = Cloud::new(&[(4, 0), (4, 0), (4, 0)]);
@@ -184,7 +205,7 @@
         needed in 0u32..60,
     ) {
         let zones = zones(&stocks);
-        for want in orders(&zones, &TERMS, needed, &Memory::new(), Instant::now()) {
+        for want in orders(&zones, &TERMS, need(needed), &Memory::new(), Instant::now()) {
             prop_assert!(want.count <= TERMS.max, "{:?}", want);
             if want.reclaimable {
                 prop_assert!(want.count >= TERMS.min);
--- a/crates/gateway/src/duty/capacity.rs
+++ b/crates/gateway/src/duty/capacity.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::zones::{self, Demand, Memory, Peak, Stock, Terms, Want, Zone};
+use fleet::zones::{self, Demand, Memory, Need, Peak, Stock, Terms, Want, Zone};
 use tokio::time::{Instant, sleep};
 
 use super::{Holder, Peers};
@@ -18,6 +18,9 @@
 /// part of an engine's capacity to fill on ordinary days
 const FILL: f64 = 0.35;
 
+/// part of an engine's capacity above which callers wait too long
+const FILL_MOST: f64 = 0.8;
+
 /// part of the VMs found at the start of a term that is kept until demand is known
 const FOUND_PART: f64 = 0.85;
 
@@ -91,28 +94,34 @@
         unread: rate.unread,
         streams: rate.requests,
     };
-    let mut needed = state.peak.see(demand.vms(FILL), now);
+    let peak = state.peak.see(demand.vms(FILL), now);
+    let least = (demand.vms(FILL_MOST)).ceil() as u32;
+    let mut ample = peak;
     let age = now - state.since;
     if age < LOOK {
         state.found = state.found.max(live);
         return Vec::new();
     }
     if age < WARM_UP {
-        needed = needed.max(f64::from(state.found) * FOUND_PART);
+        ample = ample.max(f64::from(state.found) * FOUND_PART);
     }
-    let needed = needed.ceil() as u32;
+    let need = Need {
+        ample: ample.ceil() as u32,
+        least,
+    };
     let terms = Terms {
         min: scaling.min,
         max: scaling.max,
         boot: scaling.boot,
         reclaimable: scaling.reclaimable_price.is_some(),
     };
-    let wants = zones::orders(&zones, &terms, needed, &state.memory, now);
+    let wants = zones::orders(&zones, &terms, need, &state.memory, now);
     if !wants.is_empty() {
         tracing::info!(
             event = "capacity_planned",
             service = service.name,
-            needed,
+            ample = need.ample,
+            least = need.least,
             live,
             unread_per_second = demand.unread.round(),
             streams_per_second = demand.streams.round(),
--- a/crates/gateway/src/duty/peers.rs
+++ b/crates/gateway/src/duty/peers.rs
@@ -146,9 +146,15 @@
         let before = heard.remove(&tell.from);
         let mut spent = self.spent.borrow_mut();
         for (workspace, spending) in &tell.spending {
-            let known = before.as_ref().filter(|before| before.tell.instance == tell.instance);
-            let known = known.and_then(|before| before.tell.spending.get(workspace));
-            let more = spending.spent - known.map_or(0.0, |known| known.spent);
+            let more = match &before {
+                // what it spent before is not known to be recent
+                None => continue,
+                Some(before) if before.tell.instance != tell.instance => spending.spent,
+                Some(before) => {
+                    let known = before.tell.spending.get(workspace);
+                    spending.spent - known.map_or(0.0, |known| known.spent)
+                }
+            };
             *spent.entry(workspace.clone()).or_default() += more.max(0.0);
         }
         let tell = match before {
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -50,6 +50,7 @@
 struct Refused {
     id: String,
     route: String,
+    workspace: Option<String>,
     own: Own,
 }
 
@@ -58,6 +59,7 @@
         Refused {
             id: call.id.clone(),
             route: route.to_owned(),
+            workspace: None,
             own,
         }
     }
@@ -66,6 +68,7 @@
         Refused {
             id: String::new(),
             route: String::new(),
+            workspace: None,
             own,
         }
     }
@@ -99,7 +102,10 @@
     let body = read_body(&head, body, config.bounds.body_bytes, limit).await;
     let body = body.map_err(|reason| refuse(Own::new(reason)))?;
     if let Some(workspace) = &workspace {
-        spend(shared, workspace, &call).map_err(refuse)?;
+        spend(shared, workspace, &call).map_err(|own| Refused {
+            workspace: Some(workspace.name.clone()),
+            ..refuse(own)
+        })?;
     }
     let Some(service) = route.service(xxh3_64(call.id.as_bytes())) else {
         return Err(refuse(unknown(trust, Reason::NoRoute)));
@@ -124,6 +130,7 @@
 /// sends a request to VMs and says how it went
 async fn forward<D: Dialect>(shared: &Rc<Shared<D>>, request: Request) -> Response<Body> {
     let id = request.call.id.clone();
+    let workspace = request.workspace.as_ref().map(|workspace| workspace.name.clone());
     let route = Rc::clone(&request.route);
     let arrived = request.arrived;
     let result = if route.kind.is_stream() {
@@ -142,6 +149,7 @@
             let refused = Refused {
                 id,
                 route: route.name.clone(),
+                workspace,
                 own,
             };
             note_refused(shared, &refused);
@@ -237,6 +245,7 @@
         event = "request_refused",
         request = refused.id,
         route = refused.route,
+        workspace = refused.workspace,
         outcome,
         status = refused.own.reason.status().as_u16(),
         retry_after_ms = refused.own.retry_after.map(|wait| wait.as_millis() as u64),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,24 +11,30 @@
 /// what a workspace's limit may be exceeded by, as it is measured over all daemons
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaSlack {
-    /// units of a limit counted in tokens that may be spent beyond it in a window
+    /// length of the window in which spending is measured
+    pub window: Duration,
+    /// part of the limit of a window that may be spent beyond it
+    pub part: f64,
+    /// units of a limit counted in tokens that may be spent besides
     pub tokens: f64,
 }
 
-/// part of the slack that a bucket holds besides its burst: daemons hear of each other's
-/// spending late, and may have spent a level twice when they do
-const SLACK_PART: f64 = 0.3;
+/// part of what may be spent beyond the rate that a bucket holds: daemons hear late of
+/// each other's spending, and may have emptied it twice when they do
+const BUCKET_PART: f64 = 0.5;
 
 impl QuotaSlack {
     /// the limit to keep
     pub fn terms(&self, limit: &Limit) -> Terms {
         let slack = match limit.unit {
-            Unit::Tokens { .. } => self.tokens * SLACK_PART,
+            Unit::Tokens { .. } => self.tokens,
             Unit::Requests => 0.0,
         };
+        let strict = limit.rate * self.window.as_secs_f64() + limit.burst;
+        let beyond = limit.burst + strict * self.part + slack;
         Terms {
             rate: limit.rate,
-            burst: limit.burst + slack,
+            burst: limit.burst.max(beyond * BUCKET_PART),
         }
     }
 }
@@ -65,6 +71,8 @@
 /// what a process has to know to start
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
+    /// whether the whole system starts for the first time
+    pub is_first_start: bool,
     /// name of this daemon
     pub name: String,
     /// its zone
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -129,12 +129,14 @@
         }
         quotas.retain(|name, _| limits.contains_key(name.as_str()));
         let share = 1.0 / self.daemons.get() as f64;
+        let is_first = self.settings.is_first_start;
+        let filled = if is_first { 1.0 } else { RESTART_FILLED };
         for (name, limit) in limits {
             let terms = self.settings.promises.quota.terms(&limit);
             match quotas.get_mut(name) {
                 Some(quota) => quota.configure(terms, now),
                 None => {
-                    quotas.insert(name.to_owned(), Quota::new(terms, share, now));
+                    quotas.insert(name.to_owned(), Quota::new(terms, filled, share, now));
                 }
             }
         }
@@ -226,6 +228,10 @@
 /// deployments have fewer, and a share that is too small is corrected within a second
 const DAEMONS_UNKNOWN: usize = 16;
 
+/// part of a limit's bucket that a restarted daemon takes to be left: all may have been
+/// restarted at once, after they had spent it
+const RESTART_FILLED: f64 = 0.2;
+
 /// time to come back when a service has no VM: about as long as one takes to register
 pub const NO_VM_WAIT: Duration = Duration::from_secs(1);
 
--- a/crates/route/src/quota.rs
+++ b/crates/route/src/quota.rs
@@ -18,17 +18,17 @@
 use tokio::time::Instant;
 
 /// part of the level that is split evenly between the daemons
-const EVEN_PART: f64 = 0.3;
+const EVEN_PART: f64 = 0.4;
 
 /// part of the bucket that is enough for a request of any size; the level may then go
 /// below zero, which later requests wait for
-const LARGE_PART: f64 = 0.9;
+const LARGE_PART: f64 = 0.4;
 
 /// time constant of the measured demand
 const DEMAND_TIME: Duration = Duration::from_secs(3);
 
-/// shortest time to come back: that of a word from the others
-const RETURN_LEAST: Duration = Duration::from_millis(700);
+/// shortest time to come back: part of the time between two words from the others
+const RETURN_LEAST: Duration = Duration::from_millis(250);
 
 /// a limit over all daemons, in units per second
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -63,12 +63,13 @@
 }
 
 impl Quota {
-    /// a full bucket of which a share may be spent until the others are heard
-    pub fn new(terms: Terms, share: f64, now: Instant) -> Quota {
+    /// a bucket filled to a part, of which a share may be spent until the others are heard
+    pub fn new(terms: Terms, filled: f64, share: f64, now: Instant) -> Quota {
+        let level = terms.burst * filled;
         Quota {
             terms,
-            level: terms.burst,
-            allowance: terms.burst * share,
+            level,
+            allowance: level * share,
             share,
             spent: 0.0,
             offered: 0.0,
--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -24,7 +24,7 @@
 impl Fleet {
     fn new(daemons: usize) -> Fleet {
         let now = Instant::now();
-        let quota = Quota::new(TERMS, 1.0 / daemons as f64, now);
+        let quota = Quota::new(TERMS, 1.0, 1.0 / daemons as f64, now);
         Fleet {
             quotas: vec![quota; daemons],
             told: vec![0.0; daemons],
@@ -97,16 +97,24 @@
 #[test]
 fn a_request_larger_than_the_bucket_is_served_when_the_bucket_is_full() {
     let now = Instant::now();
-    let mut quota = Quota::new(TERMS, 0.125, now);
+    let mut quota = Quota::new(TERMS, 1.0, 0.125, now);
     assert!(quota.spend(500_000.0, now).is_ok());
     let wait = quota.spend(1_000.0, now).expect_err("the bucket is in debt");
     assert!(wait > Duration::from_secs(10), "{wait:?}");
 }
 
+#[test]
+fn daemons_that_all_start_again_do_not_have_a_full_bucket_each_time() {
+    let now = Instant::now();
+    let mut quota = Quota::new(TERMS, 0.2, 1.0, now);
+    assert!(quota.spend(TERMS.burst * 0.2, now).is_ok());
+    assert!(quota.spend(1_000.0, now).is_err());
+}
+
 #[test]
 fn a_lower_limit_takes_its_part_of_what_is_left() {
     let now = Instant::now();
-    let mut quota = Quota::new(TERMS, 1.0, now);
+    let mut quota = Quota::new(TERMS, 1.0, 1.0, now);
     let lower = Terms {
         rate: 470.0,
         burst: 1_040.0,
