--- a/crates/gateway/src/duty/capacity.rs
+++ b/crates/gateway/src/duty/capacity.rs
@@ -19,7 +19,7 @@
 const FILL: f64 = 0.35;
 
 /// part of an engine's capacity above which callers wait too long
-const FILL_MOST: f64 = 0.8;
+const FILL_MOST: f64 = 0.55;
 
 /// part of the VMs found at the start of a term that is kept until demand is known
 const FOUND_PART: f64 = 0.85;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -230,7 +230,7 @@
 
 /// part of a limit's bucket that a restarted daemon takes to be left: all may have been
 /// restarted at once, after they had spent it
-const RESTART_FILLED: f64 = 0.2;
+const RESTART_FILLED: f64 = 0.0;
 
 /// time to come back when a service has no VM: about as long as one takes to register
 pub const NO_VM_WAIT: Duration = Duration::from_secs(1);
