Less urgent kinds leave room for urgent ones, long prompts may wait a part of their time

Cause: with one threshold in objectives per kind, a backlog that kinds with long objectives bear made urgent ones late.

--- a/crates/gateway/src/duty/capacity.rs
+++ b/crates/gateway/src/duty/capacity.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fleet::zones::{self, Demand, Memory, Need, Peak, Stock, Terms, Want, Zone};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, timeout};
 
 use super::{Holder, Peers};
 use crate::model::{Health, Scaling, Service};
@@ -24,7 +24,8 @@
 /// part of the VMs found at the start of a term that is kept until demand is known
 const FOUND_PART: f64 = 0.85;
 
-/// time at the start of a term in which VMs that are there register themselves
+/// time after the first list of VMs, or the start of a term, in which those that are there
+/// register themselves
 const LOOK: Duration = Duration::from_secs(2);
 
 /// time of a term in which demand is not known well enough to go below what was found
@@ -48,22 +49,25 @@
     let mut states: HashMap<String, State> = HashMap::new();
     let mut term = None;
     loop {
-        sleep(TICK).await;
+        // a notice is answered at once: what replaces the VMs needs as long to start as
+        // they take to leave
+        let _ = timeout(TICK, shared.vms_changed.notified()).await;
         let fence = holder.fence();
         if fence != term {
             states.clear();
             term = fence;
         }
-        if fence.is_none() || !shared.listed.get() {
+        let Some(listed) = shared.listed.get().filter(|_| fence.is_some()) else {
             continue;
-        }
+        };
+        let is_complete = listed.elapsed() >= LOOK;
         let Some(config) = shared.config() else {
             continue;
         };
         for service in config.services.values() {
             if let Some(scaling) = &service.scaling {
                 let wants = plan(&shared, &peers, service, scaling, &mut states);
-                for want in wants {
+                for want in wants.into_iter().filter(|_| is_complete) {
                     let state = states.get_mut(&service.name);
                     send(&*cloud, &holder, service, &want, state).await;
                 }
@@ -97,12 +101,10 @@
     let peak = state.peak.see(demand.vms(FILL), now);
     let least = (demand.vms(FILL_MOST)).ceil() as u32;
     let mut ample = peak;
-    let age = now - state.since;
-    if age < LOOK {
+    if now < state.since + LOOK {
         state.found = state.found.max(live);
-        return Vec::new();
     }
-    if age < WARM_UP {
+    if now < state.since + WARM_UP {
         ample = ample.max(f64::from(state.found) * FOUND_PART);
     }
     let need = Need {
--- a/crates/gateway/src/follow/vms.rs
+++ b/crates/gateway/src/follow/vms.rs
@@ -82,7 +82,9 @@
     }
     tracing::info!(event = "vms_listed", vms = listed.len(), waited_for = missing.vms.len());
     *shared.vms.borrow_mut() = listed;
-    shared.listed.set(true);
+    if shared.listed.get().is_none() {
+        shared.listed.set(Some(Instant::now()));
+    }
     shared.list_board();
 }
 
--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use macro_rules_attribute::apply;
+use route::place::Kind;
 use schema::data;
 use sha2::{Digest, Sha256};
 
@@ -126,6 +127,8 @@
     pub services: HashMap<String, Service>,
     /// workspaces by the hash of each of their keys
     pub keys: HashMap<KeyHash, Rc<Workspace>>,
+    /// kinds of request by service, from its routes
+    pub kinds: HashMap<String, Rc<[Kind]>>,
     /// whether requests need a key
     pub keyed: bool,
     /// what callers may send
@@ -139,6 +142,29 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// the kinds of request of a service
+    pub fn kinds(&self, service: &str) -> Rc<[Kind]> {
+        self.kinds.get(service).map_or_else(|| Rc::new([]), Rc::clone)
+    }
+
+    /// derives the kinds of request of each service from the routes
+    pub fn derive_kinds(&mut self) {
+        let mut kinds: HashMap<String, Vec<Kind>> = HashMap::new();
+        for route in self.routes.values().flatten() {
+            let kind = Kind {
+                priority: route.priority,
+                objective: route.objective,
+            };
+            for target in &route.targets {
+                let known = kinds.entry(target.service.clone()).or_default();
+                if !known.contains(&kind) {
+                    known.push(kind);
+                }
+            }
+        }
+        self.kinds = kinds.into_iter().map(|(name, list)| (name, list.into())).collect();
+    }
+
     /// the workspace that holds a key
     pub fn workspace(&self, key: &str) -> Option<&Rc<Workspace>> {
         self.keys.get(&KeyHash::new(key))
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -8,7 +8,7 @@
 use http::{Request as HttpRequest, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use route::place::Ask;
+use route::place::{Ask, Patience};
 use route::trust::Trust;
 use tokio::time::{Instant, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
@@ -114,7 +114,9 @@
     shared.count_request(&service);
     let time = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let parts = call.parts.iter().map(|part| (part.id, part.tokens)).collect();
+    let kinds = config.kinds(&service);
     Ok(Request {
+        kinds,
         head,
         call,
         body,
@@ -257,7 +259,7 @@
 
 impl Request {
     /// what the board has to know to choose a VM
-    pub fn ask<'a>(&'a self, avoid: &'a [String], patience: Duration) -> Ask<'a> {
+    pub fn ask<'a>(&'a self, avoid: &'a [String], patience: Patience) -> Ask<'a> {
         Ask {
             service: &self.service,
             parts: &self.parts,
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -8,7 +8,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use route::place::Outcome;
+use route::place::{Outcome, Patience};
 use route::verdict::Progress;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
@@ -41,7 +41,7 @@
     let mut tries = Tries::new();
     let mut spare: Option<Response<Body>> = None;
     loop {
-        let ask = request.ask(&tries.avoid, request.left());
+        let ask = request.ask(&tries.avoid, Patience::total(request.left()));
         let choice = shared.board.borrow().choose(&ask, Instant::now());
         let (vm, pick) = match shared.chosen(choice) {
             Ok(chosen) => chosen,
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
+use route::place::Kind;
 use tokio::time::Instant;
 
 use crate::model::{Call, Route, Workspace};
@@ -19,6 +20,8 @@
     pub route: Rc<Route>,
     /// its service
     pub service: String,
+    /// the kinds of request of its service
+    pub kinds: Rc<[Kind]>,
     /// its workspace, if the route needs one
     pub workspace: Option<Rc<Workspace>>,
     /// ids and tokens of the prompt's parts
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -12,7 +12,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use route::place::{Choice, Outcome, Pick};
+use route::place::{Choice, Kind, Outcome, Patience, Pick, patience, return_after};
 use route::verdict::Progress;
 use tokio::sync::mpsc::{self, Sender};
 use tokio::time::{Instant, timeout_at};
@@ -35,10 +35,6 @@
 /// after two seconds and more
 const SILENCE: Duration = Duration::from_millis(1500);
 
-/// a request is refused if its first event is not expected within this many objectives,
-/// as it would be of little use by then
-const OBJECTIVES: f64 = 1.5;
-
 /// longest answer without events, such as a failure, that is passed on
 const WHOLE_BYTES: usize = 256 * 1024;
 
@@ -100,8 +96,15 @@
     request: &Request,
     tries: &Tries,
 ) -> Result<(Rc<Vm>, Pick), Own> {
-    let useful = request.route.objective.mul_f64(OBJECTIVES).min(request.left());
-    let patience = if tries.sent() == 0 { useful } else { request.left() };
+    let patience = if tries.sent() == 0 {
+        let own = Kind {
+            priority: request.priority(),
+            objective: request.route.objective,
+        };
+        patience(own, &request.kinds)
+    } else {
+        Patience::total(request.left())
+    };
     let ask = request.ask(&tries.avoid, patience);
     let now = Instant::now();
     let mut board = shared.board.borrow_mut();
@@ -114,6 +117,10 @@
         board.offer(&request.service, unread, now);
     }
     drop(board);
+    let choice = match choice {
+        Choice::Full(room) => Choice::Full(return_after(request.priority(), room)),
+        other => other,
+    };
     shared.chosen(choice)
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,7 +12,7 @@
 use route::quota::Quota;
 use route::retry::{Allowance, Terms};
 use route::trust::{self, Trust};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use crate::clock::Clock;
@@ -44,8 +44,10 @@
     pub agreed: Cell<Option<Instant>>,
     /// VMs by instance id, those that leave included
     pub vms: RefCell<HashMap<String, Rc<Vm>>>,
-    /// whether VMs have been listed
-    pub listed: Cell<bool>,
+    /// since when VMs have been listed
+    pub listed: Cell<Option<Instant>>,
+    /// told when VMs come or go
+    pub vms_changed: Notify,
     /// loads and choice
     pub board: RefCell<Board>,
     /// limits by workspace
@@ -78,6 +80,7 @@
             agreed: Cell::default(),
             vms: RefCell::default(),
             listed: Cell::default(),
+            vms_changed: Notify::new(),
             board: RefCell::new(Board::new()),
             quotas: RefCell::default(),
             allowances: RefCell::default(),
@@ -114,7 +117,7 @@
     /// whether new callers are welcome
     pub fn is_ready(&self) -> bool {
         let serving = *self.stage.borrow() == Stage::Serving;
-        serving && self.listed.get() && self.trust() != Trust::Stale
+        serving && self.listed.get().is_some() && self.trust() != Trust::Stale
     }
 
     /// takes in a configuration that is newer than the one in force
@@ -171,6 +174,7 @@
         for (service, members) in members {
             board.list(service, members);
         }
+        self.vms_changed.notify_one();
     }
 
     /// takes a repeat from the allowance of a service
--- a/crates/route/src/place/ask.rs
+++ b/crates/route/src/place/ask.rs
@@ -11,6 +11,26 @@
     Link,
 }
 
+/// how long a request may be expected to take to its answer or first token
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// longest time in all
+    pub total: Duration,
+    /// wait for others' work with which it is taken in any case: a long prompt may need
+    /// more than the time in all by itself
+    pub wait: Duration,
+}
+
+impl Patience {
+    /// so long, whatever it consists of
+    pub fn total(total: Duration) -> Patience {
+        Patience {
+            total,
+            wait: Duration::ZERO,
+        }
+    }
+}
+
 /// a request that needs a VM
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -22,8 +42,8 @@
     pub prompt_tokens: u32,
     /// most tokens of the output
     pub output_tokens: u32,
-    /// longest time to the answer or the first token that is of use
-    pub patience: Duration,
+    /// longest expected time with which it is taken
+    pub patience: Patience,
     /// VMs that have failed this request
     pub avoid: &'a [String],
 }
@@ -35,6 +55,8 @@
     pub id: String,
     /// expected time to the answer or the first token
     pub expected: Duration,
+    /// the part of it that is the request's own work
+    pub own: Duration,
     /// tokens of the prompt that it has to read
     pub uncached: u32,
     /// how far it is
--- a/crates/route/src/place/board.rs
+++ b/crates/route/src/place/board.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::ask::{Ask, Choice, Near, Pick};
+use super::ask::{Ask, Choice, Near, Patience, Pick};
 use super::engine::{self, Figures};
 use super::fault::Record;
 use super::load::{Load, Meter, Rate, Work};
@@ -222,10 +222,7 @@
         }
         match best {
             None => Choice::Nobody,
-            Some((_, _, pick)) if pick.expected > ask.patience => {
-                Choice::Full((pick.expected - ask.patience).max(RETURN_LEAST))
-            }
-            Some((_, _, pick)) => Choice::Send(pick),
+            Some((_, _, pick)) => admit(pick, ask.patience),
         }
     }
 
@@ -318,8 +315,8 @@
     fn pick(&self, entry: &Entry, ask: &Ask<'_>, now: Instant) -> Pick {
         let member = &entry.member;
         let load = self.load(entry, now);
-        let (expected, uncached) = match member.cache_tokens {
-            None => (plain::expected(member.slots, &load, entry.work), 0),
+        let (expected, own, uncached) = match member.cache_tokens {
+            None => (plain::expected(member.slots, &load, entry.work), entry.work, 0),
             Some(cache_tokens) => {
                 let known = entry.memory.cached(ask.parts);
                 let uncached = ask.prompt_tokens.saturating_sub(known);
@@ -329,12 +326,13 @@
                 };
                 let held = uncached.saturating_add(ask.output_tokens);
                 let expected = engine::expected(&figures, &load, uncached, held);
-                (expected, uncached)
+                (expected, engine::alone(uncached), uncached)
             }
         };
         Pick {
             id: member.id.clone(),
             expected,
+            own,
             uncached,
             near: member.near,
         }
@@ -375,6 +373,15 @@
     bonus: Duration,
 }
 
+/// takes a request unless it is expected to take too long
+fn admit(pick: Pick, patience: Patience) -> Choice {
+    let wait = pick.expected.saturating_sub(pick.own);
+    if pick.expected <= patience.total || wait <= patience.wait {
+        return Choice::Send(pick);
+    }
+    Choice::Full((pick.expected - patience.total).max(RETURN_LEAST))
+}
+
 /// finds the home of a prompt: the VM with the highest hash for its last shared part
 fn home<'a>(group: &'a Group, ask: &Ask<'_>) -> Option<Home<'a>> {
     let (_, shared) = ask.parts.split_last()?;
--- a/crates/route/src/place/engine.rs
+++ b/crates/route/src/place/engine.rs
@@ -29,6 +29,11 @@
     Duration::from_secs_f64(tokens as f64 / READ_TOKENS_PER_MS / 1000.0)
 }
 
+/// time to the first token of a request that is alone at its engine
+pub(super) fn alone(unread: u32) -> Duration {
+    FIRST_TOKEN + reading(u64::from(unread))
+}
+
 /// expected time to the first token of a request with tokens to read and to hold
 pub(super) fn expected(figures: &Figures, load: &Load, unread: u32, held: u32) -> Duration {
     let reading = reading(load.unread + u64::from(unread));
--- a/crates/route/src/place/mod.rs
+++ b/crates/route/src/place/mod.rs
@@ -16,7 +16,10 @@
 //!   its cost; one that says nothing while it has work is not chosen while others are.
 //! * The load is more than the VMs can take in time. A request whose expected time is
 //!   past what its caller waits for is refused at once, with the time until there is room.
+//! * Kinds with long objectives fill the VMs until urgent ones with short objectives are
+//!   late. Each kind is taken only while the more urgent ones would be in time as well.
 
+mod admission;
 mod ask;
 mod board;
 mod engine;
@@ -25,6 +28,7 @@
 mod memory;
 mod plain;
 
-pub use ask::{Ask, Choice, Near, Pick};
+pub use admission::{Kind, patience, return_after};
+pub use ask::{Ask, Choice, Near, Patience, Pick};
 pub use board::{Board, Done, Member, Outcome, Read};
 pub use load::{Load, Rate, Work};
--- a/crates/route/tests/place.rs
+++ b/crates/route/tests/place.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use route::place::{Ask, Board, Choice, Done, Load, Member, Near, Outcome, Pick, Work};
+use route::place::{Ask, Board, Choice, Done, Load, Member, Near, Outcome, Patience, Pick, Work};
 use tokio::time::Instant;
 
 const SERVICE: &str = "llm";
@@ -49,7 +49,7 @@
         parts,
         prompt_tokens: parts.iter().map(|(_, tokens)| tokens).sum(),
         output_tokens: 100,
-        patience: PATIENCE,
+        patience: Patience::total(PATIENCE),
         avoid,
     }
 }
