--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -107,7 +107,8 @@
             ..refuse(own)
         })?;
     }
-    let Some(service) = route.service(xxh3_64(call.id.as_bytes())) else {
+    let draw = xxh3_64(call.id.as_bytes());
+    let Some(service) = route.service(draw) else {
         return Err(refuse(unknown(trust, Reason::NoRoute)));
     };
     let service = service.to_owned();
@@ -117,6 +118,7 @@
     let kinds = config.kinds(&service);
     Ok(Request {
         kinds,
+        draw,
         head,
         call,
         body,
@@ -266,6 +268,7 @@
             prompt_tokens: self.call.prompt_tokens(),
             output_tokens: self.call.output_tokens(),
             patience,
+            draw: self.draw,
             avoid,
         }
     }
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -24,6 +24,8 @@
     pub kinds: Rc<[Kind]>,
     /// its workspace, if the route needs one
     pub workspace: Option<Rc<Workspace>>,
+    /// a number of the request that is even over all requests
+    pub draw: u64,
     /// ids and tokens of the prompt's parts
     pub parts: Vec<(u64, u32)>,
     /// when it came
--- a/crates/route/src/place/ask.rs
+++ b/crates/route/src/place/ask.rs
@@ -44,6 +44,8 @@
     pub output_tokens: u32,
     /// longest expected time with which it is taken
     pub patience: Patience,
+    /// a number of the request by which VMs that are alike are chosen evenly
+    pub draw: u64,
     /// VMs that have failed this request
     pub avoid: &'a [String],
 }
--- a/crates/route/src/place/board.rs
+++ b/crates/route/src/place/board.rs
@@ -11,7 +11,7 @@
 use super::fault::Record;
 use super::load::{Load, Meter, Rate, Work};
 use super::memory::Memory;
-use super::plain;
+use super::plain::{self, Pace};
 
 /// part of the time to read a prompt's shared tokens by which its home is preferred: other
 /// daemons send there as well, and tell of it later
@@ -29,9 +29,6 @@
 /// time after which the load that a peer told is not counted any more
 const PEER_AGE: Duration = Duration::from_millis(2500);
 
-/// weight of one more answer in the time that a VM takes
-const WORK_WEIGHT: f64 = 0.1;
-
 /// weight of one more outcome in a service's usual share of failures
 const USUAL_WEIGHT: f64 = 0.01;
 
@@ -73,7 +70,7 @@
     own: Load,
     memory: Memory,
     record: Record,
-    work: Duration,
+    work: Pace,
 }
 
 /// the VMs of one service
@@ -81,6 +78,7 @@
 struct Group {
     entries: HashMap<String, Entry>,
     usual_failures: f64,
+    usual_work: Pace,
     meter: Meter,
 }
 
@@ -205,7 +203,7 @@
         for entry in group.entries.values() {
             let avoided = ask.avoid.contains(&entry.member.id);
             let last = avoided || entry.record.is_suspect(now);
-            let pick = self.pick(entry, ask, now);
+            let pick = self.pick(entry, ask, group.usual_work, now);
             let bonus = home.filter(|home| home.id == entry.member.id);
             let cost = pick.expected
                 + price(pick.near)
@@ -288,9 +286,8 @@
             Outcome::Left => {}
         }
         if let Some(took) = done.took {
-            let change = took.as_secs_f64() - entry.work.as_secs_f64();
-            let work = entry.work.as_secs_f64() + change * WORK_WEIGHT;
-            entry.work = Duration::from_secs_f64(work.max(0.0));
+            entry.work.measure(took, now);
+            group.usual_work.measure(took, now);
         }
     }
 
@@ -312,11 +309,14 @@
         load
     }
 
-    fn pick(&self, entry: &Entry, ask: &Ask<'_>, now: Instant) -> Pick {
+    fn pick(&self, entry: &Entry, ask: &Ask<'_>, usual: Pace, now: Instant) -> Pick {
         let member = &entry.member;
         let load = self.load(entry, now);
         let (expected, own, uncached) = match member.cache_tokens {
-            None => (plain::expected(member.slots, &load, entry.work), entry.work, 0),
+            None => {
+                let work = entry.work.at_least_as_good_as(usual, now);
+                (plain::expected(member.slots, &load, work), work, 0)
+            }
             Some(cache_tokens) => {
                 let known = entry.memory.cached(ask.parts);
                 let uncached = ask.prompt_tokens.saturating_sub(known);
@@ -361,7 +361,7 @@
             own: Load::default(),
             memory: Memory::default(),
             record: Record::new(),
-            work: plain::WORK,
+            work: Pace::default(),
         }
     }
 }
@@ -409,6 +409,5 @@
 
 /// a fraction of a millisecond that spreads requests over VMs that are alike
 fn tie(id: &str, ask: &Ask<'_>) -> Duration {
-    let seed = ask.parts.last().map_or(0, |(id, _)| *id);
-    Duration::from_nanos(xxh3_64_with_seed(id.as_bytes(), seed) % 1_000_000)
+    Duration::from_nanos(xxh3_64_with_seed(id.as_bytes(), ask.draw) % 1_000_000)
 }
--- a/crates/route/tests/place.rs
+++ b/crates/route/tests/place.rs
@@ -50,6 +50,7 @@
         prompt_tokens: parts.iter().map(|(_, tokens)| tokens).sum(),
         output_tokens: 100,
         patience: Patience::total(PATIENCE),
+        draw: parts.last().map_or(0, |(id, _)| *id),
         avoid,
     }
 }
@@ -241,6 +242,52 @@
     assert!(long > 70, "only {long} of 100 long prompts went to their home");
 }
 
+#[test]
+fn requests_without_a_prompt_are_spread_over_vms_that_are_alike() {
+    let now = Instant::now();
+    let board = board((0..3).map(|i| plain(&format!("vm-{i}"), Near::Zone)).collect());
+    let mut used: HashMap<String, u32> = HashMap::new();
+    for draw in 0..300 {
+        let ask = Ask {
+            draw,
+            ..ask(&[], &[])
+        };
+        *used.entry(sent(board.choose(&ask, now)).id).or_default() += 1;
+    }
+    assert!(used.values().all(|count| *count > 60), "{used:?}");
+}
+
+#[test]
+fn a_vm_that_was_slow_once_is_tried_again() {
+    let now = Instant::now();
+    let mut board = board(vec![plain("one", Near::Zone), plain("other", Near::Zone)]);
+    let none = Work::default();
+    let usual = std::iter::repeat_n(("one", 5), 60);
+    for (id, ms) in [("other", 400)].into_iter().chain(usual) {
+        board.begin(&ask(&[], &[]), id, &none, now);
+        let done = Done {
+            service: SERVICE,
+            id,
+            work: &none,
+            outcome: Outcome::Answered,
+            took: Some(Duration::from_millis(ms)),
+        };
+        board.end(&done, now);
+    }
+    let draws = |now: Instant| {
+        let chosen = (0..50).filter(|draw| {
+            let ask = Ask {
+                draw: *draw,
+                ..ask(&[], &[])
+            };
+            sent(board.choose(&ask, now)).id == "other"
+        });
+        chosen.count()
+    };
+    assert_eq!(draws(now), 0);
+    assert!(draws(now + Duration::from_secs(3)) > 0);
+}
+
 #[test]
 fn an_unknown_service_has_nobody() {
     let board = engines(2);
