--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -12,7 +12,7 @@
 use route::retry::{Again, Failed, again};
 use route::verdict::{self, Progress};
 use schema::failure::Verdict;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
 
 use super::flight::Flight;
 use super::request::Request;
@@ -229,11 +229,7 @@
     attempts
         .with_label_values(&[request.service.as_str(), reason.name()])
         .inc();
-    let permit = shared
-        .sampler
-        .borrow_mut()
-        .permit("attempt", Instant::now());
-    let Some(dropped) = permit else {
+    let Some(left_out) = shared.log("attempt") else {
         return;
     };
     tracing::info!(
@@ -245,6 +241,6 @@
         cause,
         after_ms = request.arrived.elapsed().as_millis() as u64,
         left_ms = request.left().as_millis() as u64,
-        left_out = dropped,
+        left_out,
     );
 }
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -216,8 +216,26 @@
     let Some(quota) = quotas.get_mut(&workspace.name) else {
         return Ok(());
     };
-    let spent = quota.spend(units, Instant::now());
-    spent.map_err(|wait| Own::after(Reason::OverLimit, wait))
+    let now = Instant::now();
+    let Err(wait) = quota.spend(units, now) else {
+        return Ok(());
+    };
+    let (level, share, demand) = (quota.level(), quota.share(), quota.demand(now));
+    if let Some(left_out) = shared.log("limit_spent") {
+        tracing::info!(
+            event = "limit_spent",
+            request = call.id,
+            workspace = workspace.name,
+            units,
+            level = level.round(),
+            share,
+            own_demand = demand.round(),
+            rate = limit.rate,
+            daemons = shared.daemons.get(),
+            left_out,
+        );
+    }
+    Err(Own::after(Reason::OverLimit, wait))
 }
 
 fn units(limit: &Limit, call: &Call) -> f64 {
@@ -250,11 +268,7 @@
     let outcome = refused.own.reason.name();
     let requests = &shared.metrics.requests;
     requests.with_label_values(&[&refused.route, outcome]).inc();
-    let permit = shared
-        .sampler
-        .borrow_mut()
-        .permit("refused", Instant::now());
-    let Some(dropped) = permit else {
+    let Some(left_out) = shared.log("refused") else {
         return;
     };
     tracing::info!(
@@ -267,7 +281,7 @@
         retry_after_ms = refused.own.retry_after.map(|wait| wait.as_millis() as u64),
         config = shared.config().map(|config| config.version),
         config_age_ms = shared.config_age().map(|age| age.as_millis() as u64),
-        left_out = dropped,
+        left_out,
     );
 }
 
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod body;
+mod choose;
 mod events;
 mod flight;
 mod handle;
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{Answer, Miss, Tries, note_miss, send};
+use super::choose::choose;
 use super::request::Request;
 use super::{Body, Own, Piece, Reason};
 use crate::model::{Kind, Vm};
@@ -41,13 +42,11 @@
     let mut tries = Tries::new();
     let mut spare: Option<Response<Body>> = None;
     loop {
-        let ask = request.ask(&tries.avoid, Patience::total(request.left()));
-        let choice = shared.board.borrow().choose(&ask, Instant::now());
-        let (vm, pick) = match shared.chosen(choice) {
+        let patience = Patience::total(request.left());
+        let (vm, pick) = match choose(shared, &request, &mut tries, patience) {
             Ok(chosen) => chosen,
             Err(own) => return spare.ok_or_else(|| tries.give_up(&request, Some(own))),
         };
-        tries.avoid.push(vm.id.clone());
         let sent_at = Instant::now();
         let miss = match send(shared, &request, &vm, &pick, None).await {
             Ok(answer) => match read(shared, &request, &vm, answer, sent_at).await {
@@ -214,8 +213,7 @@
         .requests
         .with_label_values(&[request.route.name.as_str(), outcome])
         .inc();
-    let permit = shared.sampler.borrow_mut().permit("answer", Instant::now());
-    let Some(dropped) = permit else {
+    let Some(left_out) = shared.log("answer") else {
         return;
     };
     tracing::info!(
@@ -226,6 +224,6 @@
         status = head.status.as_u16(),
         took_ms = took.as_millis() as u64,
         since_arrival_ms = request.arrived.elapsed().as_millis() as u64,
-        left_out = dropped,
+        left_out,
     );
 }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -173,13 +173,7 @@
     }
 
     fn note(&self, event: &'static str, vm: &Vm, cause: &str) {
-        let Some(dropped) = self
-            .stream
-            .shared
-            .sampler
-            .borrow_mut()
-            .permit(event, Instant::now())
-        else {
+        let Some(left_out) = self.stream.shared.log(event) else {
             return;
         };
         tracing::info!(
@@ -188,7 +182,7 @@
             vm = vm.id,
             cause,
             after_ms = self.stream.request.arrived.elapsed().as_millis() as u64,
-            left_out = dropped,
+            left_out,
         );
     }
 }
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -10,12 +10,13 @@
 use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use route::place::{Choice, Kind, Outcome, Patience, Pick, patience, return_after};
+use route::place::{Kind, Outcome, Patience, Pick, patience};
 use route::verdict::Progress;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
 
 use super::attempt::{Answer, Miss, Tries, note_miss, send};
+use super::choose::choose;
 use super::events::Events;
 use super::plain::{count, note_answer, response};
 use super::relay::Relay;
@@ -97,25 +98,7 @@
         } else {
             Patience::total(request.left())
         };
-        let ask = request.ask(&tries.avoid, patience);
-        let now = Instant::now();
-        let mut board = shared.board.borrow_mut();
-        let choice = board.choose(&ask, now);
-        if tries.avoid.is_empty() {
-            let unread = match &choice {
-                Choice::Send(pick) => pick.uncached,
-                Choice::Full(_) | Choice::Nobody => request.own_tokens(),
-            };
-            board.offer(&request.service, unread, now);
-        }
-        drop(board);
-        let choice = match choice {
-            Choice::Full(room) => Choice::Full(return_after(request.priority(), room)),
-            other => other,
-        };
-        let (vm, pick) = shared.chosen(choice)?;
-        tries.avoid.push(vm.id.clone());
-        Ok((vm, pick))
+        choose(shared, request, tries, patience)
     }
 
     /// sends the request and waits for its first event
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use route::place::{Board, Choice, Member, Near};
+use route::place::{Board, Member, Near, Pick};
 use route::quota::Quota;
 use route::retry::{Allowance, Terms};
 use route::trust::{self, Trust};
@@ -21,7 +21,6 @@
 use crate::model::{Config, Health, Limit, Vm};
 use crate::pool::Pool;
 use crate::seam::Dialect;
-use crate::serve::{Own, Reason};
 use crate::settings::Settings;
 use crate::stage::Stage;
 use crate::usage::Tally;
@@ -195,16 +194,14 @@
         allowance.earn(Instant::now());
     }
 
-    /// the VM that a choice names, or why there is none
-    pub fn chosen(&self, choice: Choice) -> Result<(Rc<Vm>, route::place::Pick), Own> {
-        match choice {
-            Choice::Send(pick) => match self.vms.borrow().get(&pick.id) {
-                Some(vm) => Ok((Rc::clone(vm), pick)),
-                None => Err(Own::after(Reason::NoVm, NO_VM_WAIT)),
-            },
-            Choice::Full(wait) => Err(Own::after(Reason::Full, wait)),
-            Choice::Nobody => Err(Own::after(Reason::NoVm, NO_VM_WAIT)),
-        }
+    /// the VM that a choice names
+    pub fn vm(&self, pick: &Pick) -> Option<Rc<Vm>> {
+        self.vms.borrow().get(&pick.id).map(Rc::clone)
+    }
+
+    /// whether a line of a kind may be written; then the number left out before it
+    pub fn log(&self, kind: &'static str) -> Option<u64> {
+        self.sampler.borrow_mut().permit(kind, Instant::now())
     }
 
     fn near(&self, zone: &str) -> Near {
@@ -236,9 +233,6 @@
 /// restarted at once, after they had spent it
 const RESTART_FILLED: f64 = 0.0;
 
-/// time to come back when a service has no VM: about as long as one takes to register
-pub const NO_VM_WAIT: Duration = Duration::from_secs(1);
-
 impl<D: Dialect> Shared<D> {
     /// takes a VM out until it is listed again
     pub fn drop_vm(&self, id: &str, cause: &str) {
--- a/crates/route/src/place/ask.rs
+++ b/crates/route/src/place/ask.rs
@@ -65,13 +65,24 @@
     pub near: Near,
 }
 
+/// why a request is not taken
+#[derive(Debug, Clone, PartialEq)]
+pub struct Full {
+    /// time after which there is room
+    pub room: Duration,
+    /// the best VM
+    pub id: String,
+    /// expected time there
+    pub expected: Duration,
+}
+
 /// what to do with a request
 #[derive(Debug, Clone, PartialEq)]
 pub enum Choice {
     /// send it to this VM
     Send(Pick),
-    /// no VM can answer in time; there is room after this time
-    Full(Duration),
+    /// no VM can answer in time
+    Full(Full),
     /// there is no VM
     Nobody,
 }
--- a/crates/route/src/place/board.rs
+++ b/crates/route/src/place/board.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::ask::{Ask, Choice, Near, Patience, Pick};
+use super::ask::{Ask, Choice, Full, Near, Patience, Pick};
 use super::engine::{self, Figures};
 use super::fault::Record;
 use super::load::{Load, Meter, Rate, Work};
@@ -391,7 +391,11 @@
     if pick.expected <= patience.total || wait <= patience.wait {
         return Choice::Send(pick);
     }
-    Choice::Full((pick.expected - patience.total).max(RETURN_LEAST))
+    Choice::Full(Full {
+        room: (pick.expected - patience.total).max(RETURN_LEAST),
+        expected: pick.expected,
+        id: pick.id,
+    })
 }
 
 /// finds the home of a prompt: the VM with the highest hash for its last shared part
--- a/crates/route/src/place/mod.rs
+++ b/crates/route/src/place/mod.rs
@@ -29,6 +29,6 @@
 mod plain;
 
 pub use admission::{Kind, patience, return_after};
-pub use ask::{Ask, Choice, Near, Patience, Pick};
+pub use ask::{Ask, Choice, Full, Near, Patience, Pick};
 pub use board::{Board, Done, Member, Outcome, Read};
 pub use load::{Load, Rate, Work};
--- a/crates/route/src/quota.rs
+++ b/crates/route/src/quota.rs
@@ -131,6 +131,11 @@
         self.spent
     }
 
+    /// units that are left over all daemons, as far as known
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
     /// the part of the limit that this daemon may spend
     pub fn share(&self) -> f64 {
         self.share
