--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -9,7 +9,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::busy::Activity;
 use crate::model::Bounds;
@@ -24,6 +24,10 @@
 /// most headers of a request; common HTTP servers allow as many
 const HEADERS: usize = 100;
 
+/// time after the order to stop in which a connection that is open may send its first
+/// request; one that comes later could not be finished within the grace
+const FIRST_REQUEST: Duration = Duration::from_millis(1500);
+
 /// notes when bytes come
 struct Tap {
     stream: TcpStream,
@@ -100,7 +104,8 @@
         .max_headers(HEADERS)
         .serve_connection(TokioIo::new(tap), service);
     let mut connection = pin!(connection);
-    let mut leaving = *stage.borrow() == Stage::Leaving;
+    let first_by = |stage: Stage| (stage == Stage::Leaving).then(|| Instant::now() + FIRST_REQUEST);
+    let mut leaving = first_by(*stage.borrow());
     let mut closing = false;
     loop {
         tokio::select! {
@@ -117,11 +122,13 @@
                     None => {}
                 }
             }
-            result = stage.changed(), if !leaving => {
-                leaving = result.is_err() || *stage.borrow() == Stage::Leaving;
+            _ = stage.changed(), if leaving.is_none() => {
+                leaving = first_by(*stage.borrow());
             }
             // a caller that has connected and sent nothing yet is still served
-            () = activity.first(), if leaving && !closing => {
+            _ = timeout_at(leaving.unwrap_or_else(Instant::now), activity.first()),
+                if leaving.is_some() && !closing =>
+            {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -10,6 +10,7 @@
 use super::connection;
 use crate::seam::Dialect;
 use crate::shared::Shared;
+use crate::stage::Stage;
 
 /// connections that wait to be accepted: callers of a failed daemon come all at once
 const BACKLOG: u32 = 1024;
@@ -20,6 +21,10 @@
 /// time for which a caller may leave bytes unacknowledged, milliseconds
 const UNACKNOWLEDGED_MS: u32 = 10_000;
 
+/// time after the order to stop in which callers are accepted: the balancer asks once a
+/// second and takes a daemon out after two answers
+const ACCEPT_LEAVING: Duration = Duration::from_millis(2800);
+
 /// pause after a failed accept: descriptors come free within about this time
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -34,8 +39,21 @@
     socket.listen(BACKLOG)
 }
 
-/// accepts callers for as long as the process runs
-pub async fn serve<D: Dialect + 'static>(shared: Rc<Shared<D>>, listener: TcpListener) {
+/// accepts callers until a while after the order to stop
+pub async fn serve<D: Dialect>(shared: Rc<Shared<D>>, listener: TcpListener) {
+    let mut stage = shared.stage.subscribe();
+    let left = async {
+        // an error means that the state is gone, and with it all callers
+        let _ = stage.wait_for(|stage| *stage == Stage::Leaving).await;
+        sleep(ACCEPT_LEAVING).await;
+    };
+    tokio::select! {
+        () = accept(&shared, &listener) => {}
+        () = left => tracing::info!(event = "callers_closed"),
+    }
+}
+
+async fn accept<D: Dialect>(shared: &Rc<Shared<D>>, listener: &TcpListener) {
     let most = (shared.settings.descriptors as f64 * CALLERS_PART) as usize;
     loop {
         let stream = match listener.accept().await {
@@ -58,7 +76,7 @@
         for error in options.into_iter().filter_map(Result::err) {
             tracing::debug!(event = "socket_option_refused", error);
         }
-        let shared = Rc::clone(&shared);
+        let shared = Rc::clone(shared);
         shared.callers.set(shared.callers.get() + 1);
         tokio::task::spawn_local(async move {
             connection::run(Rc::clone(&shared), stream).await;
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -147,6 +147,19 @@
     });
 }
 
+#[test]
+fn a_connection_without_a_request_does_not_outlast_a_planned_stop() {
+    run(async {
+        let (world, vm) = served().await;
+        let mut silent = world.connect().await;
+        sleep(Duration::from_millis(50)).await;
+        world.shared.stage.send_replace(Stage::Leaving);
+        assert!(!silent.closes(Duration::from_millis(1000)).await);
+        assert!(silent.closes(Duration::from_millis(1000)).await);
+        assert!(vm.seen().is_empty());
+    });
+}
+
 #[test]
 fn many_callers_that_do_nothing_hold_up_nobody() {
     run(async {
