--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -70,8 +70,8 @@
     spawn_local(front::serve(Rc::clone(&shared), callers));
     spawn_local(follow::config(Rc::clone(&shared), Rc::clone(&objects)));
     spawn_local(follow::vms(Rc::clone(&shared), Rc::clone(&objects)));
-    let holder = Holder::new(&*shared);
     let peers = Peers::new();
+    let holder = Holder::new(&*shared, &peers);
     spawn_local(duty::peers(
         Rc::clone(&shared),
         Rc::clone(&objects),
--- a/crates/gateway/src/duty/capacity.rs
+++ b/crates/gateway/src/duty/capacity.rs
@@ -26,7 +26,7 @@
 
 /// time after the first list of VMs, or the start of a term, in which those that are there
 /// register themselves
-const LOOK: Duration = Duration::from_secs(2);
+const LOOK: Duration = Duration::from_secs(4);
 
 /// time of a term in which demand is not known well enough to go below what was found
 const WARM_UP: Duration = Duration::from_secs(20);
--- a/crates/gateway/src/duty/holder.rs
+++ b/crates/gateway/src/duty/holder.rs
@@ -7,6 +7,7 @@
 use store::lease::{Action, Machine, Seen, Timing, Write as Change};
 use tokio::time::{sleep, sleep_until};
 
+use super::Peers;
 use crate::clock::Clock;
 use crate::seam::{Dialect, Fault, Objects, Write};
 use crate::shared::Shared;
@@ -20,6 +21,13 @@
 /// time that the lease must still hold when a call begins: the call's own time limit
 pub const CALL_TIME: Duration = Duration::from_millis(700);
 
+/// daemons that look after the lease closely, so that one of them takes over at once
+const CANDIDATES: usize = 3;
+
+/// time between two reads of the other daemons, in lengths of the lease: they take over
+/// only where all candidates are gone
+const OTHERS_READ: u32 = 2;
+
 /// pause after a call to the object API failed
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -37,11 +45,13 @@
     machine: RefCell<Machine>,
     name: String,
     clock: Clock,
+    lease: Duration,
+    peers: Rc<Peers>,
 }
 
 impl Holder {
     /// a daemon that has seen nothing of the lease yet
-    pub fn new<D: Dialect>(shared: &Shared<D>) -> Rc<Holder> {
+    pub fn new<D: Dialect>(shared: &Shared<D>, peers: &Rc<Peers>) -> Rc<Holder> {
         let instance = format!(
             "{}-{:08x}",
             shared.settings.name,
@@ -52,6 +62,8 @@
             machine: RefCell::new(Machine::new(&instance, timing)),
             name: shared.settings.name.clone(),
             clock: shared.clock,
+            lease: shared.settings.promises.lease,
+            peers: Rc::clone(peers),
         })
     }
 
@@ -81,7 +93,12 @@
             let action = self.machine.borrow_mut().next(self.clock.now(), &nonce);
             match action {
                 Action::Wait(until) => self.wait(until).await,
-                Action::Read => self.read(&*store).await,
+                Action::Read => {
+                    if self.peers.rank(&self.name) >= CANDIDATES {
+                        sleep(self.lease * OTHERS_READ).await;
+                    }
+                    self.read(&*store).await;
+                }
                 Action::Write(change) => self.write(&*store, &change).await,
             }
             let fence = self.fence();
--- a/crates/gateway/src/duty/peers.rs
+++ b/crates/gateway/src/duty/peers.rs
@@ -20,6 +20,7 @@
 use serde_json::{Value, json};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{Instant, sleep, sleep_until};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::seam::{Dialect, Fault, Objects, Write};
 use crate::shared::Shared;
@@ -44,6 +45,9 @@
 /// time limit of a message
 const TELL_TIME: Duration = Duration::from_millis(500);
 
+/// time without a word after which a peer is taken to be gone
+const LIVE: Duration = Duration::from_secs(3);
+
 /// time for which what a silent peer asked for is still counted: a peer that is cut off
 /// goes on spending its share
 const DEMAND_AGE: Duration = Duration::from_secs(10);
@@ -121,6 +125,17 @@
         usage::sum(told.chain([&own]), window)
     }
 
+    /// how many of the daemons that are heard of come before one in an order that all
+    /// daemons know
+    pub fn rank(&self, name: &str) -> usize {
+        let now = Instant::now();
+        let order = |name: &str| xxh3_64(name.as_bytes());
+        let heard = self.heard.borrow();
+        let live = heard.values().filter(|heard| now < heard.at + LIVE);
+        live.filter(|heard| order(&heard.tell.from) < order(name))
+            .count()
+    }
+
     /// work per second that callers bring to a service, over all daemons
     pub fn rate<D: Dialect>(&self, shared: &Shared<D>, service: &str) -> Rate {
         let now = Instant::now();
--- a/crates/gateway/src/follow/vms.rs
+++ b/crates/gateway/src/follow/vms.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::pace::Pace;
 use crate::model::Vm;
@@ -12,6 +12,10 @@
 /// longest wait of a watch; bounds how long a silent connection goes unnoticed
 const WAIT: Duration = Duration::from_millis(2000);
 
+/// time after a change in which further ones are waited for: VMs come and go in groups,
+/// and each answer of a watch is paid for
+const GATHER: Duration = Duration::from_millis(150);
+
 /// silence of the store after which entries may have lapsed without their VMs' fault
 const OUTAGE: Duration = Duration::from_millis(2500);
 
@@ -127,10 +131,11 @@
             take(shared, store, event, missing);
         }
         missing.settle(shared);
+        revision = revision.max(watch.revision);
         if !watch.events.is_empty() {
             shared.list_board();
+            sleep(GATHER).await;
         }
-        revision = revision.max(watch.revision);
     }
 }
 
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -32,7 +32,7 @@
 impl Daemon {
     fn start(name: &str, store: &Store, cloud: &Cloudlet) -> Daemon {
         let shared = Shared::new(daemon_settings(name), Plain, Pool::new());
-        let holder = Holder::new(&*shared);
+        let holder = Holder::new(&*shared, &Peers::new());
         let leasing = Rc::clone(&holder).run(Rc::new(store.clone()));
         let usage = duty::usage(
             Rc::clone(&shared),
