--- a/crates/gateway/src/duty/peers.rs
+++ b/crates/gateway/src/duty/peers.rs
@@ -52,6 +52,10 @@
 /// goes on spending its share
 const DEMAND_AGE: Duration = Duration::from_secs(10);
 
+/// age of a process up to which all that it spent is taken to be recent when it is heard
+/// for the first time
+const RECENT_MS: u64 = 5000;
+
 /// time without a word after which a peer is taken to go on spending as it last asked
 const SILENCE: Duration = Duration::from_secs(2);
 
@@ -77,6 +81,8 @@
     loads: HashMap<String, Load>,
     /// random number of the process, as sums begin anew with it
     instance: u64,
+    /// time since the process started
+    age_ms: u64,
     /// what its callers ask for and have spent, by workspace
     spending: HashMap<String, Spending>,
     /// which VMs have begun to read what for it; a hint that may be lost
@@ -162,8 +168,8 @@
         let mut spent = self.spent.borrow_mut();
         for (workspace, spending) in &tell.spending {
             let more = match &before {
-                // what it spent before is not known to be recent
-                None => continue,
+                None if tell.age_ms > RECENT_MS => continue,
+                None => spending.spent,
                 Some(before) if before.tell.instance != tell.instance => spending.spent,
                 Some(before) => {
                     let known = before.tell.spending.get(workspace);
@@ -247,6 +253,7 @@
 /// tells the others in turn
 async fn tell<D: Dialect>(shared: &Shared<D>, peers: &Peers, node: &Node) {
     let mut next = Instant::now();
+    let start = next;
     let mut divided = next;
     let instance = rand::rng().random::<u32>().into();
     loop {
@@ -256,7 +263,8 @@
         let least = others.len() as f64 / TELLS_PER_SECOND;
         let round = ROUND.max(Duration::from_secs_f64(least));
         next = (next + round.mul_f64(rand::rng().random_range(0.9..1.1))).max(Instant::now());
-        let message = message(shared, instance);
+        let age = start.elapsed();
+        let message = message(shared, instance, age);
         let calls = others.iter().map(|member| {
             let node = node.clone();
             let member = (*member).clone();
@@ -281,7 +289,7 @@
     }
 }
 
-fn message<D: Dialect>(shared: &Shared<D>, instance: u64) -> Tell {
+fn message<D: Dialect>(shared: &Shared<D>, instance: u64, age: Duration) -> Tell {
     let now = Instant::now();
     let mut board = shared.board.borrow_mut();
     let loads = board.loads();
@@ -303,6 +311,7 @@
         from: shared.settings.name.clone(),
         loads,
         instance,
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         spending,
         reads,
         rates,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,7 +21,7 @@
 
 /// part of what may be spent beyond the rate that a bucket holds: daemons hear late of
 /// each other's spending, and may have emptied it twice when they do
-const BUCKET_PART: f64 = 0.43;
+const BUCKET_PART: f64 = 0.4;
 
 impl QuotaSlack {
     /// the limit to keep
--- a/crates/route/src/quota.rs
+++ b/crates/route/src/quota.rs
@@ -6,7 +6,8 @@
 //! may spend a share of that level, by its part of the demand; a part is split evenly, so
 //! that a daemon without demand so far can start. So a workspace below its limit is
 //! refused nowhere, however uneven its callers are, and one beyond it is held to the limit
-//! by all daemons together. Peers that fall silent are taken to go on spending as they
+//! by all daemons together. What the others spend until their next word is taken to be
+//! what they spent before it. Peers that fall silent are taken to go on spending as they
 //! last asked.
 //!
 //! Load pattern: one workspace sends many times its limit through a few daemons, while
@@ -59,6 +60,9 @@
     share: f64,
     spent: f64,
     offered: f64,
+    others_rate: f64,
+    assumed: f64,
+    heard_at: Instant,
     at: Instant,
 }
 
@@ -73,6 +77,9 @@
             share,
             spent: 0.0,
             offered: 0.0,
+            others_rate: 0.0,
+            assumed: 0.0,
+            heard_at: now,
             at: now,
         }
     }
@@ -91,7 +98,12 @@
     /// takes in what the others spent, and divides the level anew
     pub fn hear(&mut self, others: &Others, now: Instant) {
         self.advance(now);
-        self.level -= others.spent;
+        self.level += std::mem::take(&mut self.assumed) - others.spent;
+        let passed = now.saturating_duration_since(self.heard_at).as_secs_f64();
+        if passed > 0.0 {
+            self.others_rate = others.spent / passed;
+            self.heard_at = now;
+        }
         let even = 1.0 / others.daemons.max(1) as f64;
         let all = self.offered + others.demand;
         let by_demand = if all > 0.0 { self.offered / all } else { even };
@@ -144,7 +156,9 @@
     fn advance(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
         let filled = self.terms.rate * passed;
-        self.level = (self.level + filled).min(self.terms.burst);
+        let assumed = self.others_rate * passed;
+        self.assumed += assumed;
+        self.level = (self.level + filled - assumed).min(self.terms.burst);
         let most = self.terms.burst * self.share;
         self.allowance = (self.allowance + filled * self.share).min(most);
         self.offered *= (-passed / DEMAND_TIME.as_secs_f64()).exp();
--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -14,9 +14,11 @@
     burst: 104_000.0,
 };
 
-/// daemons that share a limit; what each spent reaches the others a round later
+/// daemons that share a limit; what each spent reaches the others a round later, at the
+/// end of the round after it
 struct Fleet {
     quotas: Vec<Quota>,
+    sent: Vec<f64>,
     told: Vec<f64>,
     now: Instant,
 }
@@ -27,13 +29,17 @@
         let quota = Quota::new(TERMS, 1.0, 1.0 / daemons as f64, now);
         Fleet {
             quotas: vec![quota; daemons],
+            sent: vec![0.0; daemons],
             told: vec![0.0; daemons],
             now,
         }
     }
 
     fn exchange(&mut self) {
-        let spent: Vec<f64> = self.quotas.iter().map(Quota::spent).collect();
+        let spent = std::mem::replace(
+            &mut self.sent,
+            self.quotas.iter().map(Quota::spent).collect(),
+        );
         let new: Vec<f64> = spent
             .iter()
             .zip(&self.told)
@@ -61,7 +67,7 @@
     /// by each round, and refusals
     fn play(&mut self, rounds: usize, requests: &[(f64, usize)]) -> (Vec<f64>, usize) {
         let mut refused = 0;
-        let mut totals = Vec::new();
+        let mut totals = vec![0.0];
         for _ in 0..rounds {
             for (daemon, (units, count)) in requests.iter().enumerate() {
                 for _ in 0..*count {
@@ -91,7 +97,8 @@
 #[test]
 fn a_workspace_beyond_its_limit_is_held_to_it_by_all_daemons() {
     let mut fleet = Fleet::new(8);
-    let (totals, refused) = fleet.play(60, &[(17_000.0, 4); 8]);
+    // two workspaces' worth of callers come at once, at full buckets
+    let (totals, refused) = fleet.play(60, &[(17_000.0, 9); 8]);
     assert!(refused > 0);
     let window = (8.0 / ROUND.as_secs_f64()) as usize;
     // the deployment's bound: the limit of a window and the burst, a tenth more, and a slack
@@ -102,6 +109,29 @@
     }
 }
 
+#[test]
+fn a_restart_of_all_daemons_does_not_lift_a_limit() {
+    let mut fleet = Fleet::new(7);
+    let hot = [(30_000.0, 3); 7];
+    let (mut totals, _) = fleet.play(8, &hot);
+    let before = fleet.quotas.iter().map(Quota::spent).sum::<f64>();
+    let (sent, told) = (vec![0.0; 7], vec![0.0; 7]);
+    let quota = Quota::new(TERMS, 0.0, 1.0 / 16.0, fleet.now);
+    fleet = Fleet {
+        quotas: vec![quota; 7],
+        sent,
+        told,
+        now: fleet.now + ROUND,
+    };
+    totals.extend(fleet.play(20, &hot).0.iter().map(|spent| spent + before));
+    let window = (8.0 / ROUND.as_secs_f64()) as usize;
+    let most = (TERMS.rate * 8.0 + 47_000.0) * 1.1 + 190_000.0;
+    for at in window..totals.len() {
+        let spent = totals[at] - totals[at - window];
+        assert!(spent <= most, "{spent} in a window, {most} allowed");
+    }
+}
+
 #[test]
 fn a_request_larger_than_the_bucket_is_served_when_the_bucket_is_full() {
     let now = Instant::now();
