Exchange sums between zones through one daemon each

Change: daemons of a zone tell each other, one of each zone exchanges sums; up to 12 daemons tell each other as before. Proofs without the bench: crates/gateway/tests/peers.rs, up to 8 x 49.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -8,7 +8,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use crate::duty::{self, Holder, Peers};
+use crate::duty::{self, Holder};
+use crate::peers::{Peers, peers};
 use crate::seam::{Cloud, Dialect, Objects};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -70,15 +71,15 @@
     spawn_local(front::serve(Rc::clone(&shared), callers));
     spawn_local(follow::config(Rc::clone(&shared), Rc::clone(&objects)));
     spawn_local(follow::vms(Rc::clone(&shared), Rc::clone(&objects)));
-    let peers = Peers::new();
-    let holder = Holder::new(&*shared, &peers);
-    spawn_local(duty::peers(
+    let known = Peers::new(&settings.name, &settings.zone);
+    let holder = Holder::new(&*shared, &known);
+    spawn_local(peers(
         Rc::clone(&shared),
         Rc::clone(&objects),
-        Rc::clone(&peers),
+        Rc::clone(&known),
     ));
     spawn_local(Rc::clone(&holder).run(Rc::clone(&objects)));
-    let duty = (holder, peers);
+    let duty = (holder, known);
     if settings.reports_usage {
         let usage = duty::usage(Rc::clone(&shared), objects, Rc::clone(&cloud), duty.clone());
         spawn_local(usage);
--- a/crates/gateway/src/duty/capacity.rs
+++ b/crates/gateway/src/duty/capacity.rs
@@ -7,8 +7,9 @@
 use fleet::zones::{self, Demand, Memory, Need, Peak, Stock, Terms, Want, Zone};
 use tokio::time::{Instant, timeout};
 
-use super::{Holder, Peers};
+use super::Holder;
 use crate::model::{Health, Scaling, Service};
+use crate::peers::Peers;
 use crate::seam::{Cloud, CloudFault, Dialect, Order};
 use crate::shared::Shared;
 
--- a/crates/gateway/src/duty/holder.rs
+++ b/crates/gateway/src/duty/holder.rs
@@ -7,8 +7,8 @@
 use store::lease::{Action, Machine, Seen, Timing, Write as Change};
 use tokio::time::{sleep, sleep_until};
 
-use super::Peers;
 use crate::clock::Clock;
+use crate::peers::Peers;
 use crate::seam::{Dialect, Fault, Objects, Write};
 use crate::shared::Shared;
 
@@ -94,7 +94,7 @@
             match action {
                 Action::Wait(until) => self.wait(until).await,
                 Action::Read => {
-                    if self.peers.rank(&self.name) >= CANDIDATES {
+                    if self.peers.rank() >= CANDIDATES {
                         sleep(self.lease * OTHERS_READ).await;
                     }
                     self.read(&*store).await;
--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -5,10 +5,8 @@
 
 mod capacity;
 mod holder;
-mod peers;
 mod usage;
 
 pub use capacity::capacity;
 pub use holder::{CALL_TIME, Holder, Permit};
-pub use peers::{Peers, peers};
 pub use usage::usage;
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -12,7 +12,8 @@
 use schema::message;
 use tokio::time::sleep;
 
-use super::{Holder, Peers};
+use super::Holder;
+use crate::peers::Peers;
 use crate::seam::{Cloud, Dialect, Fault, Objects, Write};
 use crate::shared::Shared;
 use crate::usage::{self, Counts};
@@ -26,8 +27,9 @@
 /// time between two looks at what is due
 const TICK: Duration = Duration::from_millis(400);
 
-/// time after the end of a window until all daemons' counts are there
-const SETTLE: Duration = Duration::from_millis(2200);
+/// part of the time to report a window after which its counts are taken to be there: sums
+/// of zones pass three daemons, and a successor needs the rest
+const SETTLE_PART: f64 = 0.45;
 
 /// windows whose counts are kept
 const WINDOWS_KEPT: u64 = 4;
@@ -109,7 +111,7 @@
 fn due<D: Dialect>(shared: &Shared<D>, term: &Term) -> Vec<u64> {
     let promises = &shared.settings.promises;
     let settled = SystemTime::now()
-        .checked_sub(SETTLE)
+        .checked_sub(promises.usage_late.mul_f64(SETTLE_PART))
         .unwrap_or(SystemTime::UNIX_EPOCH);
     let current = usage::window(settled, promises.usage_window);
     let late = promises.usage_late.as_millis() / promises.usage_window.as_millis().max(1);
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -8,7 +8,7 @@
 use crate::shared::Shared;
 
 /// longest wait of a watch; the end of each proves that the configuration is current
-const WAIT: Duration = Duration::from_millis(1500);
+const WAIT: Duration = Duration::from_millis(2000);
 
 /// follows the configuration for as long as the process runs
 pub async fn config<D: Dialect, S: Objects>(shared: Rc<Shared<D>>, store: Rc<S>) {
--- a/crates/gateway/src/follow/vms.rs
+++ b/crates/gateway/src/follow/vms.rs
@@ -10,11 +10,11 @@
 use crate::shared::Shared;
 
 /// longest wait of a watch; bounds how long a silent connection goes unnoticed
-const WAIT: Duration = Duration::from_millis(2000);
+const WAIT: Duration = Duration::from_millis(3000);
 
 /// time after a change in which further ones are waited for: VMs come and go in groups,
 /// and each answer of a watch is paid for
-const GATHER: Duration = Duration::from_millis(150);
+const GATHER: Duration = Duration::from_millis(120);
 
 /// silence of the store after which entries may have lapsed without their VMs' fault
 const OUTAGE: Duration = Duration::from_millis(2500);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod log;
 pub mod metrics;
 pub mod model;
+pub mod peers;
 pub mod pool;
 pub mod seam;
 pub mod serve;
--- /dev/null
+++ b/crates/gateway/src/peers/join.rs
@@ -0,0 +1,127 @@
+//! Finding the other daemons in the object API.
+
+use std::time::Duration;
+
+use jsonrpsee::RpcModule;
+use peer::Node;
+use rand::Rng;
+use serde_json::{Value, json};
+use tokio::sync::mpsc::Sender;
+use tokio::time::sleep;
+
+use super::tell::Tell;
+use crate::seam::{Dialect, Fault, Objects, Write};
+use crate::shared::Shared;
+
+/// kind of the entries by which daemons find each other
+const DAEMONS: &str = "daemons";
+
+/// kind and name of the object with the keys that daemons show each other
+const KEYS: (&str, &str) = ("fleet", "keys");
+
+/// method by which a daemon tells another
+pub(super) const TELL: &str = "gateway_tell";
+
+/// pause before the object API is asked again
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// finds the others in the object API and starts to talk to them
+pub(super) async fn join<D: Dialect, S: Objects>(
+    shared: &Shared<D>,
+    store: &S,
+    sender: Sender<Tell>,
+) -> Node {
+    let settings = &shared.settings;
+    loop {
+        let found = find(shared, store).await;
+        let (fleet_key, operator_key, seeds) = match found {
+            Ok(found) => found,
+            Err(fault) => {
+                tracing::debug!(event = "peers_not_found", cause = %fault);
+                sleep(PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))).await;
+                continue;
+            }
+        };
+        let node = peer::Settings::new(&settings.name, &settings.zone)
+            .region(settings.region(&settings.zone))
+            .control(&settings.peers.to_string())
+            .callers(&settings.callers.to_string())
+            .seeds(&seeds)
+            .fleet_key(&fleet_key)
+            .operator_key(&operator_key);
+        match Node::start(node, methods(sender.clone())).await {
+            Ok(node) => {
+                tracing::info!(event = "peers_joined", seeds = seeds.len());
+                return node;
+            }
+            Err(error) => {
+                tracing::error!(event = "peers_not_joined", %error);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn methods(sender: Sender<Tell>) -> RpcModule<()> {
+    let mut module = RpcModule::new(());
+    let added = module.register_method(TELL, move |params, (), _| {
+        let tell: Tell = params.one()?;
+        if sender.try_send(tell).is_err() {
+            tracing::debug!(event = "peer_not_heard", cause = "the inbox is full");
+        }
+        Ok::<(), jsonrpsee::types::ErrorObjectOwned>(())
+    });
+    added.expect("the name is the only one");
+    module
+}
+
+/// the keys, and the addresses of daemons that have registered
+async fn find<D: Dialect, S: Objects>(
+    shared: &Shared<D>,
+    store: &S,
+) -> Result<(String, String, Vec<String>), Fault> {
+    let (fleet_key, operator_key) = keys(store).await?;
+    let own = shared.settings.peers.to_string();
+    register(store, &shared.settings.name, &own).await?;
+    let list = store.list(DAEMONS).await?;
+    let controls = list.objects.iter().filter_map(|object| {
+        let control = object.spec.get("control")?.as_str()?;
+        (control != own).then(|| control.to_owned())
+    });
+    Ok((fleet_key, operator_key, controls.collect()))
+}
+
+/// the keys that all daemons share; the first daemon makes them
+async fn keys<S: Objects>(store: &S) -> Result<(String, String), Fault> {
+    let random = || format!("{:032x}", rand::rng().random::<u128>());
+    let made = json!({ "fleet": random(), "operator": random() });
+    match store.get(KEYS.0, KEYS.1).await {
+        Ok(object) => read_keys(&object.spec),
+        Err(Fault::Missing) => match store.write(KEYS.0, KEYS.1, &made, Write::Create).await {
+            Ok(_) => read_keys(&made),
+            Err(Fault::Conflict) => read_keys(&store.get(KEYS.0, KEYS.1).await?.spec),
+            Err(fault) => Err(fault),
+        },
+        Err(fault) => Err(fault),
+    }
+}
+
+fn read_keys(spec: &Value) -> Result<(String, String), Fault> {
+    let read = |name: &str| spec.get(name).and_then(Value::as_str).map(str::to_owned);
+    match (read("fleet"), read("operator")) {
+        (Some(fleet), Some(operator)) => Ok((fleet, operator)),
+        _ => Err(Fault::Unknown("the daemons' keys can't be read".to_owned())),
+    }
+}
+
+async fn register<S: Objects>(store: &S, name: &str, control: &str) -> Result<(), Fault> {
+    let spec = json!({ "control": control });
+    match store.write(DAEMONS, name, &spec, Write::Create).await {
+        Ok(_) => Ok(()),
+        Err(Fault::Conflict) => {
+            store.write(DAEMONS, name, &spec, Write::Overwrite).await?;
+            Ok(())
+        }
+        Err(fault) => Err(fault),
+    }
+}
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use gateway::duty::{self, Holder, Peers};
+use gateway::duty::{self, Holder};
+use gateway::peers::Peers;
 use gateway::pool::Pool;
 use gateway::{Settings, Shared};
 use support::{Call, Cloudlet, Plain, Store, run, settings};
@@ -32,13 +33,13 @@
 impl Daemon {
     fn start(name: &str, store: &Store, cloud: &Cloudlet) -> Daemon {
         let shared = Shared::new(daemon_settings(name), Plain, Pool::new());
-        let holder = Holder::new(&*shared, &Peers::new());
+        let holder = Holder::new(&*shared, &Peers::new(name, "here"));
         let leasing = Rc::clone(&holder).run(Rc::new(store.clone()));
         let usage = duty::usage(
             Rc::clone(&shared),
             Rc::new(store.clone()),
             Rc::new(cloud.clone()),
-            (Rc::clone(&holder), Peers::new()),
+            (Rc::clone(&holder), Peers::new(name, "here")),
         );
         Daemon {
             tasks: vec![spawn_local(leasing), spawn_local(usage)],
--- /dev/null
+++ b/crates/gateway/tests/peers.rs
@@ -0,0 +1,234 @@
+//! Messages between daemons: each daemon counts once, however the messages travel.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use gateway::peers::{Book, Peer, Plan, Spending, Tell};
+use proptest::prelude::*;
+use route::place::{Load, Rate};
+use tokio::time::Instant;
+
+const SERVICE: &str = "llm";
+const WORKSPACE: &str = "workspace-1";
+
+fn fleet(zones: usize, per_zone: usize) -> Vec<Peer> {
+    let peer = |(zone, number): (usize, usize)| Peer {
+        name: format!("daemon-{zone}-{number}"),
+        zone: format!("zone-{zone}"),
+    };
+    let places = (0..zones).flat_map(|zone| (0..per_zone).map(move |number| (zone, number)));
+    places.map(peer).collect()
+}
+
+/// daemons that exchange messages in rounds
+struct Fleet {
+    peers: Vec<Peer>,
+    books: HashMap<String, Book>,
+    spent: HashMap<String, f64>,
+    divided: HashMap<String, f64>,
+    age_ms: u64,
+    now: Instant,
+    messages: usize,
+}
+
+impl Fleet {
+    fn new(zones: usize, per_zone: usize) -> Fleet {
+        let peers = fleet(zones, per_zone);
+        let book = |peer: &Peer| {
+            let mut book = Book::new(peer.clone());
+            book.set_plan(Plan::new(peer.clone(), &peers));
+            (peer.name.clone(), book)
+        };
+        Fleet {
+            books: peers.iter().map(book).collect(),
+            spent: HashMap::new(),
+            divided: HashMap::new(),
+            peers,
+            age_ms: 0,
+            now: Instant::now(),
+            messages: 0,
+        }
+    }
+
+    /// what a daemon has to tell: one request running, one that began, and what it spent
+    fn own(&self, peer: &Peer) -> Tell {
+        let spending = Spending {
+            demand: 10.0,
+            spent: self.spent.get(&peer.name).copied().unwrap_or_default(),
+        };
+        let load = Load {
+            running: 1,
+            unread: 100,
+            held: 200,
+        };
+        let rate = Rate {
+            requests: 1.0,
+            unread: 100.0,
+        };
+        let counts = HashMap::from([(7, HashMap::from([(WORKSPACE.to_owned(), 3)]))]);
+        let counts = counts
+            .into_iter()
+            .map(|(window, counts)| (window, counts.into_iter().collect()))
+            .collect();
+        Tell {
+            from: peer.name.clone(),
+            zone: peer.zone.clone(),
+            instance: 1,
+            age_ms: self.age_ms,
+            loads: HashMap::from([("vm-1".to_owned(), load)]),
+            spending: HashMap::from([(WORKSPACE.to_owned(), spending)]),
+            rates: HashMap::from([(SERVICE.to_owned(), rate)]),
+            counts: gateway::usage::Told { windows: counts },
+            ..Tell::default()
+        }
+    }
+
+    fn round(&mut self) {
+        for peer in self.peers.clone() {
+            let mut own = self.own(&peer);
+            let book = self.books.get_mut(&peer.name).expect("a known daemon");
+            let plan = book.plan().clone();
+            let mut far = None;
+            if plan.passes_on() {
+                far = Some(book.zone(&own, self.now));
+                own.elsewhere = Some(Box::new(book.elsewhere(&own, self.now)));
+            }
+            for name in plan.near() {
+                self.tell(name, own.clone());
+            }
+            for name in plan.far() {
+                self.tell(
+                    name,
+                    far.clone()
+                        .expect("only those that pass on tell other zones"),
+                );
+            }
+        }
+        for peer in &self.peers {
+            let book = self.books.get_mut(&peer.name).expect("a known daemon");
+            let others = book.others(WORKSPACE, Duration::from_secs(1), self.now);
+            *self.divided.entry(peer.name.clone()).or_default() += others.spent;
+        }
+        self.now += Duration::from_secs(1);
+        self.age_ms += 1000;
+    }
+
+    fn tell(&mut self, name: &str, tell: Tell) {
+        self.messages += 1;
+        let book = self.books.get_mut(name).expect("a known daemon");
+        book.hear(tell, self.now);
+    }
+}
+
+/// every daemon knows what all others have under way, ask for, began and spent
+fn check(fleet: &mut Fleet) {
+    let others = (fleet.peers.len() - 1) as f64;
+    for peer in fleet.peers.clone() {
+        let now = fleet.now;
+        let book = fleet.books.get_mut(&peer.name).expect("a known daemon");
+        assert_eq!(book.rate(SERVICE, now).requests, others, "{}", peer.name);
+        assert_eq!(
+            book.counts(7).get(WORKSPACE),
+            Some(&(3 * others as u64)),
+            "{}",
+            peer.name
+        );
+        let asked = book.others(WORKSPACE, Duration::ZERO, now).demand;
+        assert_eq!(asked, 10.0 * others, "{}", peer.name);
+        assert_eq!(fleet.divided[&peer.name], 50.0 * others, "{}", peer.name);
+    }
+}
+
+#[test]
+fn what_all_have_is_known_by_all_after_a_few_rounds() {
+    for (zones, per_zone) in [(1, 1), (3, 3), (3, 4), (1, 20), (6, 11), (8, 49)] {
+        let mut fleet = Fleet::new(zones, per_zone);
+        fleet.round();
+        fleet.round();
+        for peer in fleet.peers.clone() {
+            fleet.spent.insert(peer.name, 50.0);
+        }
+        for _ in 0..5 {
+            fleet.round();
+        }
+        if zones * per_zone > 1 {
+            check(&mut fleet);
+        }
+    }
+}
+
+#[test]
+fn messages_grow_with_a_zone_and_the_zones_not_with_their_product() {
+    let mut fleet = Fleet::new(8, 49);
+    fleet.round();
+    let each = fleet.messages as f64 / fleet.peers.len() as f64;
+    // 48 of the zone, and 14 between zones from each of 8
+    assert!(each < 49.0, "{each} messages a daemon and round");
+}
+
+#[test]
+fn a_daemon_that_starts_again_is_counted_from_its_new_start() {
+    let mut fleet = Fleet::new(2, 2);
+    fleet.round();
+    let me = fleet.peers[0].name.clone();
+    let mut tell = fleet.own(&fleet.peers[1].clone());
+    tell.spending.insert(
+        WORKSPACE.to_owned(),
+        Spending {
+            demand: 0.0,
+            spent: 500.0,
+        },
+    );
+    let now = fleet.now;
+    let book = fleet.books.get_mut(&me).expect("a known daemon");
+    book.hear(tell.clone(), now);
+    assert_eq!(book.others(WORKSPACE, Duration::ZERO, now).spent, 500.0);
+    // the new process spent 40 so far, whatever the former one did
+    tell.instance = 2;
+    tell.spending.insert(
+        WORKSPACE.to_owned(),
+        Spending {
+            demand: 0.0,
+            spent: 40.0,
+        },
+    );
+    book.hear(tell.clone(), now);
+    assert_eq!(book.others(WORKSPACE, Duration::ZERO, now).spent, 40.0);
+    // one that is not known and has run for long spent at an unknown time
+    tell.from = "daemon-9".to_owned();
+    tell.age_ms = 60_000;
+    book.hear(tell, now);
+    assert_eq!(book.others(WORKSPACE, Duration::ZERO, now).spent, 0.0);
+}
+
+proptest! {
+    /// lost and repeated messages never make a daemon count twice what was spent
+    #[test]
+    fn spending_is_counted_once(deliveries in prop::collection::vec((any::<bool>(), 1usize..3), 1..40)) {
+        let now = Instant::now();
+        let me = Peer { name: "me".to_owned(), zone: "zone-0".to_owned() };
+        let other = Peer { name: "other".to_owned(), zone: "zone-0".to_owned() };
+        let mut book = Book::new(me.clone());
+        book.set_plan(Plan::new(me, std::slice::from_ref(&other)));
+        let (mut spent, mut last, mut counted) = (0.0, 0.0, 0.0);
+        for (is_lost, times) in deliveries {
+            spent += 10.0;
+            if is_lost {
+                continue;
+            }
+            for _ in 0..times {
+                let spending = Spending { demand: 0.0, spent };
+                let tell = Tell {
+                    from: other.name.clone(),
+                    zone: other.zone.clone(),
+                    spending: HashMap::from([(WORKSPACE.to_owned(), spending)]),
+                    ..Tell::default()
+                };
+                book.hear(tell, now);
+            }
+            last = spent;
+            counted += book.others(WORKSPACE, Duration::ZERO, now).spent;
+        }
+        prop_assert_eq!(counted, last);
+    }
+}
--- a/crates/gateway/tests/support/objects.rs
+++ b/crates/gateway/tests/support/objects.rs
@@ -7,7 +7,7 @@
 use gateway::seam::{Event, Fault, List, Object, Objects, Watch, Write};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 type Make = Box<dyn Fn() -> Config>;
 
@@ -178,12 +178,21 @@
     async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<Watch, Fault> {
         self.check()?;
         if self.state.mute.get() {
-            sleep(wait).await;
-            self.check()?;
-            return Ok(Watch {
-                events: Vec::new(),
-                revision: self.state.revision.get(),
-            });
+            let cut = async {
+                loop {
+                    self.state.changed.notified().await;
+                    if let Err(fault) = self.check() {
+                        return fault;
+                    }
+                }
+            };
+            return match timeout(wait, cut).await {
+                Ok(fault) => Err(fault),
+                Err(_) => Ok(Watch {
+                    events: Vec::new(),
+                    revision: after,
+                }),
+            };
         }
         let waiting = async {
             loop {
