--- a/crates/route/src/quota.rs
+++ b/crates/route/src/quota.rs
@@ -25,6 +25,12 @@
 /// below zero, which later requests wait for
 const LARGE_PART: f64 = 0.4;
 
+/// part of a full bucket above which small requests need no share
+const PLENTY_PART: f64 = 0.5;
+
+/// part of the level up to which a request is small
+const SMALL_PART: f64 = 0.02;
+
 /// time constant of the measured demand
 const DEMAND_TIME: Duration = Duration::from_secs(3);
 
@@ -120,7 +126,9 @@
         self.offered += units / DEMAND_TIME.as_secs_f64();
         let most = LARGE_PART * self.terms.burst * self.share;
         let needed = units.min(most);
-        if needed <= self.allowance {
+        let is_plenty = self.level > PLENTY_PART * self.terms.burst;
+        let is_small = is_plenty && units <= SMALL_PART * self.level;
+        if needed <= self.allowance || is_small {
             self.allowance -= units;
             self.level -= units;
             self.spent += units;
--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -109,6 +109,16 @@
     }
 }
 
+#[test]
+fn a_small_request_after_a_large_one_is_served_while_there_is_plenty() {
+    let mut fleet = Fleet::new(8);
+    let now = fleet.now;
+    let quota = &mut fleet.quotas[0];
+    assert!(quota.spend(40_000.0, now).is_ok());
+    assert!(quota.spend(200.0, now).is_ok());
+    assert!(quota.spend(40_000.0, now).is_err());
+}
+
 #[test]
 fn a_restart_of_all_daemons_does_not_lift_a_limit() {
     let mut fleet = Fleet::new(7);
