--- a/crates/fleet/src/zones/order.rs
+++ b/crates/fleet/src/zones/order.rs
@@ -73,6 +73,8 @@
     pub reclaimable: bool,
     /// how many
     pub count: u32,
+    /// whether these are more than live ones
+    pub is_more: bool,
 }
 
 /// the orders to send so that enough VMs are live, also without any one zone's reclaimable
@@ -106,6 +108,7 @@
                     zone: zone.name.clone(),
                     reclaimable: place.reclaimable,
                     count,
+                    is_more: count > place.live,
                 });
             }
         }
--- a/crates/gateway/src/duty/capacity.rs
+++ b/crates/gateway/src/duty/capacity.rs
@@ -17,7 +17,7 @@
 const TICK: Duration = Duration::from_millis(500);
 
 /// part of an engine's capacity to fill on ordinary days
-const FILL: f64 = 0.35;
+const FILL: f64 = 0.45;
 
 /// part of an engine's capacity above which callers wait too long
 const FILL_MOST: f64 = 0.55;
@@ -68,7 +68,9 @@
         for service in config.services.values() {
             if let Some(scaling) = &service.scaling {
                 let wants = plan(&shared, &peers, service, scaling, &mut states);
-                for want in wants.into_iter().filter(|_| is_complete) {
+                // VMs that have not registered yet must not be ordered away
+                let is_safe = |want: &Want| is_complete || want.is_more;
+                for want in wants.into_iter().filter(is_safe) {
                     let state = states.get_mut(&service.name);
                     send(&*cloud, &holder, service, &want, state).await;
                 }
