Rank requests at engines by workspace, then by route; measure patience by the route's own rank

Cause: a workspace's priority replaced the route's, so all kinds had one rank at the engines, and the most urgent kind left room for itself (log line vm_chosen, patience_ms=858 for an objective of 1,200).

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -67,19 +67,23 @@
         zone = settings.zone
     );
     spawn_local(front::ready(Rc::clone(&shared), ready));
-    spawn_local(front::metrics(Rc::clone(&shared), metrics));
     spawn_local(front::serve(Rc::clone(&shared), callers));
     spawn_local(follow::config(Rc::clone(&shared), Rc::clone(&objects)));
     spawn_local(follow::vms(Rc::clone(&shared), Rc::clone(&objects)));
     let known = Peers::new(&settings.name, &settings.zone);
     let holder = Holder::new(&*shared, &known);
+    spawn_local(front::metrics(
+        Rc::clone(&shared),
+        Rc::clone(&known),
+        metrics,
+    ));
     spawn_local(peers(
         Rc::clone(&shared),
         Rc::clone(&objects),
         Rc::clone(&known),
     ));
     spawn_local(Rc::clone(&holder).run(Rc::clone(&objects)));
-    let duty = (holder, known);
+    let duty = (holder, Rc::clone(&known));
     if settings.reports_usage {
         let usage = duty::usage(Rc::clone(&shared), objects, Rc::clone(&cloud), duty.clone());
         spawn_local(usage);
@@ -88,7 +92,7 @@
         spawn_local(duty::capacity(Rc::clone(&shared), cloud, duty));
     }
     spawn_local(prune(Rc::clone(&shared)));
-    stop(&shared).await
+    stop(&shared, &known).await
 }
 
 async fn prune<D: Dialect>(shared: Rc<Shared<D>>) {
@@ -99,7 +103,8 @@
 }
 
 /// waits for the order to stop, then until all requests have ended or the grace is over
-async fn stop<D: Dialect>(shared: &Shared<D>) -> io::Result<()> {
+async fn stop<D: Dialect>(shared: &Shared<D>, peers: &Peers) -> io::Result<()> {
+    let up = Instant::now();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hang_up = signal(SignalKind::hangup())?;
@@ -114,7 +119,14 @@
     }
     let start = Instant::now();
     shared.stage.send_replace(Stage::Leaving);
-    tracing::info!(event = "stopping", connections = shared.callers.get());
+    let (sent, received) = peers.traffic();
+    tracing::info!(
+        event = "stopping",
+        connections = shared.callers.get(),
+        peer_bytes_sent = sent,
+        peer_bytes_received = received,
+        up_s = up.elapsed().as_secs(),
+    );
     let most = shared.settings.promises.grace.mul_f64(GRACE_PART);
     loop {
         sleep(STOP_TICK).await;
--- a/crates/gateway/src/front/side.rs
+++ b/crates/gateway/src/front/side.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use crate::peers::Peers;
 use crate::seam::Dialect;
 use crate::shared::Shared;
 
@@ -31,7 +32,7 @@
 }
 
 /// serves the counters and latencies
-pub async fn metrics<D: Dialect + 'static>(shared: Rc<Shared<D>>, listener: TcpListener) {
+pub async fn metrics<D: Dialect>(shared: Rc<Shared<D>>, peers: Rc<Peers>, listener: TcpListener) {
     let answer = move |_: &Request<Incoming>| {
         let states = &shared.metrics.states;
         let set = |name: &str, value: u64| {
@@ -50,6 +51,9 @@
         set("vms", shared.vms.borrow().len() as u64);
         set("daemons", shared.daemons.get() as u64);
         set("connections_opened", shared.pool.opened());
+        let (sent, received) = peers.traffic();
+        set("peer_bytes_sent", sent);
+        set("peer_bytes_received", received);
         set("ready", u64::from(shared.is_ready()));
         (StatusCode::OK, shared.metrics.text())
     };
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -19,7 +19,7 @@
 use crate::usage::{Counts, Told};
 
 /// time in which each peer is told once, while there are few
-const ROUND: Duration = Duration::from_millis(700);
+const ROUND: Duration = Duration::from_millis(500);
 
 /// most messages per second of one daemon: a zone of 49 is told in 4 s, which takes about
 /// 5 KB a second
@@ -32,15 +32,15 @@
 const TELL_TIME: Duration = Duration::from_millis(500);
 
 /// windows of usage in a message
-const WINDOWS_TOLD: usize = 4;
+const WINDOWS_TOLD: usize = 3;
 
 /// messages that wait to be taken in
 const INBOX: usize = 256;
 
 /// what is known of the other daemons, for the tasks of one thread
-#[derive(Debug)]
 pub struct Peers {
     book: RefCell<Book>,
+    node: RefCell<Option<Node>>,
 }
 
 impl Peers {
@@ -52,6 +52,7 @@
         };
         Rc::new(Peers {
             book: RefCell::new(Book::new(me)),
+            node: RefCell::default(),
         })
     }
 
@@ -65,6 +66,15 @@
         sum
     }
 
+    /// bytes sent to other daemons and received from them
+    pub fn traffic(&self) -> (u64, u64) {
+        let node = self.node.borrow();
+        node.as_ref().map_or((0, 0), |node| {
+            let traffic = node.traffic();
+            (traffic.sent_bytes, traffic.received_bytes)
+        })
+    }
+
     /// how many daemons come before this one in an order that all know
     pub fn rank(&self) -> usize {
         self.book.borrow().plan().rank()
@@ -103,6 +113,7 @@
 pub async fn peers<D: Dialect, S: Objects>(shared: Rc<Shared<D>>, store: Rc<S>, peers: Rc<Peers>) {
     let (sender, inbox) = channel(INBOX);
     let node = join(&shared, &*store, sender).await;
+    *peers.node.borrow_mut() = Some(node.clone());
     let teller = Teller {
         shared: Rc::clone(&shared),
         peers: Rc::clone(&peers),
--- a/crates/gateway/src/peers/tell.rs
+++ b/crates/gateway/src/peers/tell.rs
@@ -20,8 +20,11 @@
 }
 
 /// a workspace's spending
+///
+/// Travels as whole units.
 #[apply(message!)]
 #[derive(Copy, Default)]
+#[serde(from = "(u64, u64)", into = "(u64, u64)")]
 pub struct Spending {
     /// units per second that callers ask for
     pub demand: f64,
@@ -29,6 +32,24 @@
     pub spent: f64,
 }
 
+impl From<(u64, u64)> for Spending {
+    fn from((demand, spent): (u64, u64)) -> Spending {
+        Spending {
+            demand: demand as f64,
+            spent: spent as f64,
+        }
+    }
+}
+
+impl From<Spending> for (u64, u64) {
+    fn from(spending: Spending) -> (u64, u64) {
+        (
+            spending.demand.round() as u64,
+            spending.spent.round() as u64,
+        )
+    }
+}
+
 /// what one daemon tells another
 #[apply(message!)]
 #[derive(Default)]
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -22,9 +22,6 @@
 use crate::seam::{Attempt, Dialect, Reply};
 use crate::shared::Shared;
 
-/// urgency of the most urgent requests and of the least urgent ones, as VMs are told
-const URGENCY: (u8, u8) = (1, 9);
-
 /// time to come back after a VM refused: about as long as one of its requests runs
 const REFUSED_WAIT: Duration = Duration::from_millis(500);
 
@@ -193,7 +190,7 @@
             .as_ref()
             .map(|workspace| workspace.name.as_str()),
         left: request.left(),
-        urgency: URGENCY.0.saturating_add(request.priority()).min(URGENCY.1),
+        urgency: request.urgency(),
         resume_after,
     };
     let headers = shared
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -8,6 +8,12 @@
 
 use crate::model::{Call, Route, Workspace};
 
+/// ranks of routes that are told apart within a rank of workspaces
+const ROUTE_RANKS: u8 = 3;
+
+/// urgency of the least urgent requests
+const URGENCY_LEAST: u8 = 9;
+
 /// an admitted request
 pub(super) struct Request {
     /// its head
@@ -51,6 +57,13 @@
             .map_or(self.call.prompt_tokens(), |(_, tokens)| *tokens)
     }
 
+    /// urgency as VMs are told: the workspace's rank first, then the route's
+    pub fn urgency(&self) -> u8 {
+        let rank = self.priority().saturating_mul(ROUTE_RANKS);
+        let within = self.route.priority.min(ROUTE_RANKS - 1);
+        rank.saturating_add(within).min(URGENCY_LEAST)
+    }
+
     /// time left
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -91,7 +91,7 @@
         } = self;
         let patience = if tries.sent() == 0 {
             let own = Kind {
-                priority: request.priority(),
+                priority: request.route.priority,
                 objective: request.route.objective,
             };
             patience(own, &request.kinds)
--- a/crates/route/src/place/load.rs
+++ b/crates/route/src/place/load.rs
@@ -5,8 +5,11 @@
 use tokio::time::Instant;
 
 /// what one daemon has under way at a VM
+///
+/// Travels as a list of its fields, as messages hold one for each VM.
 #[apply(message!)]
 #[derive(Copy, Default)]
+#[serde(from = "(u32, u64, u64)", into = "(u32, u64, u64)")]
 pub struct Load {
     /// requests that were sent and have not ended
     pub running: u32,
@@ -56,8 +59,11 @@
 const RATE_TIME: Duration = Duration::from_secs(4);
 
 /// work that callers bring to a service
+///
+/// Travels as tenths of requests and whole tokens.
 #[apply(message!)]
 #[derive(Copy, Default)]
+#[serde(from = "(u64, u64)", into = "(u64, u64)")]
 pub struct Rate {
     /// requests per second
     pub requests: f64,
@@ -65,6 +71,40 @@
     pub unread: f64,
 }
 
+impl From<(u32, u64, u64)> for Load {
+    fn from((running, unread, held): (u32, u64, u64)) -> Load {
+        Load {
+            running,
+            unread,
+            held,
+        }
+    }
+}
+
+impl From<Load> for (u32, u64, u64) {
+    fn from(load: Load) -> (u32, u64, u64) {
+        (load.running, load.unread, load.held)
+    }
+}
+
+impl From<(u64, u64)> for Rate {
+    fn from((tenths, unread): (u64, u64)) -> Rate {
+        Rate {
+            requests: tenths as f64 / 10.0,
+            unread: unread as f64,
+        }
+    }
+}
+
+impl From<Rate> for (u64, u64) {
+    fn from(rate: Rate) -> (u64, u64) {
+        (
+            (rate.requests * 10.0).round() as u64,
+            rate.unread.round() as u64,
+        )
+    }
+}
+
 impl Rate {
     /// adds another rate
     pub fn add(&mut self, other: &Rate) {
