Open the connection before a slow call's connections are counted

Cause: `a_slow_call_does_not_cost_the_connection` failed once (left: 1, right: 0): two daemons may join over the other one's connection, so that this one's own is opened by the test itself. Not a fault of the pool.

--- a/crates/peer/tests/node.rs
+++ b/crates/peer/tests/node.rs
@@ -376,6 +376,9 @@
     let node = hosts[0].node.clone();
     let other = hosts[1].node.me().clone();
     wait_until(JOINING, "joining", || all_list(&hosts, 2));
+    // joining may have taken the other daemon's connection only
+    let echoed = node.call_blocking::<_, String>(&other, "test_echo", &"a", SECOND);
+    assert_eq!(echoed, Ok("a".to_owned()));
     let before = node.traffic().connections;
     let done = Arc::new(AtomicBool::new(false));
     let (flag, echoing, target) = (done.clone(), node.clone(), other.clone());
