--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -62,7 +62,7 @@
             lease: Duration::from_secs(3),
             usage_window: Duration::from_secs(5),
             usage_late: Duration::from_secs(10),
-            relist: Duration::from_millis(600),
+            relist: Duration::from_millis(2000),
         },
     }
 }
--- a/crates/gateway/tests/vms.rs
+++ b/crates/gateway/tests/vms.rs
@@ -85,7 +85,8 @@
         sleep(Duration::from_millis(3000)).await;
         world.store.set_out(false);
         sleep(Duration::from_millis(1200)).await;
-        // the gateway lists at latest 0.8 s after the return and waits for 0.6 s
+        // the gateway lists at latest 0.8 s after the return and waits for 2 s
+        assert_eq!(world.shared.vms.borrow().len(), 2, "both are waited for");
         world.store.register(&stays.vm);
         world
             .until(|world| world.shared.vms.borrow().contains_key("vm-1"))
