--- a/crates/gateway/src/peers/book.rs
+++ b/crates/gateway/src/peers/book.rs
@@ -39,10 +39,15 @@
     tell: Tell,
 }
 
+/// time after the start in which daemons that are registered may not have been heard yet
+const JOINING: Duration = Duration::from_millis(2000);
+
 /// what is known of the other daemons
 #[derive(Debug)]
 pub struct Book {
     plan: Plan,
+    /// daemons that have registered, gone ones included, and since when this is known
+    registered: Option<(usize, Instant)>,
     heard: HashMap<String, Heard>,
     /// units that others spent and that are not divided yet, by workspace
     spent: HashMap<String, f64>,
@@ -59,6 +64,7 @@
     pub fn new(me: Peer) -> Book {
         Book {
             plan: Plan::new(me, &[]),
+            registered: None,
             heard: HashMap::new(),
             spent: HashMap::new(),
             zone_spent: HashMap::new(),
@@ -78,6 +84,20 @@
         self.plan = plan;
     }
 
+    /// takes in how many daemons have registered, this one included
+    pub fn set_registered(&mut self, daemons: usize, now: Instant) {
+        self.registered = Some((daemons, now));
+    }
+
+    /// number of daemons that share the limits
+    pub fn daemons(&self, now: Instant) -> usize {
+        let known = self.plan.daemons();
+        match self.registered {
+            Some((daemons, at)) if now < at + JOINING => known.max(daemons),
+            _ => known,
+        }
+    }
+
     /// takes in a message; returns the parts of it that count
     pub fn hear(&mut self, tell: Tell, now: Instant) -> Vec<&Tell> {
         let mut tell = tell;
@@ -120,7 +140,8 @@
         let mut others = Others {
             spent: self.spent.remove(workspace).unwrap_or_default(),
             demand: 0.0,
-            daemons: self.plan.daemons(),
+            daemons: self.daemons(now),
+            is_partial: self.daemons(now) > self.plan.daemons(),
         };
         for heard in self.current(now) {
             let Some(spending) = heard.tell.spending.get(workspace) else {
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -102,7 +102,7 @@
     fn divide<D: Dialect>(&self, shared: &Shared<D>, passed: Duration) {
         let now = Instant::now();
         let mut book = self.book.borrow_mut();
-        shared.daemons.set(book.plan().daemons());
+        shared.daemons.set(book.daemons(now));
         for (workspace, quota) in shared.quotas.borrow_mut().iter_mut() {
             quota.hear(&book.others(workspace, passed, now), now);
         }
@@ -112,7 +112,11 @@
 /// joins the other daemons and exchanges with them for as long as the process runs
 pub async fn peers<D: Dialect, S: Objects>(shared: Rc<Shared<D>>, store: Rc<S>, peers: Rc<Peers>) {
     let (sender, inbox) = channel(INBOX);
-    let node = join(&shared, &*store, sender).await;
+    let (node, registered) = join(&shared, &*store, sender).await;
+    peers
+        .book
+        .borrow_mut()
+        .set_registered(registered, Instant::now());
     *peers.node.borrow_mut() = Some(node.clone());
     let teller = Teller {
         shared: Rc::clone(&shared),
--- a/crates/gateway/src/peers/join.rs
+++ b/crates/gateway/src/peers/join.rs
@@ -25,12 +25,13 @@
 /// pause before the object API is asked again
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// finds the others in the object API and starts to talk to them
+/// finds the others in the object API and starts to talk to them; returns how many daemons
+/// have registered as well
 pub(super) async fn join<D: Dialect, S: Objects>(
     shared: &Shared<D>,
     store: &S,
     sender: Sender<Tell>,
-) -> Node {
+) -> (Node, usize) {
     let settings = &shared.settings;
     loop {
         let found = find(shared, store).await;
@@ -52,7 +53,7 @@
         match Node::start(node, methods(sender.clone())).await {
             Ok(node) => {
                 tracing::info!(event = "peers_joined", seeds = seeds.len());
-                return node;
+                return (node, seeds.len() + 1);
             }
             Err(error) => {
                 tracing::error!(event = "peers_not_joined", %error);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -225,9 +225,9 @@
     }
 }
 
-/// daemons that are taken to share the limits until the others are known: small
-/// deployments have fewer, and a share that is too small is corrected within a second
-const DAEMONS_UNKNOWN: usize = 16;
+/// daemons that are taken to share the limits until those that have registered are known:
+/// the large size to design for
+const DAEMONS_UNKNOWN: usize = 390;
 
 /// part of a limit's bucket that a restarted daemon takes to be left: all may have been
 /// restarted at once, after they had spent it
--- a/crates/route/src/quota.rs
+++ b/crates/route/src/quota.rs
@@ -55,6 +55,8 @@
     pub demand: f64,
     /// number of daemons, this one included
     pub daemons: usize,
+    /// whether some of the others have not been heard yet
+    pub is_partial: bool,
 }
 
 /// the level of a limit's bucket, and this daemon's part of it
@@ -112,7 +114,8 @@
         }
         let even = 1.0 / others.daemons.max(1) as f64;
         let all = self.offered + others.demand;
-        let by_demand = if all > 0.0 { self.offered / all } else { even };
+        let is_known = all > 0.0 && !others.is_partial;
+        let by_demand = if is_known { self.offered / all } else { even };
         self.share = EVEN_PART * even + (1.0 - EVEN_PART) * by_demand;
         self.allowance = self.level * self.share;
     }
--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -57,6 +57,7 @@
                 spent: new.iter().sum::<f64>() - new[index],
                 demand: demands.iter().sum::<f64>() - demands[index],
                 daemons,
+                is_partial: false,
             };
             quota.hear(&others, now);
         }
@@ -142,6 +143,24 @@
     }
 }
 
+#[test]
+fn daemons_that_have_not_heard_the_others_yet_take_an_even_share() {
+    let now = Instant::now();
+    let mut quota = Quota::new(TERMS, 0.0, 1.0 / 8.0, now);
+    assert!(quota.spend(1_000.0, now).is_err());
+    let others = Others {
+        daemons: 8,
+        is_partial: true,
+        ..Others::default()
+    };
+    quota.hear(&others, now + ROUND);
+    assert!(
+        (quota.share() - 1.0 / 8.0).abs() < 1e-9,
+        "{}",
+        quota.share()
+    );
+}
+
 #[test]
 fn a_request_larger_than_the_bucket_is_served_when_the_bucket_is_full() {
     let now = Instant::now();
