--- a/crates/route/src/place/board.rs
+++ b/crates/route/src/place/board.rs
@@ -4,37 +4,24 @@
 use macro_rules_attribute::apply;
 use schema::message;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::ask::{Ask, Choice, Full, Near, Patience, Pick};
+use super::ask::{Ask, Choice, Near, Pick};
+use super::cost::{RETURN_LEAST, admit, home, price, tie, tokens};
 use super::engine::{self, Figures};
 use super::fault::Record;
 use super::load::{Load, Meter, Rate, Work};
 use super::memory::Memory;
 use super::plain::{self, Pace};
 
-/// part of the time to read a prompt's shared tokens by which its home is preferred: other
-/// daemons send there as well, and tell of it later
-const HOME_PART: f64 = 0.5;
-
 /// parts of prompts that are kept to be told to peers
 const NEWS: usize = 256;
 
-/// price of a VM in another zone of the region, as time
-const ZONE_PRICE: Duration = Duration::from_millis(2);
-
-/// price of a VM across the link between regions, as time: the round trip, and the bytes
-const LINK_PRICE: Duration = Duration::from_millis(70);
-
 /// time after which the load that a peer told is not counted any more
 const PEER_AGE: Duration = Duration::from_millis(2500);
 
 /// weight of one more outcome in a service's usual share of failures
 const USUAL_WEIGHT: f64 = 0.01;
 
-/// shortest time to come back that a refused caller is told
-const RETURN_LEAST: Duration = Duration::from_millis(300);
-
 /// a VM that may be chosen
 #[derive(Debug, Clone, PartialEq)]
 pub struct Member {
@@ -206,7 +193,8 @@
         let Some(group) = self.groups.get(ask.service) else {
             return Choice::Nobody;
         };
-        let home = home(group, ask);
+        let ids = group.entries.keys().map(String::as_str);
+        let home = home(ids, ask);
         let mut best: Option<(bool, Duration, Pick)> = None;
         for entry in group.entries.values() {
             let avoided = ask.avoid.contains(&entry.member.id);
@@ -377,53 +365,3 @@
         }
     }
 }
-
-/// the VM that a prompt's shared parts belong to, and by how much it is preferred
-#[derive(Debug, Clone, Copy)]
-struct Home<'a> {
-    id: &'a str,
-    bonus: Duration,
-}
-
-/// takes a request unless it is expected to take too long
-fn admit(pick: Pick, patience: Patience) -> Choice {
-    let wait = pick.expected.saturating_sub(pick.own);
-    if pick.expected <= patience.total || wait <= patience.wait {
-        return Choice::Send(pick);
-    }
-    Choice::Full(Full {
-        room: (pick.expected - patience.total).max(RETURN_LEAST),
-        expected: pick.expected,
-        id: pick.id,
-    })
-}
-
-/// finds the home of a prompt: the VM with the highest hash for its last shared part
-fn home<'a>(group: &'a Group, ask: &Ask<'_>) -> Option<Home<'a>> {
-    let (_, shared) = ask.parts.split_last()?;
-    let (part, _) = shared.last()?;
-    let entries = group.entries.values();
-    let best = entries.max_by_key(|entry| xxh3_64_with_seed(entry.member.id.as_bytes(), *part))?;
-    Some(Home {
-        id: &best.member.id,
-        bonus: engine::reading(u64::from(tokens(shared))).mul_f64(HOME_PART),
-    })
-}
-
-fn tokens(parts: &[(u64, u32)]) -> u32 {
-    parts.iter().map(|(_, tokens)| tokens).sum()
-}
-
-/// what the way to a VM costs, as time
-fn price(near: Near) -> Duration {
-    match near {
-        Near::Zone => Duration::ZERO,
-        Near::Region => ZONE_PRICE,
-        Near::Link => LINK_PRICE,
-    }
-}
-
-/// a fraction of a millisecond that spreads requests over VMs that are alike
-fn tie(id: &str, ask: &Ask<'_>) -> Duration {
-    Duration::from_nanos(xxh3_64_with_seed(id.as_bytes(), ask.draw) % 1_000_000)
-}
--- a/crates/route/src/place/mod.rs
+++ b/crates/route/src/place/mod.rs
@@ -22,6 +22,7 @@
 mod admission;
 mod ask;
 mod board;
+mod cost;
 mod engine;
 mod fault;
 mod load;
