--- a/crates/gateway/src/adapter/mod.rs
+++ b/crates/gateway/src/adapter/mod.rs
@@ -10,4 +10,4 @@
 
 pub use cloud::{Capacity, Cloud, CloudError};
 pub use dialect::{Attempt, Dialect, Malformed, Reply};
-pub use objects::{Event, List, Object, ObjectError, Objects, Watch, Write};
+pub use objects::{Event, List, Object, ObjectError, Objects, Revision, Watch, Write};
--- a/crates/gateway/src/adapter/objects.rs
+++ b/crates/gateway/src/adapter/objects.rs
@@ -2,18 +2,49 @@
 use std::time::Duration;
 
 use macro_rules_attribute::apply;
-use schema::data;
+use schema::{data, message};
 use serde_json::Value;
 
 use crate::model::{Config, Vm};
 
+/// position in the history of the store
+///
+/// A store that is restored from a copy gives out the numbers after the copy a second time, under
+/// the next generation. Positions are therefore ordered by generation first.
+#[apply(message!)]
+#[derive(Copy, Default, Eq, PartialOrd, Ord, Hash)]
+pub struct Revision {
+    /// number of times that the store was restored, counted by the store
+    pub generation: u64,
+    /// number of changes in this generation's history
+    pub number: u64,
+}
+
+impl Revision {
+    /// bits of [`Revision::packed`] that hold the number
+    const NUMBER_BITS: u32 = 40;
+
+    /// the revision as one number in the same order; exact in JSON up to 8,191 restores
+    pub fn packed(self) -> u64 {
+        (self.generation << Self::NUMBER_BITS) | self.number
+    }
+
+    /// the revision of a number returned by [`Revision::packed`]
+    pub fn unpack(packed: u64) -> Revision {
+        Revision {
+            generation: packed >> Self::NUMBER_BITS,
+            number: packed & ((1 << Self::NUMBER_BITS) - 1),
+        }
+    }
+}
+
 /// an object in the store
 #[apply(data!)]
 pub struct Object {
     /// name, unique within the kind
     pub name: String,
     /// store revision of the last change
-    pub revision: u64,
+    pub revision: Revision,
     /// content
     pub spec: Value,
 }
@@ -24,7 +55,7 @@
     /// the objects
     pub objects: Vec<Object>,
     /// store revision of the list
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// a change of one object
@@ -42,7 +73,7 @@
     /// changes, oldest first; empty if there was none within the wait
     pub events: Vec<Event>,
     /// revision from which to continue the watch
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// how an object is written
@@ -51,7 +82,7 @@
     /// creates the object; fails with a conflict if it exists
     Create,
     /// replaces the object at this revision; fails with a conflict if it has another
-    Replace(u64),
+    Replace(Revision),
     /// replaces the object at any revision
     Overwrite,
 }
@@ -105,6 +136,9 @@
     /// kind of the objects by which VMs register themselves
     const VM_KIND: &'static str;
 
+    /// highest generation that any response of the store has shown; none before the first one
+    fn generation(&self) -> Option<u64>;
+
     /// decodes a configuration
     ///
     /// # Errors
@@ -124,7 +158,12 @@
     async fn get(&self, kind: &str, name: &str) -> Result<Object, ObjectError>;
 
     /// waits for changes of objects of a kind after a revision
-    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<Watch, ObjectError>;
+    async fn watch(
+        &self,
+        kind: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Watch, ObjectError>;
 
     /// writes an object and returns its new revision
     async fn write(
@@ -133,5 +172,5 @@
         name: &str,
         spec: &Value,
         how: Write,
-    ) -> Result<u64, ObjectError>;
+    ) -> Result<Revision, ObjectError>;
 }
--- a/crates/gateway/src/checkpoint/read.rs
+++ b/crates/gateway/src/checkpoint/read.rs
@@ -15,7 +15,9 @@
     if shared.settings.is_first_start {
         return;
     }
-    let object = match timeout(READ_TIMEOUT, store.get(KIND, NAME)).await {
+    let result = timeout(READ_TIMEOUT, store.get(KIND, NAME)).await;
+    shared.observe_generation(store);
+    let object = match result {
         Ok(Ok(object)) => object,
         Ok(Err(ObjectError::Missing)) => return,
         Ok(Err(error)) => {
@@ -30,7 +32,7 @@
             return;
         }
     };
-    let record: Record = match serde_json::from_value(object.spec) {
+    let mut record: Record = match serde_json::from_value(object.spec) {
         Ok(record) => record,
         Err(error) => {
             tracing::error!(event = "checkpoint_unreadable", %error);
@@ -44,5 +46,14 @@
         limits = record.limits.len(),
         windows = record.windows.len(),
     );
+    if record.generation < object.revision.generation {
+        // later spending was recorded in what the restored store has lost
+        tracing::warn!(
+            event = "checkpoint_outdated",
+            generation = object.revision.generation,
+            before = record.generation,
+        );
+        record.limits.clear();
+    }
     shared.restore(record);
 }
--- a/crates/gateway/src/checkpoint/record.rs
+++ b/crates/gateway/src/checkpoint/record.rs
@@ -45,6 +45,9 @@
 pub struct Record {
     /// time of the record, milliseconds since the Unix epoch
     pub at_ms: u64,
+    /// generation of the store that it was written for
+    #[serde(default)]
+    pub generation: u64,
     /// number of daemons
     pub daemons: usize,
     /// limits by workspace
--- a/crates/gateway/src/checkpoint/write.rs
+++ b/crates/gateway/src/checkpoint/write.rs
@@ -62,6 +62,7 @@
     let newest = usage::window(now, shared.settings.policy.usage_window);
     let mut record = Record {
         at_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+        generation: shared.generation.current(),
         daemons: shared.daemons.get(),
         ..Record::default()
     };
--- a/crates/gateway/src/duty/lease.rs
+++ b/crates/gateway/src/duty/lease.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,8 +7,9 @@
 use store::lease::{Action, Protocol, Snapshot, Timing, Write as Change};
 use tokio::time::{sleep, sleep_until};
 
-use crate::adapter::{Dialect, ObjectError, Objects, Write};
+use crate::adapter::{Dialect, ObjectError, Objects, Revision, Write};
 use crate::clock::Clock;
+use crate::generation::Generation;
 use crate::peers::Peers;
 use crate::shared::Shared;
 
@@ -49,6 +50,9 @@
     protocol: RefCell<Protocol>,
     name: String,
     clock: Clock,
+    /// generation of the object API, and the one that the protocol's state belongs to
+    generation: Rc<Generation>,
+    protocol_generation: Cell<u64>,
     duration: Duration,
     peers: Rc<Peers>,
 }
@@ -66,6 +70,8 @@
             protocol: RefCell::new(Protocol::new(&instance, timing)),
             name: shared.settings.name.clone(),
             clock: shared.clock,
+            generation: Rc::clone(&shared.generation),
+            protocol_generation: Cell::new(0),
             duration: shared.settings.policy.lease,
             peers: Rc::clone(peers),
         })
@@ -73,6 +79,7 @@
 
     /// permission to start one call now, if the lease stays valid for its duration
     pub fn permit(&self) -> Option<Permit> {
+        self.follow_generation();
         let term = self.protocol.borrow().term()?;
         let fence = term.fence_if_valid(self.clock.now() + CALL_TIMEOUT)?;
         Some(Permit {
@@ -83,6 +90,7 @@
 
     /// the fencing token, if this daemon holds the lease
     pub fn fence(&self) -> Option<u64> {
+        self.follow_generation();
         self.protocol.borrow().fence_if_valid(self.clock.now())
     }
 
@@ -93,6 +101,7 @@
     pub async fn run<S: Objects>(self: Rc<Self>, store: Rc<S>) {
         let mut last_fence = None;
         loop {
+            self.follow_generation();
             let nonce = format!("{:016x}", rand::rng().random::<u64>());
             let action = self.protocol.borrow_mut().next(self.clock.now(), &nonce);
             match action {
@@ -113,6 +122,26 @@
         }
     }
 
+    /// ends the term if the object API has been restored from a copy since it was acquired
+    ///
+    /// A process that starts can't tell whether a restore has just happened, and treats the first
+    /// generation that it sees as new, unless the store was never restored.
+    fn follow_generation(&self) {
+        let current = self.generation.current();
+        if current <= self.protocol_generation.get() {
+            return;
+        }
+        self.protocol_generation.set(current);
+        let first = Revision {
+            generation: current,
+            number: 0,
+        };
+        let seen_at = self.generation.first_seen();
+        let seen_at = seen_at.unwrap_or_else(|| self.clock.now());
+        let mut protocol = self.protocol.borrow_mut();
+        protocol.on_restored(first.packed(), seen_at);
+    }
+
     /// interval between two reads of the lease by a standby daemon, long enough that all of
     /// them together read as often as a few would
     fn standby_interval(&self) -> Duration {
@@ -124,14 +153,20 @@
     /// sleeps until a time of the clock that includes suspension
     async fn wait(&self, until: tokio::time::Instant) {
         let remaining = until.saturating_duration_since(self.clock.now());
-        sleep_until(tokio::time::Instant::now() + remaining).await;
+        tokio::select! {
+            () = sleep_until(tokio::time::Instant::now() + remaining) => {}
+            () = self.generation.restored() => {}
+        }
     }
 
     async fn read<S: Objects>(&self, store: &S) {
-        let snapshot = match store.get(KIND, NAME).await {
+        let result = store.get(KIND, NAME).await;
+        self.generation.observe(store.generation());
+        self.follow_generation();
+        let snapshot = match result {
             Ok(object) => match serde_json::from_value::<LeaseSpec>(object.spec) {
                 Ok(spec) => Snapshot {
-                    version: object.revision,
+                    version: object.revision.packed(),
                     spec: Some(spec),
                 },
                 Err(error) => {
@@ -141,7 +176,11 @@
                 }
             },
             Err(ObjectError::Missing) => Snapshot {
-                version: 0,
+                version: Revision {
+                    generation: self.protocol_generation.get(),
+                    number: 0,
+                }
+                .packed(),
                 spec: None,
             },
             Err(error) => return self.pause("read", &error).await,
@@ -162,15 +201,18 @@
         let how = if change.create {
             Write::Create
         } else {
-            Write::Replace(change.base)
+            Write::Replace(Revision::unpack(change.base))
         };
         let result = store.write(KIND, NAME, &spec, how).await;
+        self.generation.observe(store.generation());
+        // after a restore, the same revision may be another write, and the result proves nothing
+        self.follow_generation();
         let now = self.clock.now();
         let error = {
             let mut protocol = self.protocol.borrow_mut();
             match result {
                 Ok(revision) => {
-                    protocol.on_written(revision, now);
+                    protocol.on_written(revision.packed(), now);
                     return;
                 }
                 Err(ObjectError::Conflict | ObjectError::Missing) => {
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -2,19 +2,22 @@
 use std::time::Duration;
 
 use rand::Rng;
-use tokio::time::{Instant, sleep};
+use serde_json::Value;
+use tokio::time::sleep;
 
+use super::AGE_CHECK_INTERVAL;
 use super::backoff::Backoff;
-use crate::adapter::{Dialect, ObjectError, Objects};
+use crate::adapter::{Dialect, ObjectError, Objects, Revision};
 use crate::checkpoint::restore;
+use crate::relay::Encoded;
 use crate::shared::Shared;
 
-/// interval between two checks of the configuration's age: a fraction of the tolerated age
-const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-
-/// why a watch ended and a list follows
+/// how a call to the store ended
 enum End {
-    Failed(ObjectError),
+    /// its response was applied
+    Applied,
+    /// it was abandoned for a shorter one
+    Abandoned,
     /// another daemon has a newer configuration
     Behind,
 }
@@ -23,78 +26,118 @@
 pub async fn config<D: Dialect, S: Objects>(shared: Rc<Shared<D>>, store: Rc<S>) {
     restore(&shared, &*store).await;
     let mut backoff = Backoff::default();
+    let mut must_list = true;
     loop {
-        let end = match list(&shared, &*store).await {
-            Ok(revision) => {
+        if !must_list {
+            must_list = until_due(&shared).await;
+        }
+        let result = match position(&shared).filter(|_| !must_list) {
+            Some(after) => watch(&shared, &*store, after).await,
+            None => list(&shared, &*store).await.map(|()| End::Applied),
+        };
+        shared.observe_generation(&*store);
+        must_list = match result {
+            Ok(end) => {
                 if backoff.is_failing() {
                     tracing::info!(event = "store_regained", what = "configuration");
                 }
                 backoff.reset();
-                watch(&shared, &*store, revision).await
+                matches!(end, End::Behind)
+            }
+            Err(error) => {
+                if !backoff.is_failing() {
+                    let age_ms = shared.config_age().map(|age| age.as_millis() as u64);
+                    tracing::warn!(event = "store_lost", what = "configuration", cause = %error, age_ms);
+                }
+                backoff.wait().await;
+                true
             }
-            Err(error) => End::Failed(error),
         };
-        if let End::Failed(error) = &end
-            && !backoff.is_failing()
-        {
-            let age_ms = shared.config_age().map(|age| age.as_millis() as u64);
-            tracing::warn!(event = "store_lost", what = "configuration", cause = %error, age_ms);
+    }
+}
+
+/// where a watch can continue; none if the store has been restored since
+fn position<D: Dialect>(shared: &Shared<D>) -> Option<Revision> {
+    let revision = shared.relay.config_revision();
+    revision.filter(|revision| revision.generation == shared.generation.current())
+}
+
+/// returns when this daemon has to call the store; true if it is known to be behind
+async fn until_due<D: Dialect>(shared: &Shared<D>) -> bool {
+    loop {
+        let age = shared.config_age();
+        let is_due = |age| shared.role.get().needs_store(age, &shared.trust_bounds());
+        if age.is_none_or(is_due) {
+            return false;
+        }
+        tokio::select! {
+            () = shared.config_behind.notified() => {
+                log_behind(shared);
+                return true;
+            }
+            () = sleep(AGE_CHECK_INTERVAL) => {}
         }
-        backoff.wait().await;
     }
 }
 
-async fn list<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S) -> Result<u64, ObjectError> {
+async fn list<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S) -> Result<(), ObjectError> {
     let requested_at = shared.clock.now();
     let list = store.list(S::CONFIG_KIND).await?;
+    if list.revision.generation < shared.generation.current() {
+        return Err(ObjectError::Expired);
+    }
     let object = list
         .objects
         .iter()
         .find(|object| object.name == S::CONFIG_NAME);
     if let Some(object) = object {
-        apply_if_newer(shared, store, &object.spec);
+        apply(shared, store, &object.spec, list.revision.generation);
         shared.confirm_config(requested_at);
     }
-    Ok(list.revision)
+    shared.relay.set_config_revision(list.revision);
+    Ok(())
 }
 
-/// watches until a call fails, or another daemon has a newer configuration
-async fn watch<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S, revision: u64) -> End {
-    let mut revision = revision;
-    loop {
-        let requested_at = shared.clock.now();
-        let role = shared.role.get();
-        let age = shared.config_age().unwrap_or_default();
-        let wait = role.watch_timeout(age, &shared.trust_bounds(), rand::rng().random());
-        let watch = tokio::select! {
-            watch = store.watch(S::CONFIG_KIND, revision, wait) => match watch {
-                Ok(watch) => watch,
-                Err(error) => return End::Failed(error),
-            },
-            () = shared.config_behind.notified() => {
-                tracing::info!(
-                    event = "config_behind",
-                    version = shared.config().map(|config| config.version),
-                );
-                return End::Behind;
-            }
-            () = until_overdue(shared, wait) => {
-                tracing::debug!(event = "config_unvouched", wait_ms = wait.as_millis() as u64);
-                continue;
-            }
-        };
-        for event in &watch.events {
-            if event.object.name == S::CONFIG_NAME && !event.deleted {
-                apply_if_newer(shared, store, &event.object.spec);
-            }
+/// watches once
+async fn watch<D: Dialect, S: Objects>(
+    shared: &Shared<D>,
+    store: &S,
+    after: Revision,
+) -> Result<End, ObjectError> {
+    let requested_at = shared.clock.now();
+    let age = shared.config_age().unwrap_or_default();
+    let role = shared.role.get();
+    let wait = role.watch_timeout(age, &shared.trust_bounds(), rand::rng().random());
+    let watch = tokio::select! {
+        watch = store.watch(S::CONFIG_KIND, after, wait) => watch?,
+        () = shared.config_behind.notified() => {
+            log_behind(shared);
+            return Ok(End::Behind);
+        }
+        () = until_overdue(shared, wait) => {
+            tracing::debug!(event = "config_unvouched", wait_ms = wait.as_millis() as u64);
+            return Ok(End::Abandoned);
+        }
+    };
+    for event in &watch.events {
+        if event.object.name == S::CONFIG_NAME && !event.deleted {
+            apply(shared, store, &event.object.spec, watch.revision.generation);
         }
-        shared.confirm_config(if watch.events.is_empty() {
-            confirmed_until(requested_at, shared.clock.now(), wait)
-        } else {
-            requested_at
-        });
-        revision = revision.max(watch.revision);
     }
+    shared.confirm_config(if watch.events.is_empty() {
+        super::confirmed_until(requested_at, shared.clock.now(), wait)
+    } else {
+        requested_at
+    });
+    shared.relay.set_config_revision(watch.revision);
+    Ok(End::Applied)
+}
+
+fn log_behind<D: Dialect>(shared: &Shared<D>) {
+    tracing::info!(
+        event = "config_behind",
+        version = shared.config().map(|config| config.version),
+    );
 }
 
 /// returns once the configuration's age requires a shorter watch than the running one
@@ -112,18 +155,26 @@
     }
 }
 
-/// time up to which a watch without events proves that there were none: the store ends it
-/// after `wait`, so a response that arrives later was delayed on the way
-fn confirmed_until(requested_at: Instant, responded_at: Instant, wait: Duration) -> Instant {
-    if responded_at >= requested_at + wait {
-        requested_at + wait
-    } else {
-        requested_at
+/// applies a configuration that the store had in a generation, and passes it on
+fn apply<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S, spec: &Value, generation: u64) {
+    match Encoded::new(spec) {
+        Ok(body) => apply_if_newer(shared, store, spec, generation, &body),
+        Err(cause) => tracing::error!(event = "config_not_encoded", cause),
     }
 }
 
 /// applies a configuration if it is newer than the current one
-fn apply_if_newer<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S, spec: &serde_json::Value) {
+///
+/// A restored store may show an older one than it had accepted; the newer one is kept. One with
+/// the same version replaces the current one only if it is from a later generation of the store,
+/// where the operator may have written the version again with other content.
+pub(super) fn apply_if_newer<D: Dialect, S: Objects>(
+    shared: &Shared<D>,
+    store: &S,
+    spec: &Value,
+    generation: u64,
+    body: &Encoded,
+) {
     let config = match store.config(spec) {
         Ok(config) => config,
         Err(cause) => {
@@ -131,17 +182,36 @@
             return;
         }
     };
-    let current = shared.config().map(|config| config.version);
-    if current.is_some_and(|current| config.version <= current) {
-        return;
+    let current = shared.relay.config();
+    let before = current.as_ref().map(|(version, ..)| *version);
+    if let Some((version, read_in, current_body)) = &current {
+        if (config.version, generation) <= (*version, *read_in) {
+            if config.version < *version && generation > *read_in {
+                tracing::warn!(
+                    event = "config_kept",
+                    version,
+                    shown = config.version,
+                    generation,
+                    cause = "the restored store shows an older version"
+                );
+            }
+            return;
+        }
+        if config.version == *version && body == current_body {
+            shared.relay.set_config(*version, generation, body.clone());
+            return;
+        }
     }
     tracing::info!(
         event = "config_applied",
         version = config.version,
-        before = current,
+        before,
         services = config.services.len(),
         hosts = config.routes.len(),
         keys = config.keys.len(),
     );
+    shared
+        .relay
+        .set_config(config.version, generation, body.clone());
     shared.configure(config);
 }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,16 +1,36 @@
-//! Watches of the object API: the configuration and the upstream VMs.
+//! The configuration and the upstream VMs, as the object API has them.
 //!
-//! Every daemon has its own watches, most of them long: two daemons of a zone poll often and
-//! confirm the configuration's freshness to their peers, and one of these sends VM changes to
-//! the peers of its zone. A daemon that receives nothing from its peers relies on its own
-//! watches. A watch that fails for any reason is followed by a list, since changes made in
-//! between may no longer be in the store's history.
+//! Two daemons of a group watch the object API for changes; the others receive the same state
+//! from these (`crate::relay`) and read the object API only at their start and when what they
+//! have received is too old. A watch that fails for any reason is followed by a list, since
+//! changes made in between may no longer be in the store's history. So is a watch after the
+//! store was restored from a copy, since its revisions belong to another history.
 
 mod backoff;
-mod change;
 mod config;
+mod departed;
+mod relayed;
+mod restoration;
 mod vms;
 
-pub use change::{Change, Revisions};
 pub use config::config;
-pub use vms::{apply_changes, vms};
+pub use departed::Departed;
+pub use relayed::apply_reply;
+pub use vms::vms;
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// interval between two checks of whether what was received is too old
+const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// time up to which a watch without events proves that there were none: the store ends it after
+/// `wait`, so a response that arrives later was delayed on the way
+fn confirmed_until(requested_at: Instant, responded_at: Instant, wait: Duration) -> Instant {
+    if responded_at >= requested_at + wait {
+        requested_at + wait
+    } else {
+        requested_at
+    }
+}
--- a/crates/gateway/src/follow/vms.rs
+++ b/crates/gateway/src/follow/vms.rs
@@ -4,247 +4,265 @@
 
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::AGE_CHECK_INTERVAL;
 use super::backoff::Backoff;
-use super::change::Change;
-use crate::adapter::{Dialect, Event, Object, ObjectError, Objects};
-use crate::model::Vm;
+use super::restoration::Restoration;
+use crate::adapter::{Dialect, Event, Object, ObjectError, Objects, Revision};
+use crate::model::{Health, Vm};
 use crate::shared::Shared;
 
-/// longest wait of a watch, which bounds how long a dead connection goes unnoticed
-const WATCH_TIMEOUT: Duration = Duration::from_millis(3000);
-
-/// time after a change for which the daemon that sends changes to its peers waits for further
-/// ones: VMs start and stop in groups, whose entries change within about this time
+/// time after a change for which a watcher waits for further ones: VMs start and stop in groups,
+/// whose entries change within about this time
 const BATCH_TIME: Duration = Duration::from_millis(120);
 
-/// fraction of the drain time for which the other daemons wait after a change: each response of
-/// a watch is billed, and they receive the changes from a peer anyway
-const BATCH_DRAIN_FRACTION: f64 = 0.35;
-
 /// time without a response from the store after which entries of live VMs may have expired
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2500);
 
-/// VMs whose entries are missing after an outage, and until when they are kept
-struct Missing {
-    until: Option<Instant>,
-    vms: HashMap<String, Rc<Vm>>,
-}
-
 /// keeps the upstream VMs current for as long as the process runs
 pub async fn vms<D: Dialect, S: Objects>(shared: Rc<Shared<D>>, store: Rc<S>) {
     let mut backoff = Backoff::default();
-    let mut missing = Missing {
-        until: None,
-        vms: HashMap::new(),
-    };
-    let mut last_response: Option<Instant> = None;
+    let mut restoration = Restoration::default();
+    let mut must_list = true;
     loop {
-        let error = match store.list(S::VM_KIND).await {
-            Ok(list) => {
+        until_due(&shared, &mut restoration).await;
+        let result = match position(&shared).filter(|_| !must_list) {
+            Some(after) => watch(&shared, &*store, after, &mut restoration).await,
+            None => list(&shared, &*store, &mut restoration).await,
+        };
+        shared.observe_generation(&*store);
+        expire(&shared, &mut restoration);
+        must_list = result.is_err();
+        match result {
+            Ok(()) => {
                 if backoff.is_failing() {
                     tracing::info!(event = "store_regained", what = "vms");
                 }
                 backoff.reset();
-                let now = Instant::now();
-                if last_response.is_some_and(|last_response| now > last_response + OUTAGE_THRESHOLD)
-                {
-                    missing.until = Some(now + shared.settings.policy.relist_time);
+            }
+            Err(error) => {
+                if !backoff.is_failing() {
+                    tracing::warn!(event = "store_lost", what = "vms", cause = %error);
                 }
-                replace_vms(&shared, &*store, &list.objects, &mut missing);
-                shared
-                    .vm_revisions
-                    .borrow_mut()
-                    .record_watched(list.revision);
-                watch(
-                    &shared,
-                    &*store,
-                    list.revision,
-                    &mut missing,
-                    &mut last_response,
-                )
-                .await
+                backoff.wait().await;
             }
-            Err(error) => error,
+        }
+    }
+}
+
+/// where a watch can continue; none if the store has been restored since
+fn position<D: Dialect>(shared: &Shared<D>) -> Option<Revision> {
+    let revision = shared.relay.vm_revision();
+    revision.filter(|revision| revision.generation == shared.generation.current())
+}
+
+/// returns when this daemon has to call the store
+async fn until_due<D: Dialect>(shared: &Shared<D>, restoration: &mut Restoration) {
+    loop {
+        let is_due = |age| {
+            shared
+                .role
+                .get()
+                .needs_vms(age, shared.settings.policy.drain)
         };
-        if !backoff.is_failing() {
-            tracing::warn!(event = "store_lost", what = "vms", cause = %error);
+        if shared.relay.vm_age().is_none_or(is_due) {
+            return;
         }
-        missing.expire(&shared);
-        backoff.wait().await;
+        sleep(AGE_CHECK_INTERVAL).await;
+        expire(shared, restoration);
     }
 }
 
-/// replaces the VMs by a complete list, plus those that are missing after an outage
-fn replace_vms<D: Dialect, S: Objects>(
+async fn list<D: Dialect, S: Objects>(
     shared: &Shared<D>,
     store: &S,
-    objects: &[Object],
-    missing: &mut Missing,
-) {
-    let mut listed: HashMap<String, Rc<Vm>> = HashMap::new();
-    for object in objects {
-        match store.vm(&object.name, &object.spec) {
-            Ok(vm) => {
-                listed.insert(vm.id.clone(), Rc::new(vm));
-            }
-            Err(cause) => {
-                tracing::debug!(event = "vm_unreadable", vm = object.name, cause);
-            }
-        }
+    restoration: &mut Restoration,
+) -> Result<(), ObjectError> {
+    let requested_at = shared.clock.now();
+    let list = store.list(S::VM_KIND).await?;
+    let generation = list.revision.generation;
+    if generation < shared.generation.current() {
+        return Err(ObjectError::Expired);
+    }
+    let before = shared.relay.vm_revision();
+    if Some(list.revision) < before {
+        // a peer has sent a later state meanwhile
+        return Ok(());
     }
+    let is_restored = before.is_some_and(|before| before.generation < generation);
+    let age = shared.relay.vm_age();
+    let now = Instant::now();
+    if is_restored || age.is_some_and(|age| age > OUTAGE_THRESHOLD) {
+        restoration.keep_missing(now + shared.settings.policy.relist_time);
+    }
+    let mut listed = decode(shared, store, &list.objects);
     let previous = std::mem::take(&mut *shared.vms.borrow_mut());
-    if missing.until.is_some() {
-        for (id, vm) in previous {
-            if !listed.contains_key(&id) {
-                missing.vms.insert(id, vm);
-            }
-        }
-        listed.extend(
-            missing
-                .vms
-                .iter()
-                .map(|(id, vm)| (id.clone(), Rc::clone(vm))),
-        );
+    if is_restored {
+        restoration.doubt_returned(&mut listed, &shared.departed.borrow(), now);
     }
+    restoration.amend(&mut listed, previous);
     tracing::info!(
         event = "vms_listed",
         vms = listed.len(),
-        waited_for = missing.vms.len()
+        waited_for = restoration.missing(),
+        doubted = restoration.returned(),
     );
     *shared.vms.borrow_mut() = listed;
     if shared.listed_at.get().is_none() {
-        shared.listed_at.set(Some(Instant::now()));
+        shared.listed_at.set(Some(now));
     }
+    shared.followed_vms.set(None);
+    shared.relay.confirm_vms(list.revision, requested_at);
     shared.update_candidates();
+    Ok(())
 }
 
-/// pause after a change in which further ones accumulate
-fn batch_time<D: Dialect>(shared: &Shared<D>) -> Duration {
-    if shared.sends_vm_changes.get() {
-        BATCH_TIME
-    } else {
-        shared.settings.policy.drain.mul_f64(BATCH_DRAIN_FRACTION)
-    }
-}
-
-/// applies VM changes received from a peer
-pub fn apply_changes<D: Dialect>(shared: &Shared<D>, changes: Vec<Change>) {
-    let mut changed = false;
-    for change in changes {
-        if !shared.vm_revisions.borrow_mut().accepts(&change) {
-            continue;
-        }
-        changed = true;
-        let mut vms = shared.vms.borrow_mut();
-        match change {
-            Change::Listed { vm, .. } => {
-                let previous = vms.insert(vm.id.clone(), Rc::new(vm.clone()));
-                log_listed(previous.as_deref(), &vm);
+fn decode<D: Dialect, S: Objects>(
+    shared: &Shared<D>,
+    store: &S,
+    objects: &[Object],
+) -> HashMap<String, Rc<Vm>> {
+    let mut vms = HashMap::new();
+    for object in objects {
+        match store.vm(&object.name, &object.spec) {
+            Ok(vm) => {
+                let vm = shared.with_departure(vm);
+                vms.insert(vm.id.clone(), Rc::new(vm));
+            }
+            Err(cause) => {
+                if let Some(left_out) = shared.permit_log("vm_unreadable") {
+                    let vm = &object.name;
+                    tracing::info!(event = "vm_unreadable", vm, cause, left_out);
+                }
             }
-            Change::Removed { id, .. } => remove(&mut vms, &id),
         }
     }
-    if changed {
-        shared.update_candidates();
-    }
+    vms
 }
 
-fn remove(vms: &mut HashMap<String, Rc<Vm>>, id: &str) {
-    if let Some(vm) = vms.remove(id) {
-        tracing::info!(
-            event = "vm_gone",
-            vm = id,
-            service = vm.service,
-            zone = vm.zone
-        );
-    }
-}
-
-/// watches until a call fails
+/// watches once
 async fn watch<D: Dialect, S: Objects>(
     shared: &Shared<D>,
     store: &S,
-    revision: u64,
-    missing: &mut Missing,
-    last_response: &mut Option<Instant>,
-) -> ObjectError {
-    let mut revision = revision;
-    loop {
-        *last_response = Some(Instant::now());
-        let watching = store.watch(S::VM_KIND, revision, WATCH_TIMEOUT);
-        let result = match missing.until {
-            Some(until) => match timeout_at(until, watching).await {
-                Ok(result) => result,
-                Err(_) => {
-                    missing.expire(shared);
-                    continue;
-                }
-            },
-            None => watching.await,
-        };
-        let watch = match result {
-            Ok(watch) => watch,
-            Err(error) => return error,
-        };
-        revision = revision.max(watch.revision);
-        for event in &watch.events {
-            let change = apply_event(shared, store, event, missing, revision);
-            if let Some(change) = change.filter(|_| shared.sends_vm_changes.get()) {
-                shared.queue_vm_change(change);
-            }
-        }
-        missing.expire(shared);
-        shared.vm_revisions.borrow_mut().record_watched(revision);
-        if !watch.events.is_empty() {
-            shared.update_candidates();
-            sleep(batch_time(shared)).await;
-        }
+    after: Revision,
+    restoration: &mut Restoration,
+) -> Result<(), ObjectError> {
+    let requested_at = shared.clock.now();
+    let role = shared.role.get();
+    let wait = role.vm_watch_timeout(shared.settings.policy.drain);
+    let watching = store.watch(S::VM_KIND, after, wait);
+    let watch = match restoration.expires_at() {
+        Some(until) => match timeout_at(until, watching).await {
+            Ok(result) => result?,
+            Err(_) => return Ok(()),
+        },
+        None => watching.await?,
+    };
+    if Some(watch.revision) < shared.relay.vm_revision() {
+        // a peer has sent a later state meanwhile
+        return Ok(());
     }
+    for event in &watch.events {
+        apply_event(shared, store, event, restoration);
+    }
+    let confirmed_at = if watch.events.is_empty() {
+        super::confirmed_until(requested_at, shared.clock.now(), wait)
+    } else {
+        requested_at
+    };
+    shared.relay.confirm_vms(watch.revision, confirmed_at);
+    if !watch.events.is_empty() {
+        shared.followed_vms.set(None);
+        shared.update_candidates();
+        sleep(BATCH_TIME).await;
+    }
+    Ok(())
 }
 
-/// applies one event of a watch response that covers all changes up to `revision`; returns the
-/// change unless a peer has already sent a later one of the VM
 fn apply_event<D: Dialect, S: Objects>(
     shared: &Shared<D>,
     store: &S,
     event: &Event,
-    missing: &mut Missing,
-    revision: u64,
-) -> Option<Change> {
+    restoration: &mut Restoration,
+) {
     let name = &event.object.name;
+    restoration.settle(name);
     let vm = if event.deleted {
         None
     } else {
-        match store.vm(name, &event.object.spec) {
-            Ok(vm) => Some(vm),
-            Err(cause) => {
-                tracing::debug!(event = "vm_unreadable", vm = name, cause);
-                None
-            }
-        }
+        let object = std::slice::from_ref(&event.object);
+        decode(shared, store, object).remove(name)
     };
-    let mut vms = shared.vms.borrow_mut();
-    let Some(vm) = vm else {
-        remove(&mut vms, name);
-        return Some(Change::Removed {
-            id: name.clone(),
-            revision,
-        });
-    };
-    missing.vms.remove(name);
-    if shared
-        .vm_revisions
-        .borrow()
-        .supersedes(name, event.object.revision)
-    {
-        return None;
+    match vm {
+        Some(vm) => shared.insert_vm(&vm),
+        None => shared.remove_vm(name),
+    }
+}
+
+/// ends the waits of a restoration whose time is over
+fn expire<D: Dialect>(shared: &Shared<D>, restoration: &mut Restoration) {
+    let (missing, returned) = restoration.expire(Instant::now());
+    if missing.is_empty() && returned.is_empty() {
+        return;
+    }
+    for vm in missing {
+        let is_current = |current: &Rc<Vm>| Rc::ptr_eq(current, &vm);
+        let is_unchanged = shared.vms.borrow().get(&vm.id).is_some_and(is_current);
+        if is_unchanged {
+            shared.remove_vm(&vm.id);
+        }
+    }
+    for vm in returned {
+        if !shared.vms.borrow().contains_key(&vm.id) {
+            shared.insert_vm(&vm);
+        }
+    }
+    shared.update_candidates();
+}
+
+impl<D: Dialect> Shared<D> {
+    /// adds or replaces a VM, without an update of the candidates
+    pub(super) fn insert_vm(&self, vm: &Rc<Vm>) {
+        let now = Instant::now();
+        let mut departed = self.departed.borrow_mut();
+        match vm.health {
+            Health::Ready => departed.record_listed(vm),
+            Health::Draining => departed.record_draining(&vm.id, vm.started_at_ms, now),
+        }
+        drop(departed);
+        let previous = self.vms.borrow_mut().insert(vm.id.clone(), Rc::clone(vm));
+        log_listed(previous.as_deref(), vm);
+    }
+
+    /// removes a VM whose entry was deleted, without an update of the candidates
+    pub(super) fn remove_vm(&self, id: &str) {
+        let Some(vm) = self.vms.borrow_mut().remove(id) else {
+            return;
+        };
+        let mut departed = self.departed.borrow_mut();
+        departed.record_removed(&vm, Instant::now());
+        tracing::info!(
+            event = "vm_gone",
+            vm = id,
+            service = vm.service,
+            zone = vm.zone
+        );
+    }
+
+    /// a VM as registered, but draining if it is known to drain
+    pub(super) fn with_departure(&self, vm: Vm) -> Vm {
+        let mut vm = vm;
+        let departed = self.departed.borrow();
+        if departed.is_draining(&vm.id, vm.started_at_ms) {
+            vm.health = Health::Draining;
+        }
+        vm
+    }
+
+    /// records the generation of the store's latest response
+    pub fn observe_generation<S: Objects>(&self, store: &S) {
+        self.generation.observe(store.generation());
+        self.relay.set_generation(self.generation.current());
     }
-    let previous = vms.insert(name.clone(), Rc::new(vm.clone()));
-    log_listed(previous.as_deref(), &vm);
-    Some(Change::Listed {
-        vm,
-        revision: event.object.revision,
-    })
 }
 
 /// logs a VM that is new, has restarted or has changed its health
@@ -264,24 +282,3 @@
         reclaimable = vm.reclaimable,
     );
 }
-
-impl Missing {
-    /// removes the VMs that have not registered again in time
-    fn expire<D: Dialect>(&mut self, shared: &Shared<D>) {
-        if self.until.is_none_or(|until| Instant::now() < until) {
-            return;
-        }
-        self.until = None;
-        if self.vms.is_empty() {
-            return;
-        }
-        let mut vms = shared.vms.borrow_mut();
-        for (id, vm) in self.vms.drain() {
-            if vms.get(&id).is_some_and(|current| Rc::ptr_eq(current, &vm)) {
-                remove(&mut vms, &id);
-            }
-        }
-        drop(vms);
-        shared.update_candidates();
-    }
-}
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -11,13 +11,14 @@
 use tokio::sync::mpsc::{Receiver, channel};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::join::{Message, REPORT_METHOD, UPDATE_METHOD, join};
+use super::following::follow_watchers;
+use super::join::{FOLLOW_METHOD, Message, REPORT_METHOD, UPDATE_METHOD, join};
 use super::report::{Report, Scope, Spending, Update};
 use super::reports::Reports;
 use super::topology::{Peer, Topology};
 use crate::adapter::{Dialect, Objects};
-use crate::follow;
 use crate::freshness::Confirmation;
+use crate::relay::{Known, Reply};
 use crate::shared::Shared;
 use crate::usage::{Counts, Snapshot};
 
@@ -31,7 +32,7 @@
 /// interval between two exchanges of sums between zones
 const ZONE_SUM_INTERVAL: Duration = Duration::from_millis(1200);
 
-/// time for which VM changes are batched before they are sent: they come in groups
+/// time for which drain notices are batched before they are sent: VMs stop in groups
 const UPDATE_BATCH_TIME: Duration = Duration::from_millis(10);
 
 /// time limit of a call to a peer
@@ -84,6 +85,11 @@
         self.reports.borrow().demand(workspace, Instant::now())
     }
 
+    /// the current topology
+    pub fn topology(&self) -> Topology {
+        self.reports.borrow().topology().clone()
+    }
+
     /// bytes sent to the peers and received from them
     pub fn traffic(&self) -> (u64, u64) {
         let node = self.node.borrow();
@@ -154,7 +160,27 @@
         start: Instant::now(),
     };
     let receiving = receive(&shared, &peers, queue);
-    tokio::join!(receiving, reporter.run(), reporter.run_updates());
+    let call = async |name: &str, known: &Known, timeout: Duration| {
+        follow(&reporter.node, name, known, timeout).await
+    };
+    let following = follow_watchers(&shared, &*store, || peers.topology(), call);
+    tokio::join!(receiving, reporter.run(), reporter.run_updates(), following);
+}
+
+/// asks a daemon for its view of the store; none if it is no member or does not answer
+async fn follow(node: &Node, name: &str, known: &Known, timeout: Duration) -> Option<Reply> {
+    let members = node.members();
+    let member = members.iter().find(|member| member.vm == name)?;
+    let reply = node
+        .call::<Known, Reply>(member, FOLLOW_METHOD, known, timeout)
+        .await;
+    match reply {
+        Ok(reply) => Some(reply),
+        Err(error) => {
+            tracing::debug!(event = "peer_not_followed", peer = name, %error);
+            None
+        }
+    }
 }
 
 /// applies messages from the peers
@@ -162,7 +188,13 @@
     while let Some(message) = queue.recv().await {
         match message {
             Message::Report(report) => peers.receive(shared, *report),
-            Message::Update(update) => follow::apply_changes(shared, update.vms),
+            Message::Update(update) => {
+                for (id, started_at_ms) in update.draining {
+                    if shared.start_drain(&id, started_at_ms) {
+                        tracing::info!(event = "vm_draining", vm = id, cause = "a peer states it");
+                    }
+                }
+            }
         }
     }
 }
@@ -213,12 +245,12 @@
         }
     }
 
-    /// sends VM changes as soon as they occur
+    /// sends drain notices as soon as they occur
     async fn run_updates(&self) {
         loop {
-            self.shared.vm_changes_ready.notified().await;
+            self.shared.drain_notices_ready.notified().await;
             sleep(UPDATE_BATCH_TIME).await;
-            let vms = std::mem::take(&mut *self.shared.vm_changes.borrow_mut());
+            let draining = self.shared.drain_notices.take();
             let recipients = self
                 .peers
                 .reports
@@ -226,7 +258,7 @@
                 .topology()
                 .group_peers()
                 .to_vec();
-            let update = Update { vms };
+            let update = Update { draining };
             let members = self.node.members();
             for member in members
                 .iter()
@@ -261,9 +293,6 @@
         if self.shared.role.replace(role) != role {
             tracing::info!(event = "store_role", ?role, daemons = topology.daemons());
         }
-        self.shared
-            .sends_vm_changes
-            .set(topology.sends_vm_changes());
         self.peers
             .reports
             .borrow_mut()
--- /dev/null
+++ b/crates/gateway/src/peers/following.rs
@@ -0,0 +1,85 @@
+use std::time::Duration;
+
+use route::trust::{Role, follower_wait};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::topology::Topology;
+use crate::adapter::{Dialect, Objects};
+use crate::follow::apply_reply;
+use crate::relay::{Cursor, Known, Position, Reply};
+use crate::shared::Shared;
+
+/// time that a reply may take on its way, besides the wait that the call asks for
+const REPLY_TIME: Duration = Duration::from_millis(400);
+
+/// shortest time between two calls, for changes that come one by one
+const MIN_INTERVAL: Duration = Duration::from_millis(60);
+
+/// pause after a call that failed or gave nothing new
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// interval at which a watcher checks whether it has become a follower
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// follows the watchers of this daemon's group for as long as the process runs
+///
+/// A watcher itself asks the other daemons while it does not reach the store.
+///
+/// `call` asks a daemon and waits for its reply for a time; it returns none if there is no usable
+/// reply.
+pub async fn follow_watchers<D: Dialect, S: Objects>(
+    shared: &Shared<D>,
+    store: &S,
+    topology: impl Fn() -> Topology,
+    call: impl AsyncFn(&str, &Known, Duration) -> Option<Reply>,
+) {
+    let mut cursor = Cursor::new();
+    loop {
+        let topology = topology();
+        let now = Instant::now();
+        let names = topology.group_peers();
+        let index = cursor.index(names.len(), topology.watching_peers(), topology.draw(), now);
+        let Some(name) = index
+            .filter(|_| shared.role.get() == Role::Follower || !is_fresh(shared))
+            .and_then(|index| names.get(index))
+        else {
+            sleep(ROLE_CHECK_INTERVAL).await;
+            continue;
+        };
+        let wait = if is_fresh(shared) {
+            follower_wait(shared.settings.policy.drain)
+        } else {
+            Duration::ZERO
+        };
+        let position = shared.followed_vms.get().unwrap_or(Position {
+            hash: shared.relay.vm_hash(),
+            ..Position::default()
+        });
+        let known = shared.relay.known(position, wait);
+        let requested_at = shared.clock.now();
+        let reply = call(name, &known, wait + REPLY_TIME).await;
+        let is_current = reply.is_some_and(|reply| {
+            apply_reply(shared, store, reply, requested_at) && is_fresh(shared)
+        });
+        if is_current {
+            sleep_until(now + MIN_INTERVAL).await;
+        } else {
+            cursor.advance(now);
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// whether what was received is recent enough that the store need not be called
+fn is_fresh<D: Dialect>(shared: &Shared<D>) -> bool {
+    let role = Role::Follower;
+    let is_config_fresh = shared
+        .config_age()
+        .is_some_and(|age| !role.needs_store(age, &shared.trust_bounds()));
+    let drain = shared.settings.policy.drain;
+    let are_vms_fresh = shared
+        .relay
+        .vm_age()
+        .is_some_and(|age| !role.needs_vms(age, drain));
+    is_config_fresh && are_vms_fresh
+}
--- a/crates/gateway/src/peers/join.rs
+++ b/crates/gateway/src/peers/join.rs
@@ -10,10 +10,11 @@
 use tokio::time::sleep;
 
 use super::report::{Report, Update};
+use crate::Confirmation;
 use crate::adapter::{Dialect, ObjectError, Objects, Write};
 use crate::freshness::Freshness;
+use crate::relay::{Known, Relay, Reply};
 use crate::shared::Shared;
-use crate::{Clock, Confirmation};
 
 /// kind of the entries with which daemons register themselves
 const DAEMON_KIND: &str = "daemons";
@@ -27,6 +28,9 @@
 /// method for changes that a peer has to receive at once
 pub(super) const UPDATE_METHOD: &str = "gateway_news";
 
+/// method by which a daemon follows another one's view of the store
+pub(super) const FOLLOW_METHOD: &str = "gateway_follow";
+
 /// a message from a peer
 #[derive(Debug)]
 pub(super) enum Message {
@@ -62,12 +66,7 @@
             .seeds(&seeds)
             .fleet_key(&fleet_key)
             .operator_key(&operator_key);
-        match Node::start(
-            node,
-            methods(sender.clone(), shared.freshness.clone(), shared.clock),
-        )
-        .await
-        {
+        match Node::start(node, methods(shared, sender.clone())).await {
             Ok(node) => {
                 tracing::info!(event = "peers_joined", seeds = seeds.len());
                 return (node, seeds.len() + 1);
@@ -81,8 +80,18 @@
 }
 
 /// RPC methods of this daemon; a report is answered with this daemon's freshness confirmation
-fn methods(sender: Sender<Message>, freshness: Freshness, clock: Clock) -> RpcModule<()> {
+fn methods<D: Dialect>(shared: &Shared<D>, sender: Sender<Message>) -> RpcModule<()> {
+    let (freshness, clock): (Freshness, _) = (shared.freshness.clone(), shared.clock);
+    let relay: Relay = shared.relay.clone();
     let mut module = RpcModule::new(());
+    let added = module.register_async_method(FOLLOW_METHOD, move |params, _, _| {
+        let relay = relay.clone();
+        async move {
+            let known: Known = params.one()?;
+            Ok::<Reply, jsonrpsee::types::ErrorObjectOwned>(relay.answer(known).await)
+        }
+    });
+    added.expect("the names are distinct");
     let update_sender = sender.clone();
     let added = module.register_method(REPORT_METHOD, move |params, (), _| {
         let report: Report = params.one()?;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -8,12 +8,14 @@
 //! of a zone and the number of zones, not with their product.
 
 mod exchange;
+mod following;
 mod join;
 mod report;
 mod reports;
 mod topology;
 
 pub use exchange::{Peers, exchange_reports};
+pub use following::follow_watchers;
 pub use report::{Report, Scope, Spending};
 pub use reports::Reports;
 pub use topology::{Peer, Topology};
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -4,7 +4,6 @@
 use route::placement::{Load, Prefill, Rate};
 use schema::message;
 
-use crate::follow::Change;
 use crate::usage::Snapshot;
 
 /// which daemons a report covers
@@ -56,8 +55,8 @@
 #[apply(message!)]
 #[derive(Default)]
 pub struct Update {
-    /// VM changes
-    pub vms: Vec<Change>,
+    /// ids and start times of VMs that stated that they drain
+    pub draining: Vec<(String, u64)>,
 }
 
 /// periodic report of a daemon, or the sum of several
--- a/crates/gateway/src/peers/topology.rs
+++ b/crates/gateway/src/peers/topology.rs
@@ -11,8 +11,8 @@
 /// without a gap
 const DELEGATES: usize = 2;
 
-/// daemons of a zone, or of a small deployment, that poll the object API often: the second one
-/// continues if the first is lost
+/// daemons of a zone, or of a small deployment, that poll the object API, for all others: the
+/// second one continues if the first is lost
 const WATCHERS: usize = 2;
 
 /// a daemon
@@ -32,6 +32,7 @@
     rank: usize,
     zone_rank: usize,
     daemons: usize,
+    /// in the order of [`order`], so that the watchers come first
     group_peers: Vec<String>,
     remote_delegates: Vec<String>,
 }
@@ -46,6 +47,9 @@
         let is_before = |peer: &&&Peer| order(&peer.name) < order(&me.name);
         let zone = peers.iter().filter(|peer| peer.zone == me.zone);
         let zone_rank = zone.filter(is_before).count();
+        let mut group: Vec<&&Peer> = peers.iter().filter(is_in_group).collect();
+        group.sort_by_key(|peer| order(&peer.name));
+        let group_peers = group.iter().map(|peer| peer.name.clone()).collect();
         let mut remote_delegates = Vec::new();
         if !is_single_group && zone_rank == 0 {
             remote_delegates = delegates(&me, &peers);
@@ -55,11 +59,7 @@
             rank: peers.iter().filter(is_before).count(),
             zone_rank,
             daemons,
-            group_peers: peers
-                .iter()
-                .filter(is_in_group)
-                .map(|peer| peer.name.clone())
-                .collect(),
+            group_peers,
             remote_delegates,
             me,
         }
@@ -80,10 +80,14 @@
         self.group_rank() < WATCHERS
     }
 
-    /// whether this daemon sends VM changes to the peers of its zone, or to all peers of a small
-    /// deployment
-    pub fn sends_vm_changes(&self) -> bool {
-        self.group_rank() == 0
+    /// number of the first [`Topology::group_peers`] that poll the object API
+    pub fn watching_peers(&self) -> usize {
+        WATCHERS.min(self.group_peers.len())
+    }
+
+    /// number that spreads the followers of a group over its watchers
+    pub fn draw(&self) -> u64 {
+        order(&self.me.name)
     }
 
     /// peers that receive this daemon's own report
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -19,12 +19,14 @@
 use crate::adapter::Dialect;
 use crate::checkpoint::Record;
 use crate::clock::Clock;
-use crate::follow::{Change, Revisions};
+use crate::follow::Departed;
 use crate::freshness::{Confirmation, Freshness};
+use crate::generation::Generation;
 use crate::log::Sampler;
 use crate::metrics::Metrics;
 use crate::model::{Config, Health, Limit, Vm};
 use crate::pool::Pool;
+use crate::relay::{Position, Relay};
 use crate::settings::Settings;
 use crate::stage::Stage;
 use crate::usage::Tally;
@@ -56,14 +58,18 @@
     pub vms: RefCell<HashMap<String, Rc<Vm>>>,
     /// time of the first complete list of VMs
     pub listed_at: Cell<Option<Instant>>,
-    /// revisions of VM changes, to discard those received twice or out of order
-    pub vm_revisions: RefCell<Revisions>,
-    /// whether this daemon sends VM changes to its peers
-    pub sends_vm_changes: Cell<bool>,
-    /// VM changes to send to the peers
-    pub vm_changes: RefCell<Vec<Change>>,
-    /// notified when `vm_changes` has to be sent
-    pub vm_changes_ready: Notify,
+    /// generation of the object API
+    pub generation: Rc<Generation>,
+    /// state that other daemons of the group receive from this one
+    pub relay: Relay,
+    /// list of VMs that was received from another daemon last; none after a list of the store
+    pub followed_vms: Cell<Option<Position>>,
+    /// VMs that are known to drain or to be gone
+    pub departed: RefCell<Departed>,
+    /// ids and start times of VMs that stated that they drain, to send to the peers
+    pub drain_notices: RefCell<Vec<(String, u64)>>,
+    /// notified when `drain_notices` has to be sent
+    pub drain_notices_ready: Notify,
     /// notified when VMs are added or removed
     pub vms_changed: Notify,
     /// load of the VMs, from which requests are placed
@@ -90,24 +96,28 @@
     /// creates the state of a process that has just started
     pub fn new(settings: Settings, dialect: D, pool: Rc<Pool>) -> Rc<Shared<D>> {
         let tally = Tally::new(settings.policy.usage_window);
+        let clock = Clock::start();
+        let freshness = Freshness::default();
         Rc::new(Shared {
             settings,
             dialect,
-            clock: Clock::start(),
+            clock,
             pool,
             caller_connections: Cell::default(),
             config: RefCell::default(),
             started: Instant::now(),
             configured: Notify::new(),
-            freshness: Freshness::default(),
+            generation: Rc::new(Generation::new(clock)),
+            relay: Relay::new(clock, freshness.clone()),
+            freshness,
             role: Cell::new(Role::Watcher),
             config_behind: Notify::new(),
             vms: RefCell::default(),
             listed_at: Cell::default(),
-            vm_revisions: RefCell::default(),
-            sends_vm_changes: Cell::new(true),
-            vm_changes: RefCell::default(),
-            vm_changes_ready: Notify::new(),
+            followed_vms: Cell::default(),
+            departed: RefCell::default(),
+            drain_notices: RefCell::default(),
+            drain_notices_ready: Notify::new(),
             vms_changed: Notify::new(),
             placement: RefCell::new(Balancer::new()),
             quotas: RefCell::default(),
@@ -246,6 +256,7 @@
 
     /// replaces the candidates for placement by the ready VMs of each configured service
     pub fn update_candidates(&self) {
+        self.relay.set_vms(&self.vms.borrow());
         let Some(config) = self.config() else {
             return;
         };
@@ -297,13 +308,42 @@
         self.vms.borrow().get(&pick.id).map(Rc::clone)
     }
 
-    /// queues a VM change for the peers
-    pub fn queue_vm_change(&self, change: Change) {
-        let mut changes = self.vm_changes.borrow_mut();
-        if changes.len() < MAX_VM_CHANGES {
-            changes.push(change);
+    /// excludes a VM that stated that it drains from further requests; false if that was known
+    pub fn start_drain(&self, id: &str, started_at_ms: u64) -> bool {
+        let mut departed = self.departed.borrow_mut();
+        if departed.is_draining(id, started_at_ms) {
+            return false;
         }
-        self.vm_changes_ready.notify_one();
+        departed.record_draining(id, started_at_ms, Instant::now());
+        drop(departed);
+        let mut vms = self.vms.borrow_mut();
+        let listed = vms.get_mut(id);
+        let Some(vm) = listed.filter(|vm| vm.started_at_ms == started_at_ms) else {
+            return true;
+        };
+        Rc::make_mut(vm).health = Health::Draining;
+        let address = vm.address;
+        drop(vms);
+        self.pool.close_idle(address);
+        self.update_candidates();
+        true
+    }
+
+    /// excludes a VM that stated in a response that it drains, and queues this for the peers
+    pub fn record_drain_notice(&self, vm: &Vm) {
+        if !self.start_drain(&vm.id, vm.started_at_ms) {
+            return;
+        }
+        tracing::info!(
+            event = "vm_draining",
+            vm = vm.id,
+            cause = "stated in a response"
+        );
+        let mut notices = self.drain_notices.borrow_mut();
+        if notices.len() < MAX_DRAIN_NOTICES {
+            notices.push((vm.id.clone(), vm.started_at_ms));
+        }
+        self.drain_notices_ready.notify_one();
     }
 
     /// the number of lines suppressed since the last one if a line of this kind may be written
@@ -339,8 +379,8 @@
 /// caller is given
 const FIRST_CONFIG_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// limit of queued VM changes; peers see dropped ones through their own watch
-const MAX_VM_CHANGES: usize = 1024;
+/// limit of queued drain notices; peers learn of dropped ones from the store
+const MAX_DRAIN_NOTICES: usize = 1024;
 
 /// assumed number of daemons until the registered ones have been counted: the size of the
 /// large deployments that the design targets
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gateway::adapter::{Event, List, Object, ObjectError, Objects, Watch, Write};
+use gateway::adapter::{Event, List, Object, ObjectError, Objects, Revision, Watch, Write};
 use gateway::model::{Config, Health, Vm};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 type MakeConfig = Box<dyn Fn() -> Config>;
 
@@ -15,10 +15,19 @@
 #[derive(Clone, Default)]
 pub struct FakeStore {
     state: Rc<State>,
+    is_cut: Rc<Cell<bool>>,
+}
+
+/// content of the store at one time
+#[derive(Clone)]
+pub struct Copy {
+    number: u64,
+    objects: BTreeMap<(String, String), Object>,
 }
 
 #[derive(Default)]
 struct State {
+    generation: Cell<u64>,
     revision: Cell<u64>,
     objects: RefCell<BTreeMap<(String, String), Object>>,
     history: RefCell<Vec<(u64, String, Event)>>,
@@ -27,6 +36,7 @@
     unavailable: Cell<bool>,
     watches_silent: Cell<bool>,
     calls: Cell<u64>,
+    slow_writes: RefCell<Option<(String, Duration)>>,
 }
 
 impl FakeStore {
@@ -53,8 +63,11 @@
     }
 
     /// writes an object
-    pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
-        let revision = self.state.revision.get() + 1;
+    pub fn put(&self, kind: &str, name: &str, spec: Value) -> Revision {
+        let revision = Revision {
+            number: self.state.revision.get() + 1,
+            ..self.revision()
+        };
         let object = Object {
             name: name.to_owned(),
             revision,
@@ -80,6 +93,20 @@
         self.state.changed.notify_waiters();
     }
 
+    /// the same store over a connection of its own, which can be cut
+    pub fn connect(&self) -> FakeStore {
+        FakeStore {
+            state: Rc::clone(&self.state),
+            is_cut: Rc::default(),
+        }
+    }
+
+    /// cuts this connection, or heals it
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.set(is_cut);
+        self.state.changed.notify_waiters();
+    }
+
     /// makes watches return no changes although there are some, or return them again
     pub fn set_watches_silent(&self, watches_silent: bool) {
         self.state.watches_silent.set(watches_silent);
@@ -92,8 +119,35 @@
     }
 
     /// revision of the last change
-    pub fn revision(&self) -> u64 {
-        self.state.revision.get()
+    pub fn revision(&self) -> Revision {
+        Revision {
+            generation: self.state.generation.get(),
+            number: self.state.revision.get(),
+        }
+    }
+
+    /// a copy from which the store can be restored
+    pub fn copy(&self) -> Copy {
+        Copy {
+            number: self.state.revision.get(),
+            objects: self.state.objects.borrow().clone(),
+        }
+    }
+
+    /// restores the store from a copy, under the next generation and without history
+    pub fn restore(&self, copy: &Copy) {
+        let state = &self.state;
+        state.generation.set(state.generation.get() + 1);
+        state.revision.set(copy.number);
+        *state.objects.borrow_mut() = copy.objects.clone();
+        state.history.borrow_mut().clear();
+        state.changed.notify_waiters();
+    }
+
+    /// delays the responses to writes of a kind
+    pub fn set_slow_writes(&self, kind: &str, delay: Duration) {
+        let slow_writes = (kind.to_owned(), delay);
+        *self.state.slow_writes.borrow_mut() = Some(slow_writes);
     }
 
     /// number of calls received
@@ -126,12 +180,29 @@
         let new = history
             .iter()
             .filter(|(revision, of, _)| *revision > after && of == kind);
-        Ok(new.map(|(_, _, event)| event.clone()).collect())
+        let generation = self.state.generation.get();
+        let events = new.map(|(_, _, event)| {
+            let mut event = event.clone();
+            event.object.revision.generation = generation;
+            event
+        });
+        Ok(events.collect())
+    }
+
+    /// the object as it is read in the current generation
+    fn current(&self, object: &Object) -> Object {
+        let mut object = object.clone();
+        object.revision.generation = self.state.generation.get();
+        object
     }
 
     fn begin_call(&self) -> Result<(), ObjectError> {
         self.state.calls.set(self.state.calls.get() + 1);
-        if self.state.unavailable.get() {
+        self.check_connection()
+    }
+
+    fn check_connection(&self) -> Result<(), ObjectError> {
+        if self.state.unavailable.get() || self.is_cut.get() {
             return Err(ObjectError::Unknown("the store is unavailable".to_owned()));
         }
         Ok(())
@@ -143,6 +214,10 @@
     const CONFIG_NAME: &'static str = "main";
     const VM_KIND: &'static str = "vms";
 
+    fn generation(&self) -> Option<u64> {
+        (self.state.calls.get() > 0).then(|| self.state.generation.get())
+    }
+
     fn config(&self, spec: &Value) -> Result<Config, String> {
         let index = spec["index"].as_u64().ok_or("index is missing")?;
         let configs = self.state.configs.borrow();
@@ -178,8 +253,8 @@
         let objects = self.state.objects.borrow();
         let of_kind = objects.iter().filter(|((of, _), _)| of == kind);
         Ok(List {
-            objects: of_kind.map(|(_, object)| object.clone()).collect(),
-            revision: self.state.revision.get(),
+            objects: of_kind.map(|(_, object)| self.current(object)).collect(),
+            revision: self.revision(),
         })
     }
 
@@ -187,20 +262,30 @@
         self.begin_call()?;
         let key = (kind.to_owned(), name.to_owned());
         let objects = self.state.objects.borrow();
-        objects.get(&key).cloned().ok_or(ObjectError::Missing)
+        let object = objects.get(&key).ok_or(ObjectError::Missing)?;
+        Ok(self.current(object))
     }
 
-    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<Watch, ObjectError> {
+    async fn watch(
+        &self,
+        kind: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Watch, ObjectError> {
         self.begin_call()?;
+        let generation = after.generation;
         let waiting = async {
             loop {
                 let changed = self.state.changed.notified();
-                self.begin_call()?;
+                self.check_connection()?;
                 if self.state.watches_silent.get() {
                     changed.await;
                     continue;
                 }
-                let events = self.events_after(kind, after)?;
+                if generation != self.state.generation.get() {
+                    return Err(ObjectError::Expired);
+                }
+                let events = self.events_after(kind, after.number)?;
                 if !events.is_empty() {
                     return Ok(events);
                 }
@@ -215,7 +300,7 @@
         let revision = if watches_silent {
             after
         } else {
-            self.state.revision.get()
+            self.revision()
         };
         Ok(Watch { events, revision })
     }
@@ -226,7 +311,7 @@
         name: &str,
         spec: &Value,
         how: Write,
-    ) -> Result<u64, ObjectError> {
+    ) -> Result<Revision, ObjectError> {
         self.begin_call()?;
         let key = (kind.to_owned(), name.to_owned());
         let current = self
@@ -238,11 +323,17 @@
         match (how, current) {
             (Write::Create, Some(_)) => return Err(ObjectError::Conflict),
             (Write::Replace(_) | Write::Overwrite, None) => return Err(ObjectError::Missing),
-            (Write::Replace(base), Some(current)) if base != current => {
+            // as the real store, which is not told the generation of the base
+            (Write::Replace(base), Some(current)) if base.number != current.number => {
                 return Err(ObjectError::Conflict);
             }
             _ => {}
         }
-        Ok(self.put(kind, name, spec.clone()))
+        let revision = self.put(kind, name, spec.clone());
+        let slow_writes = self.state.slow_writes.borrow().clone();
+        if let Some((_, delay)) = slow_writes.filter(|(slow, _)| slow == kind) {
+            sleep(delay).await;
+        }
+        Ok(revision)
     }
 }
--- a/crates/gateway/tests/vms.rs
+++ b/crates/gateway/tests/vms.rs
@@ -4,8 +4,10 @@
 
 use std::time::Duration;
 
-use gateway::follow::{self, Change, Revisions};
+use gateway::adapter::Revision;
+use gateway::follow;
 use gateway::model::{Health, Vm};
+use gateway::relay::{Position, Reply, VmChange, VmUpdate};
 use support::{FakeVm, Harness, Script, run};
 use tokio::time::sleep;
 
@@ -118,54 +120,94 @@
     });
 }
 
-fn listed(vm: &Vm, revision: u64) -> Change {
-    Change::Listed {
-        vm: vm.clone(),
-        revision,
+/// a reply of another daemon of the group, whose list is at a revision
+fn reply(revision: u64, sequence: u64, change: VmChange) -> Reply {
+    Reply {
+        vms: Some(VmUpdate {
+            position: Position {
+                instance: 1,
+                sequence,
+                hash: sequence,
+            },
+            revision: Revision {
+                generation: 0,
+                number: revision,
+            },
+            age_ms: 0,
+            change,
+        }),
+        ..Reply::default()
     }
 }
 
-fn removed(id: &str, revision: u64) -> Change {
-    Change::Removed {
-        id: id.to_owned(),
-        revision,
+fn listed(vm: &Vm) -> VmChange {
+    VmChange::Some {
+        listed: vec![vm.clone()],
+        removed: Vec::new(),
     }
 }
 
+fn removed(id: &str) -> VmChange {
+    VmChange::Some {
+        listed: Vec::new(),
+        removed: vec![id.to_owned()],
+    }
+}
+
+fn apply(harness: &Harness, reply: Reply) -> bool {
+    let now = harness.shared.clock.now();
+    follow::apply_reply(&harness.shared, &harness.store, reply, now)
+}
+
 #[test]
-fn changes_are_ordered_by_store_revision() {
+fn lists_of_peers_are_ordered_by_store_revision() {
     run(async {
-        let vm = start("vm-1").await.vm;
-        let mut revisions = Revisions::default();
-        revisions.record_watched(10);
-        // the local watch has already shown this revision
-        assert!(!revisions.accepts(&listed(&vm, 10)));
-        assert!(revisions.accepts(&listed(&vm, 12)));
-        // an older report arrives after a newer one
-        assert!(revisions.accepts(&removed("vm-1", 15)));
-        assert!(!revisions.accepts(&listed(&vm, 13)));
-        // the local watch is behind the reports until it reaches their revision
-        assert!(revisions.supersedes("vm-1", 12));
-        revisions.record_watched(14);
-        assert!(revisions.supersedes("vm-1", 14));
-        revisions.record_watched(15);
-        assert!(!revisions.supersedes("vm-1", 16));
-        assert!(revisions.accepts(&listed(&vm, 16)));
+        let harness = Harness::start().await;
+        let (first, second) = (start("vm-1").await, start("vm-2").await);
+        harness.register(&[&first]).await;
+        harness.store.set_watches_silent(true);
+        sleep(Duration::from_millis(1200)).await;
+        let own = harness.shared.relay.vm_revision().expect("a first list");
+        let known = |id: &str| harness.shared.vms.borrow().contains_key(id);
+        // the local watch has already shown a later revision
+        assert!(!apply(&harness, reply(own.number - 1, 1, removed("vm-1"))));
+        assert!(known("vm-1"));
+        assert!(apply(
+            &harness,
+            reply(own.number + 2, 2, listed(&second.vm))
+        ));
+        assert!(known("vm-2"));
+        assert!(apply(&harness, reply(own.number + 5, 3, removed("vm-2"))));
+        // an older reply arrives after a newer one
+        assert!(!apply(
+            &harness,
+            reply(own.number + 3, 4, listed(&second.vm))
+        ));
+        assert!(!known("vm-2"));
+        assert!(apply(
+            &harness,
+            reply(own.number + 6, 5, listed(&second.vm))
+        ));
+        assert!(known("vm-2"));
+        let revision = harness.shared.relay.vm_revision();
+        assert_eq!(
+            revision.map(|revision| revision.number),
+            Some(own.number + 6)
+        );
     });
 }
 
 #[test]
-fn reports_of_peers_apply_before_the_local_watch_shows_the_change() {
+fn lists_of_peers_apply_before_the_local_watch_shows_the_change() {
     run(async {
         let harness = Harness::start().await;
-        harness.shared.sends_vm_changes.set(false);
         let (first, second) = (start("vm-1").await, start("vm-2").await);
         harness.register(&[&first]).await;
         harness.store.set_watches_silent(true);
         sleep(Duration::from_millis(1000)).await;
-        let revision = harness.store.revision();
-        follow::apply_changes(&harness.shared, vec![listed(&second.vm, revision + 1)]);
-        follow::apply_changes(&harness.shared, vec![removed("vm-1", revision + 2)]);
+        let revision = harness.store.revision().number;
+        assert!(apply(&harness, reply(revision + 1, 1, listed(&second.vm))));
+        assert!(apply(&harness, reply(revision + 2, 2, removed("vm-1"))));
         for number in 0..5 {
             let response = harness
                 .call("POST", "/once/", &format!("id-{number}"))
@@ -174,25 +216,36 @@
         }
         let mut draining = second.vm.clone();
         draining.health = Health::Draining;
-        follow::apply_changes(&harness.shared, vec![listed(&draining, revision + 3)]);
+        assert!(apply(&harness, reply(revision + 3, 3, listed(&draining))));
         assert_eq!(harness.call("POST", "/once/", "id-6").await.status, 503);
     });
 }
 
 #[test]
-fn changes_seen_by_the_local_watch_are_queued_for_peers() {
+fn draining_vm_is_not_ready_again_by_an_older_list() {
     run(async {
         let harness = Harness::start().await;
         let vm = start("vm-1").await;
         harness.register(&[&vm]).await;
-        harness.store.delete("vms", "vm-1");
+        assert!(harness.shared.start_drain("vm-1", vm.vm.started_at_ms));
+        assert_eq!(harness.call("POST", "/once/", "id-1").await.status, 503);
+        // the store does not know of it yet, and shows the VM as ready once more
+        let revision = harness.store.revision().number;
+        harness.store.register(&vm.vm);
         harness
-            .wait_until(|harness| harness.shared.vms.borrow().is_empty())
+            .wait_until(|harness| {
+                harness
+                    .shared
+                    .relay
+                    .vm_revision()
+                    .is_some_and(|seen| seen.number > revision)
+            })
             .await;
-        let changes = harness.shared.vm_changes.take();
-        let [Change::Listed { vm: first, .. }, Change::Removed { id, .. }] = &changes[..] else {
-            panic!("{changes:?}");
-        };
-        assert_eq!((&first.id, id), (&vm.vm.id, &vm.vm.id));
+        assert!(apply(&harness, reply(revision + 9, 1, listed(&vm.vm))));
+        assert_eq!(harness.call("POST", "/once/", "id-2").await.status, 503);
+        let mut restarted = vm.vm.clone();
+        restarted.started_at_ms += 1;
+        assert!(apply(&harness, reply(revision + 10, 2, listed(&restarted))));
+        assert_eq!(harness.call("POST", "/once/", "id-3").await.status, 200);
     });
 }
--- a/crates/route/src/trust.rs
+++ b/crates/route/src/trust.rs
@@ -13,6 +13,8 @@
 //! that one daemon got from the store holds for all daemons with the same configuration.
 //! So a few daemons (watchers) query the store often and pass their confirmations on; the
 //! others (followers) query it themselves only if they have had no confirmation for too long.
+//! The list of upstream VMs is confirmed in the same way: a VM that drains may get requests for
+//! a bounded time, and a follower whose list is older than most of that time queries the store.
 
 use std::time::Duration;
 
@@ -42,9 +44,22 @@
 /// so that followers do not query the store simultaneously
 const MAX_FOLLOWER_WATCH: Duration = Duration::from_secs(24);
 
+/// length of a watcher's watch of VMs, as a fraction of the time in which requests may still
+/// reach a draining one; with [`FOLLOWER_WAIT_FRACTION`] less than [`FOLLOWER_VMS_FRACTION`]
+const VM_WATCH_FRACTION: f64 = 0.35;
+
+/// longest time for which a watcher holds the call of a follower, as a fraction of that time
+const FOLLOWER_WAIT_FRACTION: f64 = 0.25;
+
+/// age of a follower's list of VMs, as a fraction of that time, after which it queries the store
+const FOLLOWER_VMS_FRACTION: f64 = 0.7;
+
 /// watch of a follower without a recent confirmation: its end confirms the configuration
 const FOLLOWER_PROBE_WATCH: Duration = Duration::from_millis(200);
 
+/// watch of VMs by a follower without a recent list
+const FOLLOWER_VMS_WATCH: Duration = Duration::from_millis(100);
+
 /// bounds on the age of a configuration
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
@@ -101,6 +116,31 @@
         }
     }
 
+    /// whether a daemon whose configuration has an age has to query the store itself
+    pub fn needs_store(self, age: Duration, bounds: &Bounds) -> bool {
+        match self {
+            Role::Watcher => true,
+            Role::Follower => age >= max_unconfirmed_age(bounds),
+        }
+    }
+
+    /// whether a daemon whose list of VMs has an age has to query the store itself; requests may
+    /// reach a draining VM for the time `drain`
+    pub fn needs_vms(self, age: Duration, drain: Duration) -> bool {
+        match self {
+            Role::Watcher => true,
+            Role::Follower => age >= drain.mul_f64(FOLLOWER_VMS_FRACTION),
+        }
+    }
+
+    /// time-out of the next watch of VMs
+    pub fn vm_watch_timeout(self, drain: Duration) -> Duration {
+        match self {
+            Role::Watcher => drain.mul_f64(VM_WATCH_FRACTION),
+            Role::Follower => FOLLOWER_VMS_WATCH,
+        }
+    }
+
     /// whether a watch with time-out `wait` may continue; otherwise a shorter one is due, as for
     /// a follower that has become a watcher
     pub fn may_continue(self, wait: Duration, age: Duration, bounds: &Bounds) -> bool {
@@ -111,6 +151,11 @@
     }
 }
 
+/// time for which a follower asks another daemon to hold its call
+pub fn follower_wait(drain: Duration) -> Duration {
+    drain.mul_f64(FOLLOWER_WAIT_FRACTION)
+}
+
 /// age from which a follower queries the store itself
 fn max_unconfirmed_age(bounds: &Bounds) -> Duration {
     let apply = bounds.apply.mul_f64(FOLLOWER_APPLY_FRACTION);
--- a/crates/store/src/lease/protocol.rs
+++ b/crates/store/src/lease/protocol.rs
@@ -109,6 +109,8 @@
     observed: Option<Observation>,
     /// older versions are stale
     min_version: u64,
+    /// no term may begin before, whatever the object says
+    not_before: Option<Instant>,
     releasing: bool,
 }
 
@@ -122,6 +124,7 @@
             pending: None,
             observed: None,
             min_version: 0,
+            not_before: None,
             releasing: false,
         }
     }
@@ -245,6 +248,19 @@
         }
     }
 
+    /// handles that the store was restored from a copy, which was first seen at `seen_at`
+    ///
+    /// The object may lack the latest acquisition or renewal, by whatever instance. So the own term
+    /// ends, and no term begins until every term that was acquired before has expired. Versions
+    /// from `min_version` on belong to the restored store.
+    pub fn on_restored(&mut self, min_version: u64, seen_at: Instant) {
+        self.term = None;
+        self.pending = None;
+        self.observed = None;
+        self.min_version = min_version;
+        self.not_before = Some(seen_at + self.timing.ttl);
+    }
+
     fn spec(&self, nonce: &str, fence: u64) -> Lease {
         Lease {
             holder: self.instance.clone(),
@@ -267,13 +283,15 @@
 
     /// when the observed state may be replaced
     fn available_at(&self, observed: &Observation) -> Instant {
-        match &observed.snapshot.spec {
+        let available_at = match &observed.snapshot.spec {
             Some(spec) if !spec.holder.is_empty() => {
                 let ttl = Duration::from_millis(spec.ttl_ms);
                 observed.first_read + ttl.max(self.timing.ttl)
             }
             _ => observed.first_read,
-        }
+        };
+        self.not_before
+            .map_or(available_at, |earliest| earliest.max(available_at))
     }
 
     /// resolves the pending write by a read; false if the read is too old to decide
