Heed what VMs state about themselves, and follow true time in usage windows

Cause: a VM that drains was known only by its entry in the store, and its kept connections were used on; a refusal with a time was forgotten after 0.3 s; usage windows followed the VM's time of day, which may jump.

Change: a response that states draining excludes the VM at this daemon at once, retires its connections and is sent to the group; a refusal with a time closes the VM for this daemon for that time, and if all are closed the caller is refused at once with the shortest time. A request whose connection took long is not sent to a VM that drains or has closed meanwhile. State of a VM (failures, cached parts) is dropped when it restarts under its id. Windows follow a clock that is read at the start, corrected by the median of the peers and carried on by the monotonic one.

--- a/crates/gateway/src/adapter/dialect.rs
+++ b/crates/gateway/src/adapter/dialect.rs
@@ -38,6 +38,15 @@
     Invalid,
 }
 
+/// what a VM states about itself in the head of a response
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Notice {
+    /// whether it drains
+    pub is_draining: bool,
+    /// time for which it wants no requests from this daemon, stated with a refusal
+    pub back_off: Option<Duration>,
+}
+
 /// message format of callers and upstream VMs
 pub trait Dialect: 'static {
     /// decodes the head of a caller's request
@@ -54,6 +63,9 @@
     /// classifies the head of a VM's response
     fn classify_response(&self, call: &Call, head: &response::Parts) -> Reply;
 
+    /// decodes what a VM states about itself
+    fn notice(&self, head: &response::Parts) -> Notice;
+
     /// selects the headers of a VM's response to pass on to the caller
     fn response_headers(&self, head: &response::Parts) -> HeaderMap;
 
--- a/crates/gateway/src/adapter/mod.rs
+++ b/crates/gateway/src/adapter/mod.rs
@@ -9,5 +9,5 @@
 mod objects;
 
 pub use cloud::{Capacity, Cloud, CloudError};
-pub use dialect::{Attempt, Dialect, Malformed, Reply};
+pub use dialect::{Attempt, Dialect, Malformed, Notice, Reply};
 pub use objects::{Event, List, Object, ObjectError, Objects, Revision, Watch, Write};
--- a/crates/gateway/src/checkpoint/write.rs
+++ b/crates/gateway/src/checkpoint/write.rs
@@ -1,5 +1,5 @@
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
 
@@ -57,11 +57,10 @@
 
 /// the limits and usage of all daemons, as far as known to this one
 fn record<D: Dialect>(shared: &Shared<D>, peers: &Peers) -> Record {
-    let now = SystemTime::now();
-    let since_epoch = now.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = shared.wall_clock.now();
     let newest = usage::window(now, shared.settings.policy.usage_window);
     let mut record = Record {
-        at_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+        at_ms: shared.wall_clock.now_ms(),
         generation: shared.generation.current(),
         daemons: shared.daemons.get(),
         ..Record::default()
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -174,7 +174,8 @@
 /// the first window whose counts were not complete yet some time ago
 fn settled_window<D: Dialect>(shared: &Shared<D>, age: Duration) -> u64 {
     let policy = &shared.settings.policy;
-    let settled = SystemTime::now()
+    let now = shared.wall_clock.now();
+    let settled = now
         .checked_sub(policy.usage_deadline.mul_f64(SETTLE_FRACTION) + age)
         .unwrap_or(SystemTime::UNIX_EPOCH);
     usage::window(settled, policy.usage_window)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod shared;
 mod stage;
 pub mod usage;
+mod wall_clock;
 
 pub use app::{Adapter, run};
 pub use clock::Clock;
@@ -38,3 +39,4 @@
 pub use settings::{Policy, QuotaTolerance, Settings};
 pub use shared::Shared;
 pub use stage::Stage;
+pub use wall_clock::{Estimate, WallClock};
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -120,6 +120,9 @@
     /// applies a report to the placement state
     fn receive<D: Dialect>(&self, shared: &Shared<D>, report: Report) {
         let now = Instant::now();
+        if report.scope == Scope::Daemon && report.time_ms > 0 {
+            shared.wall_clock.add_peer(&report.from, report.time_ms);
+        }
         let mut reports = self.reports.borrow_mut();
         let mut placement = shared.placement.borrow_mut();
         for part in reports.receive(report, now) {
@@ -369,6 +372,7 @@
             scope: Scope::Daemon,
             instance: self.instance,
             age_ms: u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX),
+            time_ms: shared.wall_clock.now_ms(),
             loads,
             spending,
             prefills,
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -73,6 +73,9 @@
     pub instance: u64,
     /// time since that process started, milliseconds
     pub age_ms: u64,
+    /// its estimate of the time of day, milliseconds since the Unix epoch
+    #[serde(default)]
+    pub time_ms: u64,
     /// in-flight load by VM
     pub loads: HashMap<String, Load>,
     /// demand and spending by workspace
--- a/crates/gateway/src/pool/error.rs
+++ b/crates/gateway/src/pool/error.rs
@@ -11,6 +11,8 @@
     Connect(String),
     /// the connection was closed before any byte of the request was written
     Unsent,
+    /// the request was withdrawn while the connection was established
+    Withdrawn,
     /// after the request was sent, the connection was closed or an invalid response received
     Lost(String),
     /// no response within the time-out
@@ -21,7 +23,7 @@
     /// how far the request got
     pub fn progress(&self) -> Progress {
         match self {
-            Error::Connect(_) | Error::Unsent => Progress::Unsent,
+            Error::Connect(_) | Error::Unsent | Error::Withdrawn => Progress::Unsent,
             Error::Lost(_) | Error::TimedOut => Progress::Sent,
         }
     }
@@ -32,6 +34,12 @@
         match self {
             Error::Connect(cause) => write!(f, "could not connect: {cause}"),
             Error::Unsent => write!(f, "the connection was closed before the request was sent"),
+            Error::Withdrawn => {
+                write!(
+                    f,
+                    "the request was no longer to be sent when the connection was open"
+                )
+            }
             Error::Lost(cause) => write!(f, "the connection was lost: {cause}"),
             Error::TimedOut => write!(f, "no response within the time-out"),
         }
--- a/crates/gateway/src/pool/pool.rs
+++ b/crates/gateway/src/pool/pool.rs
@@ -79,6 +79,8 @@
 
     /// sends a request and waits for the head of its response
     ///
+    /// It is sent only if `is_wanted` still holds once there is a connection.
+    ///
     /// # Errors
     /// The error states how far the request got.
     pub async fn send(
@@ -86,6 +88,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         timeouts: Timeouts,
+        is_wanted: impl Fn() -> bool,
     ) -> Result<Exchange, Error> {
         let mut request = request;
         while let Some(sender) = self.checkout(address, timeouts.idle) {
@@ -96,6 +99,9 @@
             }
         }
         let sender = self.connect(address, timeouts.connect).await?;
+        if !is_wanted() {
+            return Err(Error::Withdrawn);
+        }
         let result = self.exchange(sender, address, request).await;
         result.map_err(|(error, _)| error)
     }
@@ -179,6 +185,11 @@
 }
 
 impl Connection {
+    /// lets the connection be closed instead of returned to the pool
+    pub fn retire(&mut self) {
+        self.max_idle = Duration::ZERO;
+    }
+
     /// returns the connection to the pool for the next request
     pub fn release(self) {
         let Some(pool) = self.pool.upgrade() else {
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -12,19 +12,23 @@
 use route::retry::{self, Resend, may_resend};
 use route::verdict::{self, Progress};
 use schema::failure::Verdict;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use super::in_flight::InFlight;
 use super::request::Request;
 use super::{Failure, Reason};
 use crate::adapter::{Attempt, Dialect, Reply};
 use crate::model::Vm;
-use crate::pool::{Connection, Error, Timeouts};
+use crate::pool::{Connection, Error, Exchange, Timeouts};
 use crate::shared::Shared;
 
 /// `Retry-After` when a VM refused the request: about the time a VM takes for a request
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// longest time for which a VM is left alone at its own request; a longer one is an error of the
+/// VM, which would otherwise stay unused until it restarts
+const MAX_BACK_OFF: Duration = Duration::from_secs(3600);
+
 /// a VM's response whose body is still to be read
 pub(super) struct VmResponse<D: Dialect> {
     pub head: Parts,
@@ -127,37 +131,22 @@
 ) -> Result<VmResponse<D>, AttemptError> {
     let mut in_flight = InFlight::begin(shared, request, &vm.id, pick.uncached);
     let message = build_message(shared, request, vm, resume_after);
-    let repeatable = request.route.kind.is_repeatable();
-    let timeouts = Timeouts {
-        idle: if repeatable {
-            Timeouts::IDLE
-        } else {
-            Timeouts::IDLE_UNREPEATABLE
-        },
-        ..Timeouts::default()
-    };
-    let sending = shared.pool.send(vm.address, message, timeouts);
-    let exchange = match timeout_at(request.deadline, sending).await {
-        Ok(Ok(exchange)) => exchange,
-        Ok(Err(error)) => {
-            in_flight.set_outcome(Outcome::Broken);
-            shared.pool.close_idle(vm.address);
+    let exchange = match exchange(shared, request, vm, message).await {
+        Ok(exchange) => exchange,
+        Err(error) => {
+            if !matches!(error, Error::Withdrawn | Error::TimedOut) {
+                in_flight.set_outcome(Outcome::Broken);
+                shared.pool.close_idle(vm.address);
+            }
             return Err(record_connection_error(shared, request, vm, &error));
         }
-        Err(_) => {
-            return Err(record_connection_error(
-                shared,
-                request,
-                vm,
-                &Error::TimedOut,
-            ));
-        }
     };
     in_flight.record_activity();
     let (head, body) = exchange.response.into_parts();
+    let mut connection = exchange.connection;
+    apply_notice(shared, request, vm, &head, &mut connection);
     let (progress, reason, outcome) = match shared.dialect.classify_response(&request.call, &head) {
         Reply::Valid => {
-            let connection = exchange.connection;
             return Ok(VmResponse {
                 head,
                 body,
@@ -184,6 +173,62 @@
     Err(AttemptError { progress, reason })
 }
 
+/// sends a message to a VM and waits for the head of its response until the request's deadline
+async fn exchange<D: Dialect>(
+    shared: &Shared<D>,
+    request: &Request,
+    vm: &Vm,
+    message: HttpRequest<Full<bytes::Bytes>>,
+) -> Result<Exchange, Error> {
+    let repeatable = request.route.kind.is_repeatable();
+    let timeouts = Timeouts {
+        idle: if repeatable {
+            Timeouts::IDLE
+        } else {
+            Timeouts::IDLE_UNREPEATABLE
+        },
+        ..Timeouts::default()
+    };
+    let is_wanted = || shared.accepts_requests(&request.service, &vm.id);
+    let sending = shared.pool.send(vm.address, message, timeouts, is_wanted);
+    match timeout_at(request.deadline, sending).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::TimedOut),
+    }
+}
+
+/// applies what a VM states about itself in a response
+fn apply_notice<D: Dialect>(
+    shared: &Shared<D>,
+    request: &Request,
+    vm: &Vm,
+    head: &Parts,
+    connection: &mut Connection,
+) {
+    let notice = shared.dialect.notice(head);
+    if notice.is_draining {
+        connection.retire();
+        shared.record_drain_notice(vm);
+    }
+    if let Some(stated) = notice.back_off {
+        let time = stated.min(MAX_BACK_OFF);
+        let until = Instant::now() + time;
+        let mut placement = shared.placement.borrow_mut();
+        placement.close_until(&request.service, &vm.id, until);
+        drop(placement);
+        if let Some(left_out) = shared.permit_log("vm_closed") {
+            tracing::info!(
+                event = "vm_closed",
+                request = request.call.id,
+                vm = vm.id,
+                stated_ms = stated.as_millis() as u64,
+                time_ms = time.as_millis() as u64,
+                left_out,
+            );
+        }
+    }
+}
+
 /// builds the request to a VM
 fn build_message<D: Dialect>(
     shared: &Shared<D>,
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -1,7 +1,7 @@
 //! Requests with short responses, which are buffered completely before they are passed on.
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
@@ -143,7 +143,7 @@
 pub(super) fn count_usage<D: Dialect>(shared: &Shared<D>, request: &Request) {
     if let Some(workspace) = &request.workspace {
         let mut tally = shared.tally.borrow_mut();
-        tally.count(&workspace.name, SystemTime::now());
+        tally.count(&workspace.name, shared.wall_clock.now());
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use route::placement::{Balancer, Distance, Member, Pick};
 use route::quota::{self, Quota};
@@ -30,6 +30,7 @@
 use crate::settings::Settings;
 use crate::stage::Stage;
 use crate::usage::Tally;
+use crate::wall_clock::WallClock;
 
 /// state of the gateway
 pub struct Shared<D: Dialect> {
@@ -39,6 +40,8 @@
     pub dialect: D,
     /// clock that includes suspension
     pub clock: Clock,
+    /// time of day, for windows of usage
+    pub wall_clock: WallClock,
     /// connections to other processes
     pub pool: Rc<Pool>,
     /// open connections of callers
@@ -102,6 +105,7 @@
             settings,
             dialect,
             clock,
+            wall_clock: WallClock::start(clock),
             pool,
             caller_connections: Cell::default(),
             config: RefCell::default(),
@@ -213,7 +217,7 @@
         quotas.retain(|name, _| limits.contains_key(name.as_str()));
         let share = 1.0 / self.daemons.get() as f64;
         let restored = self.restored.borrow();
-        let wall_clock = SystemTime::now();
+        let wall_clock = self.wall_clock.now();
         for (name, limit) in limits {
             let enforced = self.settings.policy.quota.enforced_limit(&limit);
             match quotas.get_mut(name) {
@@ -271,6 +275,7 @@
             };
             let member = Member {
                 id: vm.id.clone(),
+                started_at_ms: vm.started_at_ms,
                 distance: self.distance(&vm.zone),
                 slots: vm.slots,
                 cache_tokens: service.engine.map(|engine| engine.cache_tokens),
@@ -308,6 +313,14 @@
         self.vms.borrow().get(&pick.id).map(Rc::clone)
     }
 
+    /// whether a VM may get a request now: it is listed as ready and has not closed itself
+    pub fn accepts_requests(&self, service: &str, id: &str) -> bool {
+        let is_ready = |vm: &Rc<Vm>| vm.health == Health::Ready;
+        let is_listed = self.vms.borrow().get(id).is_some_and(is_ready);
+        let placement = self.placement.borrow();
+        is_listed && !placement.is_closed(service, id, Instant::now())
+    }
+
     /// excludes a VM that stated that it drains from further requests; false if that was known
     pub fn start_drain(&self, id: &str, started_at_ms: u64) -> bool {
         let mut departed = self.departed.borrow_mut();
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -395,3 +395,35 @@
         }
     });
 }
+
+#[test]
+fn holder_whose_time_of_day_jumps_reports_true_windows() {
+    run(async {
+        let (store, cloud) = (FakeStore::new(), FakeCloud::default());
+        let daemon = Daemon::start("a", &store, &cloud);
+        wait_for_lease(&daemon).await;
+        let length = Duration::from_millis(1000);
+        for offset in [2400, -2400] {
+            let reading = if offset > 0 {
+                || SystemTime::now() + Duration::from_millis(2400)
+            } else {
+                || SystemTime::now() - Duration::from_millis(2400)
+            };
+            daemon.shared.wall_clock.set_reading(reading);
+            let sent = cloud.calls().len();
+            sleep(Duration::from_millis(2500)).await;
+            let now = usage::window(SystemTime::now(), length);
+            let calls = cloud.calls();
+            let windows = calls.iter().skip(sent).map(|call| match call {
+                Call::Usage(_, window, _) => *window,
+                Call::Capacity(..) => panic!("an order"),
+            });
+            let newest = windows.max().expect("reports after the jump");
+            // a window is complete 2.25 s after its end
+            assert!(
+                (now - 5..=now - 2).contains(&newest),
+                "{newest} at {now}, {offset} ms"
+            );
+        }
+    });
+}
--- a/crates/gateway/tests/support/dialect.rs
+++ b/crates/gateway/tests/support/dialect.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use gateway::adapter::{Attempt, Dialect, Malformed, Reply};
+use gateway::adapter::{Attempt, Dialect, Malformed, Notice, Reply};
 use gateway::model::Call;
 use http::{HeaderMap, HeaderValue, StatusCode, request, response};
 
@@ -73,6 +73,14 @@
         Reply::Valid
     }
 
+    fn notice(&self, head: &response::Parts) -> Notice {
+        let back_off_ms = text(&head.headers, "x-back-off-ms").and_then(|ms| ms.parse().ok());
+        Notice {
+            is_draining: head.headers.contains_key("x-draining"),
+            back_off: back_off_ms.map(Duration::from_millis),
+        }
+    }
+
     fn response_headers(&self, head: &response::Parts) -> HeaderMap {
         let mut headers = head.headers.clone();
         for name in ["connection", "content-length", "transfer-encoding"] {
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -31,6 +31,8 @@
 pub struct Member {
     /// instance id
     pub id: String,
+    /// start time since the Unix epoch; differs after a restart under the same id
+    pub started_at_ms: u64,
     /// network distance
     pub distance: Distance,
     /// requests that it runs concurrently
@@ -64,6 +66,8 @@
     prefix_cache: PrefixCache,
     health: Health,
     response_time: ResponseTime,
+    /// until when the VM wants no requests from this daemon
+    closed_until: Option<Instant>,
 }
 
 /// the VMs of one service
@@ -108,13 +112,20 @@
         Balancer::default()
     }
 
-    /// replaces the VMs of a service; the state of those that stay is kept
+    /// replaces the VMs of a service; the state of those that stay is kept, unless they have
+    /// restarted
     pub fn set_members(&mut self, service: &str, members: Vec<Member>) {
         let state = self.services.entry(service.to_owned()).or_default();
         let mut previous = std::mem::take(&mut state.entries);
         for member in members {
             let entry = match previous.remove(&member.id) {
-                Some(entry) => Entry { member, ..entry },
+                Some(entry) if entry.member.started_at_ms == member.started_at_ms => {
+                    Entry { member, ..entry }
+                }
+                Some(entry) => Entry {
+                    local: entry.local,
+                    ..Entry::new(member)
+                },
                 None => Entry::new(member),
             };
             state.entries.insert(entry.member.id.clone(), entry);
@@ -212,7 +223,13 @@
         let preferred = preferred_vm(ids, request);
         let mut best: Option<(bool, Duration, Pick)> = None;
         let mut at_limit = None;
+        let mut opens_at: Option<(Instant, &str)> = None;
         for entry in state.entries.values() {
+            if let Some(until) = entry.closed_until.filter(|until| now < *until) {
+                let opening = (until, entry.member.id.as_str());
+                opens_at = Some(opens_at.map_or(opening, |first| first.min(opening)));
+                continue;
+            }
             if entry.local.running >= self.connections(&entry.member) {
                 at_limit = Some(entry.member.id.clone());
                 continue;
@@ -236,17 +253,38 @@
                 best = Some((is_last_resort, cost, pick));
             }
         }
-        match (best, at_limit) {
-            (Some((_, _, pick)), _) => admit(pick, request.time_limit),
-            (None, Some(id)) => Choice::Full(Full {
-                available_in: MIN_RETRY_AFTER,
+        let full = |id: &str, available_in: Duration| {
+            Choice::Full(Full {
+                available_in: available_in.max(MIN_RETRY_AFTER) + jitter(id, request),
                 expected: Duration::ZERO,
-                id,
-            }),
-            (None, None) => Choice::NoVm,
+                id: id.to_owned(),
+            })
+        };
+        match (best, at_limit, opens_at) {
+            (Some((_, _, pick)), _, _) => admit(pick, request.time_limit),
+            (None, Some(id), _) => full(&id, MIN_RETRY_AFTER),
+            (None, None, Some((until, id))) => full(id, until.saturating_duration_since(now)),
+            (None, None, None) => Choice::NoVm,
+        }
+    }
+
+    /// excludes a VM that wants no requests from this daemon until a time; an earlier end of a
+    /// later statement does not shorten it
+    pub fn close_until(&mut self, service: &str, id: &str, until: Instant) {
+        if let Some(entry) = self.entry(service, id) {
+            entry.closed_until = entry.closed_until.max(Some(until));
         }
     }
 
+    /// whether a VM wants no requests from this daemon at the moment
+    pub fn is_closed(&self, service: &str, id: &str, now: Instant) -> bool {
+        let entry = self
+            .services
+            .get(service)
+            .and_then(|state| state.entries.get(id));
+        entry.is_some_and(|entry| entry.closed_until.is_some_and(|until| now < until))
+    }
+
     /// records that a request is sent to a VM
     pub fn begin(&mut self, request: &Request<'_>, id: &str, work: &Work, now: Instant) {
         let Some(entry) = self.entry(request.service, id) else {
@@ -408,6 +446,7 @@
             prefix_cache: PrefixCache::default(),
             health: Health::new(),
             response_time: ResponseTime::default(),
+            closed_until: None,
         }
     }
 }
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -22,6 +22,8 @@
 //!   over VMs whose expected times hardly differ.
 //! * The load exceeds what the VMs can serve in time. A request whose expected time exceeds
 //!   its limit is refused at once, with the time until capacity is expected.
+//! * A VM refuses requests and states for how long it wants none. It gets none for that time, and
+//!   if all VMs do so, callers are refused at once until the first one is open again.
 //! * Kinds with long objectives fill the VMs until urgent kinds with short objectives miss
 //!   theirs. A kind is accepted only while the more urgent ones would be in time as well.
 
--- a/crates/route/tests/placement/main.rs
+++ b/crates/route/tests/placement/main.rs
@@ -17,6 +17,7 @@
 fn engine(id: &str, distance: Distance) -> Member {
     Member {
         id: id.to_owned(),
+        started_at_ms: 0,
         distance,
         slots: 64,
         cache_tokens: Some(585_000),
@@ -27,6 +28,7 @@
 fn plain(id: &str, distance: Distance) -> Member {
     Member {
         id: id.to_owned(),
+        started_at_ms: 0,
         distance,
         slots: 6,
         cache_tokens: None,
