--- a/crates/gateway/src/serve/events.rs
+++ b/crates/gateway/src/serve/events.rs
@@ -20,6 +20,8 @@
     pub bytes: Bytes,
     /// number of events
     pub count: usize,
+    /// whether one of them has data; an event of comments only keeps the connection alive
+    pub has_data: bool,
 }
 
 impl EventBuffer {
@@ -36,10 +38,12 @@
         self.buffer.extend_from_slice(bytes);
         let mut end = 0;
         let mut count = 0;
+        let mut has_data = false;
         while let Some(next) = self.next_end(end) {
             if let Some(id) = event_id(&self.buffer[end..next]) {
                 self.last_id = Some(id);
             }
+            has_data |= has_field(&self.buffer[end..next], b"data");
             count += 1;
             end = next;
         }
@@ -53,7 +57,11 @@
         }
         let bytes = self.buffer.split_to(end).freeze();
         self.scanned = self.buffer.len().saturating_sub(3);
-        Ok(Some(Batch { bytes, count }))
+        Ok(Some(Batch {
+            bytes,
+            count,
+            has_data,
+        }))
     }
 
     /// removes and returns the bytes after the last complete event
@@ -95,6 +103,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TooLong;
 
+/// whether an event has a field with this name
+fn has_field(event: &[u8], name: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n' || *byte == b'\r');
+    lines.any(|line| line.starts_with(name))
+}
+
 /// value of the `id` field of an event
 fn event_id(event: &[u8]) -> Option<String> {
     let text = std::str::from_utf8(event).ok()?;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -12,7 +12,7 @@
 use crate::adapter::Dialect;
 use crate::model::Vm;
 
-/// time without an event after which a stream is resumed at another VM; callers abandon a
+/// time without an event that has data after which a stream is resumed at another VM; callers abandon a
 /// stream after two seconds or more
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -87,25 +87,35 @@
 
     /// passes on events from one VM until the stream ends
     async fn forward(&mut self, vm_stream: &mut VmStream<D>) -> StreamEnd {
+        let mut idle_since = Instant::now();
         loop {
             let now = Instant::now();
             if now >= self.stream.request.deadline {
                 return StreamEnd::Expired;
             }
-            let limit = self.stream.request.deadline.min(now + IDLE_TIMEOUT);
+            // without the right to resume, the stream may go on until the deadline
+            let idle_until = if self.may_resume() {
+                idle_since + IDLE_TIMEOUT
+            } else {
+                now + IDLE_TIMEOUT
+            };
+            let limit = self.stream.request.deadline.min(idle_until);
             let next = tokio::select! {
                 biased;
                 () = self.sender.closed() => return StreamEnd::Cancelled,
                 next = timeout_at(limit, vm_stream.next(&mut self.stream.events)) => next,
             };
             match next {
-                Ok(Ok(Next::Events(bytes))) => {
+                Ok(Ok(Next::Events(bytes, has_data))) => {
                     let sending = self.sender.send(Chunk::Bytes(bytes));
                     match timeout_at(self.stream.request.deadline, sending).await {
                         Ok(Ok(())) => {}
                         Ok(Err(_)) => return StreamEnd::Cancelled,
                         Err(_) => return StreamEnd::Expired,
                     }
+                    if has_data {
+                        idle_since = Instant::now();
+                    }
                 }
                 Ok(Ok(Next::End(rest))) => return StreamEnd::Complete(rest),
                 Ok(Err(cause)) => return StreamEnd::Failed(cause),
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -127,7 +127,7 @@
         };
         let next = timeout_at(request.deadline, vm_stream.next(&mut self.events)).await;
         match next {
-            Ok(Ok(Next::Events(first))) => {
+            Ok(Ok(Next::Events(first, _))) => {
                 vm_stream.in_flight.record_first_token();
                 Ok(Opened::Stream(head, first, vm_stream))
             }
--- a/crates/gateway/src/serve/vm_stream.rs
+++ b/crates/gateway/src/serve/vm_stream.rs
@@ -20,8 +20,8 @@
 
 /// next part of a stream
 pub(super) enum Next {
-    /// complete events
-    Events(Bytes),
+    /// complete events, and whether one of them has data
+    Events(Bytes, bool),
     /// end of the stream, with the bytes after the last complete event
     End(Bytes),
 }
@@ -39,7 +39,7 @@
                 .push(&data)
                 .map_err(|_| "event exceeds 1 MiB".to_owned())?;
             if let Some(batch) = batch {
-                return Ok(Next::Events(batch.bytes));
+                return Ok(Next::Events(batch.bytes, batch.has_data));
             }
         }
         Ok(Next::End(events.take_rest()))
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -225,3 +225,24 @@
         }
     });
 }
+
+/// the second copy arrives where the response to the next request is expected
+#[test]
+fn late_second_copy_is_not_delivered_to_the_next_caller() {
+    run(async {
+        for path in ["/safe/", "/once/"] {
+            let harness = Harness::start().await;
+            let copy =
+                "HTTP/1.1 200 OK\r\nx-id: id-0\r\nx-seal: seal\r\ncontent-length: 5\r\n\r\nfirst";
+            let script = Script(vec![Step::Write(copy.to_owned())]);
+            let vm = FakeVm::start("vm-1", "desk", script).await;
+            harness.register(&[&vm]).await;
+            assert_eq!(harness.call("POST", path, "id-0").await.body, "first");
+            for number in 1..10 {
+                let response = harness.call("POST", path, &format!("id-{number}")).await;
+                // the request reached the VM, so it may have run
+                assert_eq!(response.status, 502, "{path}: {response:?}");
+            }
+        }
+    });
+}
