Acknowledge a cut of the stand-in's link after its connections are closed

Cause: a cut was acknowledged before the proxies' threads had closed connections and listeners, so a call sent in between reached a connection that was then reset (flaky not_run_is_true). set_faults now returns once the proxies of the link have applied the cut or its end.

--- a/crates/standin/src/proxy/link.rs
+++ b/crates/standin/src/proxy/link.rs
@@ -1,7 +1,8 @@
 //! The network link that one or several proxies share.
 
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Condvar, Mutex, MutexGuard};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, Weak};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use macro_rules_attribute::apply;
@@ -14,6 +15,28 @@
 /// interval at which waiting threads check for a stop
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// longest time until the proxies of a link have applied a cut or its end
+const APPLY_TIME: Duration = Duration::from_secs(2);
+
+/// interval between two checks of whether they have
+const APPLY_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// how far a proxy has applied the state of its link
+#[derive(Debug, Default)]
+pub(super) struct Applied {
+    /// whether it listens
+    pub is_listening: AtomicBool,
+    /// whether it has closed its connections after a cut
+    pub is_closed: AtomicBool,
+}
+
+impl Applied {
+    fn is(&self, cut: bool) -> bool {
+        self.is_listening.load(Ordering::SeqCst) != cut
+            && self.is_closed.load(Ordering::SeqCst) == cut
+    }
+}
+
 /// direction on a link
 #[apply(value!)]
 pub enum Direction {
@@ -28,6 +51,7 @@
 pub struct Link {
     state: Mutex<State>,
     changed: Condvar,
+    proxies: Mutex<Vec<Weak<Applied>>>,
     limiters: [RateLimiter; 2],
     bytes: [AtomicU64; 2],
     connections: AtomicU64,
@@ -60,6 +84,7 @@
                 ..State::default()
             }),
             changed: Condvar::new(),
+            proxies: Mutex::default(),
             limiters: [
                 RateLimiter::new(bytes_per_second),
                 RateLimiter::new(bytes_per_second),
@@ -70,13 +95,42 @@
     }
 
     /// replaces all faults; `freeze` freezes the connections that are open at this moment
+    ///
+    /// Returns once the proxies of the link have closed or opened their listeners and closed their
+    /// connections, if the link is cut or no longer cut.
     pub fn set_faults(&self, faults: Faults) {
+        let cut = faults.cut;
         let mut state = self.lock();
+        let is_changed = state.faults.cut != cut;
         if faults.freeze {
             state.freeze_epoch += 1;
         }
         state.faults = faults;
         self.changed.notify_all();
+        drop(state);
+        if is_changed {
+            self.wait_until_applied(cut);
+        }
+    }
+
+    /// adds a proxy that runs on this link
+    pub(super) fn attach(&self, proxy: &Arc<Applied>) {
+        let mut proxies = self.proxies.lock().expect("proxies lock poisoned");
+        proxies.retain(|proxy| proxy.strong_count() > 0);
+        proxies.push(Arc::downgrade(proxy));
+    }
+
+    fn wait_until_applied(&self, cut: bool) {
+        let deadline = Instant::now() + APPLY_TIME;
+        while Instant::now() < deadline {
+            let proxies = self.proxies.lock().expect("proxies lock poisoned");
+            let mut running = proxies.iter().filter_map(Weak::upgrade);
+            if running.all(|proxy| proxy.is(cut)) {
+                return;
+            }
+            drop(proxies);
+            thread::sleep(APPLY_POLL_INTERVAL);
+        }
     }
 
     /// sets the delay of each direction
--- a/crates/standin/src/proxy/server.rs
+++ b/crates/standin/src/proxy/server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream, ToSocketAddrs};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -11,7 +12,7 @@
 
 use super::connection::Connection;
 use super::faults::Faults;
-use super::link::{ConnectionState, Direction, Link};
+use super::link::{Applied, ConnectionState, Direction, Link};
 use super::options::Options;
 use super::pump::{Origin, Pump};
 use crate::ReservedPort;
@@ -34,6 +35,7 @@
     to: SocketAddr,
     reverse: bool,
     link: Arc<Link>,
+    applied: Arc<Applied>,
     stop: Stop,
     connections: Mutex<Vec<Arc<Connection>>>,
 }
@@ -54,10 +56,13 @@
             to: resolve(&options.to)?,
             reverse: options.reverse,
             link: Arc::clone(link),
+            applied: Arc::default(),
             stop: stop.clone(),
             connections: Mutex::default(),
         });
         let listener = TcpListener::bind(shared.port.address())?;
+        shared.applied.is_listening.store(true, Ordering::SeqCst);
+        link.attach(&shared.applied);
         let accepting = Arc::clone(&shared);
         let closing = Arc::clone(&shared);
         let threads = vec![
@@ -106,18 +111,25 @@
 impl Shared {
     /// listens while the link is not cut
     fn listen_unless_cut(self: &Arc<Self>, first: TcpListener) {
-        self.accept(&first);
-        drop(first);
+        self.accept(first);
         while !self.stop.is_set() {
             self.link.wait_until_cut_is(false, &self.stop);
             match TcpListener::bind(self.port.address()) {
-                Ok(listener) => self.accept(&listener),
+                Ok(listener) => self.accept(listener),
                 Err(_) => drop(self.stop.wait_for(LISTEN_RETRY_INTERVAL)),
             }
         }
     }
 
-    fn accept(self: &Arc<Self>, listener: &TcpListener) {
+    /// accepts connections until the link is cut, then closes the listener
+    fn accept(self: &Arc<Self>, listener: TcpListener) {
+        self.applied.is_listening.store(true, Ordering::SeqCst);
+        self.accept_until_cut(&listener);
+        drop(listener);
+        self.applied.is_listening.store(false, Ordering::SeqCst);
+    }
+
+    fn accept_until_cut(self: &Arc<Self>, listener: &TcpListener) {
         while !self.stop.is_set() && !self.link.is_cut() {
             let Ok((client, _)) = listener.accept() else {
                 return;
@@ -142,6 +154,11 @@
         };
         let connection = Arc::new(connection);
         self.track(&connection);
+        if self.link.is_cut() {
+            // cut while it was opened, so that it may have been tracked too late to be closed
+            connection.close();
+            return;
+        }
         for origin in [Origin::Client, Origin::Server] {
             let direction = self.direction(origin);
             let link = Arc::clone(&self.link);
@@ -175,7 +192,9 @@
         while !self.stop.is_set() {
             self.link.wait_until_cut_is(true, &self.stop);
             self.close_all();
+            self.applied.is_closed.store(true, Ordering::SeqCst);
             self.link.wait_until_cut_is(false, &self.stop);
+            self.applied.is_closed.store(false, Ordering::SeqCst);
         }
     }
 
--- a/crates/standin/tests/proxy.rs
+++ b/crates/standin/tests/proxy.rs
@@ -238,3 +238,45 @@
         .send()
         .expect("next POST should get its response");
 }
+
+/// what happens after the acknowledgement of a cut meets no open connection and no listener
+#[test]
+fn cut_is_acknowledged_after_its_connections_are_closed() {
+    let options = Options::builder()
+        .to(start_echo_server().to_string())
+        .control("127.0.0.1:0".to_owned());
+    let proxy = Server::start(&options.build()).expect("proxy should start");
+    let control = proxy
+        .control_address()
+        .expect("proxy should have a control API");
+    for round in 0..40 {
+        let mut streams: Vec<TcpStream> = (0..20).map(|_| connect(proxy.address())).collect();
+        for stream in &mut streams {
+            exchange(stream, b"open").expect("request should get a response");
+        }
+        let cut = Faults {
+            cut: true,
+            ..Faults::default()
+        };
+        post(control, "/control/faults", &cut);
+        for stream in &streams {
+            stream
+                .set_nonblocking(true)
+                .expect("socket should be changed");
+        }
+        let is_closed = |stream: &mut TcpStream| match stream.read(&mut [0; 1]) {
+            Ok(length) => length == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        };
+        let open = streams
+            .iter_mut()
+            .filter_map(|stream| (!is_closed(stream)).then_some(()));
+        assert_eq!(open.count(), 0, "round {round}");
+        assert!(
+            TcpStream::connect(proxy.address()).is_err(),
+            "round {round}"
+        );
+        post(control, "/control/faults", &Faults::default());
+        exchange(&mut connect(proxy.address()), b"healed").expect("link should be healed");
+    }
+}
