Count loads of peers until their next report; settle usage with the age of counts

Change: a peer's load counts for 1.5 report intervals, at least 2.5 s; a window is complete after the longest time that counts take, between 0.45 and 0.7 of the deadline.

--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -32,10 +32,13 @@
 /// interval between two checks for due windows
 const CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
-/// fraction of the time to report a window after which its counts are taken as complete: sums
-/// of zones pass through three daemons, and a successor needs the remaining time
+/// fraction of the time to report a window after which its counts are taken as complete, in
+/// deployments where they arrive sooner; a successor needs the remaining time
 const SETTLE_FRACTION: f64 = 0.45;
 
+/// largest such fraction, in deployments of many daemons, whose counts arrive later
+const MAX_SETTLE_FRACTION: f64 = 0.7;
+
 /// number of past windows kept in the ledger
 const MAX_WINDOWS: u64 = 4;
 
@@ -96,7 +99,7 @@
         let Some(current) = &mut term else {
             continue;
         };
-        for window in due(&shared, current) {
+        for window in due(&shared, &peers, current) {
             if !record(&shared, &*store, &peers, current, window).await {
                 term = None;
                 break;
@@ -160,7 +163,13 @@
     let age = restored_at.map_or(Duration::ZERO, |at| {
         shared.clock.now().saturating_duration_since(at)
     });
-    let first = settled_window(shared, age);
+    // the earliest time at which any daemon may have taken a window as complete
+    let settle = shared
+        .settings
+        .policy
+        .usage_deadline
+        .mul_f64(SETTLE_FRACTION);
+    let first = settled_window(shared, settle + age);
     tracing::warn!(
         event = "usage_ledger_restored",
         generation,
@@ -171,20 +180,25 @@
     ledger.first = first;
 }
 
-/// the first window whose counts were not complete yet some time ago
+/// time after the end of a window after which its counts are taken as complete
+fn settle_time<D: Dialect>(shared: &Shared<D>, peers: &Peers) -> Duration {
+    let deadline = shared.settings.policy.usage_deadline;
+    let least = deadline.mul_f64(SETTLE_FRACTION);
+    let most = deadline.mul_f64(MAX_SETTLE_FRACTION);
+    peers.counts_age().clamp(least, most)
+}
+
+/// the window that was current some time ago
 fn settled_window<D: Dialect>(shared: &Shared<D>, age: Duration) -> u64 {
-    let policy = &shared.settings.policy;
     let now = shared.wall_clock.now();
-    let settled = now
-        .checked_sub(policy.usage_deadline.mul_f64(SETTLE_FRACTION) + age)
-        .unwrap_or(SystemTime::UNIX_EPOCH);
-    usage::window(settled, policy.usage_window)
+    let settled = now.checked_sub(age).unwrap_or(SystemTime::UNIX_EPOCH);
+    usage::window(settled, shared.settings.policy.usage_window)
 }
 
 /// the complete windows whose reports are not yet acknowledged
-fn due<D: Dialect>(shared: &Shared<D>, term: &Term) -> Vec<u64> {
+fn due<D: Dialect>(shared: &Shared<D>, peers: &Peers, term: &Term) -> Vec<u64> {
     let policy = &shared.settings.policy;
-    let current = settled_window(shared, Duration::ZERO);
+    let current = settled_window(shared, settle_time(shared, peers));
     let overdue = policy.usage_deadline.as_millis() / policy.usage_window.as_millis().max(1);
     let oldest = current.saturating_sub(1 + u64::try_from(overdue).unwrap_or(0));
     (oldest..current)
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -84,6 +84,12 @@
         self.reports.borrow().demand(workspace, Instant::now())
     }
 
+    /// longest time until the counts of all daemons have arrived at one that receives the sums of
+    /// the zones
+    pub fn counts_age(&self) -> Duration {
+        counts_age(self.reports.borrow().topology())
+    }
+
     /// the current topology
     pub fn topology(&self) -> Topology {
         self.reports.borrow().topology().clone()
@@ -141,6 +147,18 @@
     }
 }
 
+/// longest time until the counts of all daemons have arrived at one that receives the sums of the
+/// zones
+pub fn counts_age(topology: &Topology) -> Duration {
+    report_interval(topology) + ZONE_SUM_INTERVAL + CALL_TIMEOUT
+}
+
+/// interval between two reports of a daemon to the same peer
+pub fn report_interval(topology: &Topology) -> Duration {
+    let seconds = topology.group_peers().len() as f64 / MAX_REPORTS_PER_SECOND;
+    REPORT_INTERVAL.max(Duration::from_secs_f64(seconds))
+}
+
 /// joins the other daemons and exchanges reports for as long as the process runs
 pub async fn exchange_reports<D: Dialect, S: Objects>(
     shared: Rc<Shared<D>>,
@@ -223,9 +241,9 @@
         loop {
             let members = self.node.members();
             let topology = self.topology(&members);
-            let min_interval = topology.group_peers().len() as f64 / MAX_REPORTS_PER_SECOND;
-            let interval = REPORT_INTERVAL.max(Duration::from_secs_f64(min_interval));
+            let interval = report_interval(&topology);
             let jitter = rand::rng().random_range(0.9..1.1);
+            self.set_report_interval(interval);
             next = (next + interval.mul_f64(jitter)).max(Instant::now());
             let now = Instant::now();
             let sends_zone_sum = topology.forwards_sums() && now >= zone_sum_next;
@@ -250,6 +268,11 @@
         }
     }
 
+    fn set_report_interval(&self, interval: Duration) {
+        let mut placement = self.shared.placement.borrow_mut();
+        placement.set_report_interval(interval);
+    }
+
     /// sends drain notices as soon as they occur
     async fn run_updates(&self) {
         loop {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,7 +14,7 @@
 mod reports;
 mod topology;
 
-pub use exchange::{Peers, exchange_reports};
+pub use exchange::{Peers, counts_age, exchange_reports, report_interval};
 pub use following::follow_watchers;
 pub use report::{Report, Scope, Spending};
 pub use reports::Reports;
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use gateway::peers::{Peer, Report, Reports, Spending, Topology};
+use gateway::peers::{Peer, Report, Reports, Spending, Topology, counts_age};
 use proptest::prelude::*;
 use route::placement::{Load, Rate};
 use route::trust::Role;
@@ -261,6 +261,20 @@
     }
 }
 
+/// the holder of the lease takes a window as complete only after the counts of all have arrived
+#[test]
+fn age_of_counts_covers_a_round_of_reports_and_the_sums_of_zones() {
+    let age = |zones, per_zone| {
+        let peers = fleet(zones, per_zone);
+        counts_age(&Topology::new(peers[0].clone(), &peers))
+    };
+    assert!(age(1, 8) < Duration::from_millis(2500));
+    // 48 reports at 12 a second, and the exchange of sums
+    assert!(age(6, 49) >= Duration::from_millis(4000 + 1200));
+    // usage is due 10 s after its window, and a successor needs 3 s
+    assert!(age(6, 49) <= Duration::from_millis(7000));
+}
+
 #[test]
 fn standby_follows_the_watcher_and_followers_both() {
     let peers = fleet(1, 20);
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -20,8 +20,12 @@
 /// only some of them use a VM at a time
 const MIN_CONNECTIONS: u32 = 4;
 
-/// age after which the load reported by a peer is ignored
-const PEER_LOAD_TTL: Duration = Duration::from_millis(2500);
+/// age after which the load reported by a peer is ignored, if peers report more often
+const MIN_PEER_LOAD_TTL: Duration = Duration::from_millis(2500);
+
+/// report intervals after which it is ignored otherwise: with hundreds of daemons, a load that is
+/// seconds old is still right on average, and without it VMs seem idle
+const PEER_LOAD_INTERVALS: f64 = 1.5;
 
 /// weight of a new outcome in a service's baseline failure rate
 const BASELINE_WEIGHT: f64 = 0.01;
@@ -104,6 +108,7 @@
     peer_loads: HashMap<String, PeerLoads>,
     pending_prefills: Vec<Prefill>,
     daemons: u32,
+    report_interval: Duration,
 }
 
 impl Balancer {
@@ -137,6 +142,16 @@
         self.daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
     }
 
+    /// sets the interval at which each peer reports its load
+    pub fn set_report_interval(&mut self, interval: Duration) {
+        self.report_interval = interval;
+    }
+
+    /// age after which the load reported by a peer is ignored
+    fn peer_load_ttl(&self) -> Duration {
+        MIN_PEER_LOAD_TTL.max(self.report_interval.mul_f64(PEER_LOAD_INTERVALS))
+    }
+
     /// sets the load that a peer reported
     pub fn set_peer_loads(&mut self, peer: &str, loads: HashMap<String, Load>, now: Instant) {
         let report = PeerLoads {
@@ -144,8 +159,9 @@
             loads,
         };
         self.peer_loads.insert(peer.to_owned(), report);
+        let ttl = self.peer_load_ttl();
         self.peer_loads
-            .retain(|_, report| now.saturating_duration_since(report.received_at) < PEER_LOAD_TTL);
+            .retain(|_, report| now.saturating_duration_since(report.received_at) < ttl);
     }
 
     /// adds the prompt parts that VMs prefill for a peer
@@ -373,7 +389,7 @@
         let mut load = entry.local;
         for report in self.peer_loads.values() {
             let age = now.saturating_duration_since(report.received_at);
-            if age >= PEER_LOAD_TTL {
+            if age >= self.peer_load_ttl() {
                 continue;
             }
             if let Some(peer_load) = report.loads.get(&entry.member.id) {
--- a/crates/route/tests/placement/main.rs
+++ b/crates/route/tests/placement/main.rs
@@ -1,5 +1,6 @@
 //! Replays of the load patterns that `route::placement` handles.
 
+mod report_interval;
 mod stale_reports;
 
 use std::collections::HashMap;
