Compete for the lease only once the rank is known

Change: a daemon with peers waits 2 s before it competes; after a restart of all the old lease lasts longer. Test: duties.rs, failed first.

--- a/crates/gateway/src/duty/lease.rs
+++ b/crates/gateway/src/duty/lease.rs
@@ -29,6 +29,10 @@
 /// fraction of the lease's duration between two reads by a candidate; each read is billed
 const POLL_FRACTION: f64 = 0.5;
 
+/// time after the start until the members are known, and with them this daemon's rank: a holder
+/// keeps the lease, and one that receives the sums of the zones has the counts of all soonest
+const RANK_TIME: Duration = Duration::from_millis(2000);
+
 /// lease durations in which one of every [`STANDBYS_PER_READ`] standby daemons reads the lease:
 /// standbys take over only if all candidates have failed
 const STANDBY_READ_LEASES: u32 = 2;
@@ -57,6 +61,8 @@
     generation: Rc<Generation>,
     protocol_generation: Cell<u64>,
     duration: Duration,
+    /// whether there are no peers, so that the rank is known from the start
+    is_alone: bool,
     peers: Rc<Peers>,
 }
 
@@ -77,6 +83,7 @@
             generation: Rc::clone(&shared.generation),
             protocol_generation: Cell::new(0),
             duration: shared.settings.policy.lease,
+            is_alone: shared.settings.is_alone,
             peers: Rc::clone(peers),
         })
     }
@@ -103,6 +110,10 @@
     /// A daemon that stops lets the lease expire instead of releasing it, so that no other
     /// daemon can acquire and lose it again within the duration of the lease.
     pub async fn run<S: Objects>(self: Rc<Self>, store: Rc<S>) {
+        if !self.is_alone {
+            // before it has met the others, every daemon is the first in rank
+            sleep(RANK_TIME).await;
+        }
         let mut last_fence = None;
         loop {
             self.follow_generation();
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -32,7 +32,13 @@
 
 impl Daemon {
     fn start(name: &str, store: &FakeStore, cloud: &FakeCloud) -> Daemon {
-        let shared = Shared::new(daemon_settings(name), TestDialect, Pool::new());
+        Daemon::with(daemon_settings(name), store, cloud)
+    }
+
+    fn with(settings: Settings, store: &FakeStore, cloud: &FakeCloud) -> Daemon {
+        let name = settings.name.clone();
+        let name = name.as_str();
+        let shared = Shared::new(settings, TestDialect, Pool::new());
         let lease = Lease::new(&*shared, &Peers::new(name, "here"));
         let lease_task = Rc::clone(&lease).run(Rc::new(store.clone()));
         let usage = duty::report_usage(
@@ -427,3 +433,18 @@
         }
     });
 }
+
+/// all daemons of a fleet start at once, when each of them seems to be the first in rank
+#[test]
+fn daemon_with_peers_does_not_take_the_lease_before_it_knows_its_rank() {
+    run(async {
+        let (store, cloud) = (FakeStore::new(), FakeCloud::default());
+        let mut settings = daemon_settings("a");
+        settings.is_alone = false;
+        let daemon = Daemon::with(settings, &store, &cloud);
+        sleep(Duration::from_millis(1500)).await;
+        assert!(daemon.lease.permit().is_none());
+        assert!(store.spec("leases", "duties").is_none());
+        wait_for_lease(&daemon).await;
+    });
+}
