Wait for the peers' state only at the first start of all

Test: config.rs, failed first. The loop that follows the watcher is split, and can't fail on a group without members.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,8 +1,8 @@
 //! The configuration and the upstream VMs, as the object API has them.
 //!
-//! Two daemons of a group watch the object API for changes; the others receive the same state
-//! from these (`crate::relay`) and read the object API only at their start and when what they
-//! have received is too old. A watch that fails for any reason is followed by a list, since
+//! One daemon of a group watches the object API for changes; the others receive the same state
+//! from it (`crate::relay`) and read the object API only at their start, if no peer answers, and
+//! when what they have received is too old. A watch that fails for any reason is followed by a list, since
 //! changes made in between may no longer be in the store's history. So is a watch after the
 //! store was restored from a copy, since its revisions belong to another history.
 
--- a/crates/gateway/src/follow/vms.rs
+++ b/crates/gateway/src/follow/vms.rs
@@ -165,6 +165,8 @@
     for event in &watch.events {
         apply_event(shared, store, event, restoration);
     }
+    // an update of the candidates passes the list on, so nobody sees the new revision with the old
+    // list: there is no await in between
     let confirmed_at = if watch.events.is_empty() {
         super::confirmed_until(requested_at, shared.clock.now(), wait)
     } else {
--- a/crates/gateway/src/peers/following.rs
+++ b/crates/gateway/src/peers/following.rs
@@ -21,7 +21,7 @@
 /// interval at which a watcher checks whether it has become a follower
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// follows the watchers of this daemon's group for as long as the process runs
+/// follows the watcher or the standby of this daemon's group for as long as the process runs
 ///
 /// A watcher itself asks the other daemons while it does not reach the store.
 ///
@@ -37,28 +37,24 @@
     loop {
         let topology = topology();
         let now = Instant::now();
+        let was_fresh = is_fresh(shared);
         let names = match shared.role.get() {
-            Role::Standby if is_fresh(shared) => &topology.group_peers()[..1],
+            Role::Watcher if was_fresh => &[],
+            Role::Standby if was_fresh => topology.group_peers().get(..1).unwrap_or_default(),
             _ => topology.group_peers(),
         };
         let index = cursor.index(names.len(), topology.followed_peers(), topology.draw(), now);
-        let Some(name) = index
-            .filter(|_| shared.role.get() != Role::Watcher || !is_fresh(shared))
-            .and_then(|index| names.get(index))
-        else {
+        let Some(name) = index.and_then(|index| names.get(index)) else {
             sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         };
-        let wait = if is_fresh(shared) {
+        // without recent state, a call is not held
+        let wait = if was_fresh {
             shared.role.get().follow_wait(shared.settings.policy.drain)
         } else {
             Duration::ZERO
         };
-        let position = shared.followed_vms.get().unwrap_or(Position {
-            hash: shared.relay.vm_hash(),
-            ..Position::default()
-        });
-        let known = shared.relay.known(position, wait);
+        let known = known(shared, wait);
         let requested_at = shared.clock.now();
         let reply = call(name, &known, wait + REPLY_TIME).await;
         let is_silent = reply.is_none();
@@ -72,8 +68,7 @@
             stand_in(shared, !is_current);
         }
         // the time of a call without a reply is lost already
-        let was_recent = !wait.is_zero();
-        let pause = if is_current || (is_silent && was_recent) {
+        let pause = if is_current || (is_silent && was_fresh) {
             Duration::ZERO
         } else {
             RETRY_PAUSE
@@ -82,6 +77,15 @@
     }
 }
 
+/// what this daemon asks another one for, and for how long the call may be held
+fn known<D: Dialect>(shared: &Shared<D>, wait: Duration) -> Known {
+    let position = shared.followed_vms.get().unwrap_or(Position {
+        hash: shared.relay.vm_hash(),
+        ..Position::default()
+    });
+    shared.relay.known(position, wait)
+}
+
 /// lets a standby act as the watcher, or stop doing so
 fn stand_in<D: Dialect>(shared: &Shared<D>, stands_in: bool) {
     if shared.stands_in.replace(stands_in) != stands_in {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -220,9 +220,13 @@
 
     /// whether a daemon that has just started may still get its first state from its peers, so that
     /// it need not call the store
+    ///
+    /// Only when the whole system starts for the first time, before there are callers: after a loss
+    /// of all daemons no peer has any state, and callers wait.
     pub fn awaits_peers(&self) -> bool {
+        let has_peers = self.settings.is_first_start && !self.settings.is_alone;
         let is_served = self.is_joined.get() && self.role.get() == Role::Watcher;
-        !self.settings.is_alone && !is_served && self.started.elapsed() < PEERS_TIME
+        has_peers && !is_served && self.started.elapsed() < PEERS_TIME
     }
 
     /// replaces the current configuration by a newer one
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -293,6 +293,24 @@
     });
 }
 
+/// after a loss of all daemons no peer has any state
+#[test]
+fn restarted_daemon_with_peers_reads_the_store_at_once() {
+    run(async {
+        let mut settings = support::settings();
+        settings.is_alone = false;
+        settings.is_first_start = false;
+        let store = support::FakeStore::new();
+        store.configure(|| config(1));
+        let harness = Harness::with(settings, store);
+        let start = std::time::Instant::now();
+        harness
+            .wait_until(|harness| harness.shared.is_ready())
+            .await;
+        assert!(start.elapsed() < Duration::from_millis(300));
+    });
+}
+
 #[test]
 fn follower_that_becomes_a_watcher_polls_at_once() {
     run(async {
--- a/crates/store/src/lease/mod.rs
+++ b/crates/store/src/lease/mod.rs
@@ -16,6 +16,11 @@
 //! with every renewal, so an upstream would reject the holder's own orders that
 //! are still in flight.
 //!
+//! A store that is restored from a copy may have lost the latest writes. After a
+//! restore no term holds, and none begins until all that were acquired before
+//! have expired ([`Protocol::on_restored`]); versions and tokens have to contain
+//! the number of restores, so that they rise all the same.
+//!
 //! [`Protocol`] implements the protocol without I/O; [`Lease`] makes the calls.
 
 mod holder;
