Let one daemon decide on each limit where reports take seconds

Cause: over zones, every daemon divides the same level anew each 1.2 s while other zones hear of it 3.6 s later, and a share of 1/84 of a limit is smaller than one request. Change: a limit has an owner, chosen by rendezvous hashing of the live members, that charges each request to its ledger; daemons ask it (150 ms at most) and spend their shares while it does not answer. The ledger starts at the level of the reports, subtracts what is reported beyond its grants, assumes that a zone without charges goes on as before, and grants on the smaller side of a partition only the part of its daemons. Groups of up to 12 daemons keep to shares.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod follow;
 mod freshness;
 mod generation;
+pub mod limits;
 pub mod listeners;
 pub mod log;
 pub mod metrics;
--- /dev/null
+++ b/crates/gateway/src/limits/charge.rs
@@ -0,0 +1,109 @@
+use std::time::Duration;
+
+use route::quota::Ledger;
+use schema::member::Member;
+use tokio::time::Instant;
+
+use super::message::{Charge, Ruling};
+use super::owners::Owner;
+use crate::adapter::Dialect;
+use crate::shared::Shared;
+
+/// method by which a daemon charges units to a limit that another one owns
+pub const CHARGE_METHOD: &str = "gateway_charge";
+
+/// time limit of a call to the owner of a limit, which the caller waits for: three times the round
+/// trip between regions
+const CHARGE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// charges units to the limit of a workspace; one without a limit is charged nothing
+///
+/// # Errors
+/// Returns the time until enough units are expected to be available.
+pub async fn charge<D: Dialect>(
+    shared: &Shared<D>,
+    workspace: &str,
+    units: f64,
+) -> Result<(), Duration> {
+    if !shared.quotas.borrow().contains_key(workspace) {
+        return Ok(());
+    }
+    let charge = Charge {
+        workspace: workspace.to_owned(),
+        zone: shared.settings.zone.clone(),
+        units,
+    };
+    let ruling = match shared.owners.find(workspace, Instant::now()) {
+        Owner::Local => rule(shared, &charge, true),
+        Owner::Peer(owner) => ask(shared, &owner, &charge).await,
+        Owner::Nobody => Ruling::NotOwner,
+    };
+    let now = Instant::now();
+    let mut quotas = shared.quotas.borrow_mut();
+    let Some(quota) = quotas.get_mut(workspace) else {
+        return Ok(());
+    };
+    match ruling {
+        Ruling::Granted => {
+            quota.record_spent(units, now);
+            Ok(())
+        }
+        Ruling::Refused { wait_ms } => {
+            quota.record_refused(units, now);
+            Err(Duration::from_millis(wait_ms))
+        }
+        Ruling::NotOwner => quota.spend(units, now),
+    }
+}
+
+/// decides on a charge of another daemon
+pub fn rule_for_peer<D: Dialect>(shared: &Shared<D>, charge: &Charge) -> Ruling {
+    if shared.owners.find(&charge.workspace, Instant::now()) != Owner::Local {
+        return Ruling::NotOwner;
+    }
+    rule(shared, charge, false)
+}
+
+/// decides on a charge to a limit that this daemon owns
+fn rule<D: Dialect>(shared: &Shared<D>, charge: &Charge, is_own: bool) -> Ruling {
+    let now = Instant::now();
+    let quotas = shared.quotas.borrow();
+    let Some(quota) = quotas.get(&charge.workspace) else {
+        return Ruling::NotOwner;
+    };
+    let part = shared.owners.part();
+    let (limit, level) = (quota.limit().part(part), quota.level() * part);
+    let mut ledgers = shared.ledgers.borrow_mut();
+    let ledger = ledgers
+        .entry(charge.workspace.clone())
+        .or_insert_with(|| Ledger::new(limit, level, now));
+    ledger.configure(limit, now);
+    ledger.resume(level, now);
+    let charged = if is_own {
+        ledger.charge(charge.units, now)
+    } else {
+        ledger.charge_peer(&charge.zone, charge.units, now)
+    };
+    charged.map_or_else(Ruling::refused, |()| Ruling::Granted)
+}
+
+/// asks the owner of a limit; one that does not answer is left alone for a while
+async fn ask<D: Dialect>(shared: &Shared<D>, owner: &Member, charge: &Charge) -> Ruling {
+    let Some(node) = shared.owners.node() else {
+        return Ruling::NotOwner;
+    };
+    let reply = node
+        .call::<Charge, Ruling>(owner, CHARGE_METHOD, charge, CHARGE_TIMEOUT)
+        .await;
+    match reply {
+        Ok(ruling) => ruling,
+        Err(error) => {
+            shared.owners.record_silence(&owner.vm, Instant::now());
+            if let Some(left_out) = shared.permit_log("limit_owner_silent") {
+                let workspace = &charge.workspace;
+                tracing::info!(event = "limit_owner_silent", peer = owner.vm, workspace, %error, left_out);
+            }
+            Ruling::NotOwner
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/limits/message.rs
@@ -0,0 +1,39 @@
+use std::time::Duration;
+
+use macro_rules_attribute::apply;
+use schema::message;
+
+/// a request to charge units to the limit of a workspace
+#[apply(message!)]
+pub struct Charge {
+    /// name of the workspace
+    pub workspace: String,
+    /// zone of the asking daemon
+    pub zone: String,
+    /// units of its limit
+    pub units: f64,
+}
+
+/// answer to a [`Charge`]
+#[apply(message!)]
+#[derive(Copy)]
+pub enum Ruling {
+    /// the units are charged
+    Granted,
+    /// the limit is spent
+    Refused {
+        /// time until the request should be repeated, milliseconds
+        wait_ms: u64,
+    },
+    /// the asked daemon does not decide on this limit
+    NotOwner,
+}
+
+impl Ruling {
+    /// a refusal with the time until the request should be repeated
+    pub fn refused(wait: Duration) -> Ruling {
+        Ruling::Refused {
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/limits/mod.rs
@@ -0,0 +1,20 @@
+//! Charges requests to the limits of workspaces.
+//!
+//! Two ways, both decided in `route::quota`:
+//!
+//! - Each daemon spends its share of a limit, derived from the reports of all daemons. This takes no
+//!   call, but shares divide a level that is as old as the reports.
+//! - In deployments of several zones, where reports take seconds, each limit has an owner: one
+//!   daemon, chosen by the name of the workspace, that decides on every request. Daemons ask it
+//!   before they send the request on. It opens its ledger at the level known from the reports.
+//!
+//! While the owner does not answer, or daemons differ on who it is, shares are spent; the owner
+//! subtracts what is reported beyond its grants.
+
+mod charge;
+mod message;
+mod owners;
+
+pub use charge::{CHARGE_METHOD, charge, rule_for_peer};
+pub use message::{Charge, Ruling};
+pub use owners::{Owner, Owners, choose};
--- /dev/null
+++ b/crates/gateway/src/limits/owners.rs
@@ -0,0 +1,117 @@
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use peer::Node;
+use schema::member::{Member, State};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// time for which a daemon that did not answer is not asked again
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// time for which the largest number of members counts: longer than a partition is expected to last
+const LARGEST_TTL: Duration = Duration::from_secs(60);
+
+/// who decides on a limit
+#[derive(Debug, Clone, PartialEq)]
+pub enum Owner {
+    /// this daemon
+    Local,
+    /// another daemon
+    Peer(Box<Member>),
+    /// nobody that can be asked: each daemon spends its share
+    Nobody,
+}
+
+/// the daemon that decides on each limit, and whether it answers
+///
+/// Every daemon derives the owners from the membership. Owners of different limits differ, so that
+/// the work is spread over all daemons and the loss of one of them concerns few workspaces.
+#[derive(Default)]
+pub struct Owners {
+    node: RefCell<Option<Node>>,
+    /// whether limits have owners and this daemon knows all daemons
+    is_enabled: Cell<bool>,
+    /// part of a limit that its owner may grant
+    part: Cell<f64>,
+    /// largest number of members and when it was last seen
+    largest: Cell<Option<(usize, Instant)>>,
+    /// daemons that are not asked before a time
+    silent: RefCell<HashMap<String, Instant>>,
+}
+
+impl Owners {
+    /// sets the membership of which the owners are chosen
+    pub fn set_node(&self, node: Node) {
+        *self.node.borrow_mut() = Some(node);
+    }
+
+    /// derives from the number of members and of registered daemons whether limits have owners, and
+    /// which part of a limit an owner may grant
+    ///
+    /// There are none while daemons are missing just after the start. On the smaller side of a
+    /// partition they grant the part of its daemons, since the other side grants the rest.
+    pub fn set_daemons(&self, members: usize, registered: usize, now: Instant) {
+        let (largest, seen_at) = self.largest.get().unwrap_or((members, now));
+        if members >= largest || now > seen_at + LARGEST_TTL {
+            self.largest.set(Some((members, now)));
+        }
+        let is_majority = members >= largest || 2 * members > largest;
+        let fraction = members as f64 / largest.max(1) as f64;
+        self.part.set(if is_majority { 1.0 } else { fraction });
+        self.is_enabled.set(members >= registered);
+    }
+
+    /// part of a limit that its owner may grant
+    pub fn part(&self) -> f64 {
+        self.part.get()
+    }
+
+    /// lets each daemon spend its share
+    pub fn disable(&self) {
+        self.is_enabled.set(false);
+    }
+
+    /// this daemon's node, once it has joined the others
+    pub fn node(&self) -> Option<Node> {
+        self.node.borrow().clone()
+    }
+
+    /// the owner of a workspace's limit
+    pub fn find(&self, workspace: &str, now: Instant) -> Owner {
+        if !self.is_enabled.get() {
+            return Owner::Nobody;
+        }
+        let Some(node) = self.node() else {
+            return Owner::Nobody;
+        };
+        let members: Arc<[Member]> = node.members();
+        let Some(owner) = choose(&members, workspace) else {
+            return Owner::Nobody;
+        };
+        if owner.vm == node.me().vm {
+            return Owner::Local;
+        }
+        let silent_until = self.silent.borrow().get(&owner.vm).copied();
+        if silent_until.is_some_and(|until| now < until) {
+            return Owner::Nobody;
+        }
+        Owner::Peer(Box::new(owner.clone()))
+    }
+
+    /// records that a daemon did not answer
+    pub fn record_silence(&self, vm: &str, now: Instant) {
+        let mut silent = self.silent.borrow_mut();
+        silent.retain(|_, until| now < *until);
+        silent.insert(vm.to_owned(), now + SILENCE);
+    }
+}
+
+/// the member that decides on the limit of a workspace, the same at all daemons (rendezvous hashing)
+pub fn choose<'a>(members: &'a [Member], workspace: &str) -> Option<&'a Member> {
+    let seed = xxh3_64(workspace.as_bytes());
+    let live = members.iter().filter(|member| member.state == State::Live);
+    live.max_by_key(|member| xxh3_64_with_seed(member.vm.as_bytes(), seed))
+}
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -17,6 +17,7 @@
 use super::topology::{Peer, Topology};
 use crate::adapter::{Dialect, Objects};
 use crate::freshness::Confirmation;
+use crate::limits::rule_for_peer;
 use crate::relay::{Known, Reply};
 use crate::shared::Shared;
 use crate::usage::{Counts, Snapshot};
@@ -140,9 +141,21 @@
     fn rebalance<D: Dialect>(&self, shared: &Shared<D>, elapsed: Duration) {
         let now = Instant::now();
         let mut reports = self.reports.borrow_mut();
-        shared.set_daemons(reports.daemons(now));
+        let daemons = reports.daemons(now);
+        shared.set_daemons(daemons);
+        let topology = reports.topology();
+        if topology.has_remote_zones() {
+            shared.owners.set_daemons(topology.daemons(), daemons, now);
+        } else {
+            shared.owners.disable();
+        }
+        let mut ledgers = shared.ledgers.borrow_mut();
         for (workspace, quota) in shared.quotas.borrow_mut().iter_mut() {
-            quota.apply_peers(&reports.peer_spending(workspace, elapsed, now), now);
+            let peers = reports.peer_spending(workspace, elapsed, now);
+            quota.apply_peers(&peers, now);
+            if let Some(ledger) = ledgers.get_mut(workspace) {
+                ledger.record_reported(peers.spent, now);
+            }
         }
     }
 }
@@ -172,6 +185,7 @@
         .borrow_mut()
         .set_registered(registered, Instant::now());
     *peers.node.borrow_mut() = Some(node.clone());
+    shared.owners.set_node(node.clone());
     let reporter = Reporter {
         shared: Rc::clone(&shared),
         peers: Rc::clone(&peers),
@@ -216,6 +230,11 @@
                     }
                 }
             }
+            Message::Charge(charge, reply) => {
+                if reply.send(rule_for_peer(shared, &charge)).is_err() {
+                    tracing::debug!(event = "charge_given_up", workspace = charge.workspace);
+                }
+            }
         }
     }
 }
--- a/crates/gateway/src/peers/join.rs
+++ b/crates/gateway/src/peers/join.rs
@@ -7,12 +7,14 @@
 use rand::Rng;
 use serde_json::{Value, json};
 use tokio::sync::mpsc::Sender;
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 use super::report::{Report, Update};
 use crate::Confirmation;
 use crate::adapter::{Dialect, ObjectError, Objects, Write};
 use crate::freshness::Freshness;
+use crate::limits::{CHARGE_METHOD, Charge, Ruling};
 use crate::relay::{Known, Relay, Reply};
 use crate::shared::Shared;
 
@@ -36,6 +38,7 @@
 pub(super) enum Message {
     Report(Box<Report>),
     Update(Update),
+    Charge(Charge, oneshot::Sender<Ruling>),
 }
 
 /// pause before joining is tried again, before jitter
@@ -92,6 +95,19 @@
         }
     });
     added.expect("the names are distinct");
+    let charge_sender = sender.clone();
+    let added = module.register_async_method(CHARGE_METHOD, move |params, _, _| {
+        let sender = charge_sender.clone();
+        async move {
+            let charge: Charge = params.one()?;
+            let (reply, ruling) = oneshot::channel();
+            enqueue(&sender, Message::Charge(charge, reply));
+            // without a ruling, the message was dropped and the asking daemon spends its share
+            let ruling = ruling.await.unwrap_or(Ruling::NotOwner);
+            Ok::<Ruling, jsonrpsee::types::ErrorObjectOwned>(ruling)
+        }
+    });
+    added.expect("the names are distinct");
     let update_sender = sender.clone();
     let added = module.register_method(REPORT_METHOD, move |params, (), _| {
         let report: Report = params.one()?;
--- a/crates/gateway/src/peers/topology.rs
+++ b/crates/gateway/src/peers/topology.rs
@@ -108,6 +108,11 @@
         &self.remote_delegates
     }
 
+    /// whether reports of some daemons arrive as sums of their zones, seconds late
+    pub fn has_remote_zones(&self) -> bool {
+        !self.is_single_group
+    }
+
     /// whether this daemon forwards the sum of the remote zones to its zone
     pub fn forwards_sums(&self) -> bool {
         !self.is_single_group && self.zone_rank == 0
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -16,6 +16,7 @@
 use super::request::Request;
 use super::{Body, Failure, Reason, plain, stream};
 use crate::adapter::Dialect;
+use crate::limits;
 use crate::model::{Call, Config, Limit, Route, Unit, Workspace};
 use crate::shared::Shared;
 
@@ -106,7 +107,8 @@
     let body = read_body(&head, body, config.bounds.body_bytes, body_deadline).await;
     let body = body.map_err(|reason| refuse(Failure::new(reason)))?;
     if let Some(workspace) = &workspace {
-        charge(shared, workspace, &call).map_err(|failure| Refused {
+        let charged = charge(shared, workspace, &call).await;
+        charged.map_err(|failure| Refused {
             workspace: Some(workspace.name.clone()),
             ..refuse(failure)
         })?;
@@ -125,9 +127,8 @@
         .iter()
         .map(|part| (part.id, part.tokens))
         .collect();
-    let kinds = config.kinds(&service);
     Ok(Request {
-        kinds,
+        kinds: config.kinds(&service),
         hash,
         head,
         call,
@@ -216,7 +217,7 @@
 }
 
 /// charges a request to the limit of its workspace
-fn charge<D: Dialect>(
+async fn charge<D: Dialect>(
     shared: &Shared<D>,
     workspace: &Workspace,
     call: &Call,
@@ -225,26 +226,24 @@
         return Ok(());
     };
     let units = request_units(limit, call);
-    let mut quotas = shared.quotas.borrow_mut();
-    let Some(quota) = quotas.get_mut(&workspace.name) else {
+    let Err(wait) = limits::charge(shared, &workspace.name, units).await else {
         return Ok(());
     };
-    let now = Instant::now();
-    let Err(wait) = quota.spend(units, now) else {
-        return Ok(());
-    };
-    let (level, share, demand) = (quota.level(), quota.share(), quota.demand(now));
     if let Some(left_out) = shared.permit_log("limit_spent") {
+        let mut quotas = shared.quotas.borrow_mut();
+        let quota = quotas.get_mut(&workspace.name);
+        let now = Instant::now();
         tracing::info!(
             event = "limit_spent",
             request = call.id,
             workspace = workspace.name,
             units,
-            level = level.round(),
-            share,
-            own_demand = demand.round(),
+            level = quota.as_ref().map(|quota| quota.level().round()),
+            share = quota.as_ref().map(|quota| quota.share()),
+            own_demand = quota.map(|quota| quota.demand(now).round()),
             rate = limit.rate,
             daemons = shared.daemons.get(),
+            wait_ms = wait.as_millis() as u64,
             left_out,
         );
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use route::placement::{Balancer, Distance, Member, Pick};
-use route::quota::{self, Quota};
+use route::quota::{self, Ledger, Quota};
 use route::retry::{Allowance, RepeatLimit};
 use route::trust::{self, Role, Trust};
 use tokio::sync::{Notify, watch};
@@ -22,6 +22,7 @@
 use crate::follow::Departed;
 use crate::freshness::{Confirmation, Freshness};
 use crate::generation::Generation;
+use crate::limits::Owners;
 use crate::log::Sampler;
 use crate::metrics::Metrics;
 use crate::model::{Config, Health, Limit, Vm};
@@ -83,6 +84,10 @@
     pub placement: RefCell<Balancer>,
     /// limits by workspace
     pub quotas: RefCell<HashMap<String, Quota>>,
+    /// limits that this daemon decides on for all daemons, by workspace
+    pub ledgers: RefCell<HashMap<String, Ledger>>,
+    /// the daemons that decide on limits
+    pub owners: Owners,
     /// retry budgets by service
     pub allowances: RefCell<HashMap<String, Allowance>>,
     /// number of daemons, this one included; see [`Shared::set_daemons`]
@@ -131,6 +136,8 @@
             vms_changed: Notify::new(),
             placement: RefCell::new(Balancer::new()),
             quotas: RefCell::default(),
+            ledgers: RefCell::default(),
+            owners: Owners::default(),
             allowances: RefCell::default(),
             daemons: Cell::new(INITIAL_DAEMONS),
             restored: RefCell::default(),
@@ -239,7 +246,9 @@
                 limits.insert(&workspace.name, limit);
             }
         }
+        let mut ledgers = self.ledgers.borrow_mut();
         quotas.retain(|name, _| limits.contains_key(name.as_str()));
+        ledgers.retain(|name, _| limits.contains_key(name.as_str()));
         let share = 1.0 / self.daemons.get() as f64;
         let restored = self.restored.borrow();
         let wall_clock = self.wall_clock.now();
@@ -256,7 +265,7 @@
                 }
             }
         }
-        drop((quotas, restored));
+        drop((quotas, ledgers, restored));
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.configured.notify_waiters();
         self.update_candidates();
--- a/crates/route/src/quota.rs
+++ b/crates/route/src/quota/quota.rs
@@ -1,30 +1,12 @@
-//! A daemon's share of a workspace's limit.
-//!
-//! A limit applies to all daemons together, and each of them sees only some of the traffic.
-//! Every daemon tracks the level of one token bucket that stands for all of them: refilled
-//! at the limit's rate, drained by its own spending and by the spending that its peers
-//! report. Between two reports it may spend its share of that level, in proportion to its
-//! demand. A fixed fraction is split evenly, so that a daemon without demand so far can
-//! start. A workspace below its limit is thus refused nowhere, however unevenly its callers
-//! are distributed, and one above its limit is held to it by all daemons together. Until
-//! their next report, peers are assumed to spend at the rate of the previous interval.
-//! Peers that stop reporting are assumed to keep spending at the demand they last reported.
-//!
-//! Load patterns: one workspace sends many times its limit through a few daemons, while the
-//! other workspaces stay below their limits and must not be refused; a small workspace sends
-//! a large request to a daemon that rarely sees it.
-
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use super::{LARGE_REQUEST_FRACTION, Limit, MIN_RETRY_AFTER, PeerSpending};
+
 /// fraction of the level that is split evenly between the daemons
 const EVEN_FRACTION: f64 = 0.4;
 
-/// fraction of this daemon's share of the burst that suffices for a request of any size; the
-/// level may then go below zero, and later requests wait until it has recovered
-const LARGE_REQUEST_FRACTION: f64 = 0.4;
-
 /// fraction of a full bucket above which small requests are admitted without regard to the share
 const AMPLE_LEVEL_FRACTION: f64 = 0.5;
 
@@ -34,31 +16,6 @@
 /// time constant of the measured demand
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(3);
 
-/// shortest retry delay: a fraction of the interval between two peer reports
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
-
-/// a limit over all daemons, in units per second
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Limit {
-    /// units per second
-    pub rate: f64,
-    /// units that may be spent at once
-    pub burst: f64,
-}
-
-/// spending and demand reported by the peers
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct PeerSpending {
-    /// units spent since the last report
-    pub spent: f64,
-    /// units requested per second
-    pub demand: f64,
-    /// number of daemons, this one included
-    pub daemons: usize,
-    /// whether some of the peers have not reported yet
-    pub is_partial: bool,
-}
-
 /// level of a limit's bucket, and this daemon's share of it
 #[derive(Debug, Clone)]
 pub struct Quota {
@@ -126,16 +83,13 @@
     /// # Errors
     /// Returns the time until enough units are available.
     pub fn spend(&mut self, units: f64, now: Instant) -> Result<(), Duration> {
-        self.advance(now);
-        self.offered += units / DEMAND_TIME_CONSTANT.as_secs_f64();
+        self.offer(units, now);
         let largest_needed = LARGE_REQUEST_FRACTION * self.limit.burst * self.share;
         let needed = units.min(largest_needed);
         let is_ample = self.level > AMPLE_LEVEL_FRACTION * self.limit.burst;
         let is_small = is_ample && units <= SMALL_REQUEST_FRACTION * self.level;
         if needed <= self.budget || is_small {
-            self.budget -= units;
-            self.level -= units;
-            self.spent += units;
+            self.deduct(units);
             return Ok(());
         }
         let missing = needed - self.budget;
@@ -144,6 +98,22 @@
         Err(wait.max(MIN_RETRY_AFTER))
     }
 
+    /// records units that the limit's owner granted
+    pub fn record_spent(&mut self, units: f64, now: Instant) {
+        self.offer(units, now);
+        self.deduct(units);
+    }
+
+    /// records units that the limit's owner refused
+    pub fn record_refused(&mut self, units: f64, now: Instant) {
+        self.offer(units, now);
+    }
+
+    /// the limit over all daemons
+    pub fn limit(&self) -> Limit {
+        self.limit
+    }
+
     /// units requested per second, refused ones included
     pub fn demand(&mut self, now: Instant) -> f64 {
         self.advance(now);
@@ -165,6 +135,17 @@
         self.share
     }
 
+    fn offer(&mut self, units: f64, now: Instant) {
+        self.advance(now);
+        self.offered += units / DEMAND_TIME_CONSTANT.as_secs_f64();
+    }
+
+    fn deduct(&mut self, units: f64) {
+        self.budget -= units;
+        self.level -= units;
+        self.spent += units;
+    }
+
     fn advance(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.updated_at).as_secs_f64();
         let filled = self.limit.rate * passed;
--- a/crates/route/tests/quota_zones.rs
+++ b/crates/route/tests/quota_zones.rs
@@ -1,14 +1,15 @@
 //! A limit shared by daemons of several zones, whose reports take seconds to reach other zones.
 //!
 //! Replays the load under which a workspace exceeded its limit on deployments of 65 to 85 daemons:
-//! its traffic jumps to a multiple of its limit everywhere at once.
+//! its traffic jumps to a multiple of its limit everywhere at once. Daemons ask the limit's owner,
+//! and spend their shares while it is lost or they are cut off from it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use route::quota::{Limit, PeerSpending, Quota};
+use route::quota::{Ledger, Limit, PeerSpending, Quota};
 use tokio::time::Instant;
 
 const ZONES: usize = 6;
@@ -25,6 +26,9 @@
 const ZONE_DELAY: usize = 12;
 const REMOTE_DELAY: usize = 36;
 
+/// steps without a report after which a daemon is assumed to spend what it last requested
+const REPORT_TIMEOUT: usize = 20;
+
 /// limit that the deployment states, per second and at once, and what may be spent beyond it
 const RATE: f64 = 480_000.0;
 const BURST: f64 = 560_000.0;
@@ -44,8 +48,35 @@
     next_report: usize,
 }
 
+impl Daemon {
+    /// charges a request to the owner's ledger, or else to this daemon's share
+    fn charge(
+        &mut self,
+        ledger: Option<&mut Ledger>,
+        zone: usize,
+        units: f64,
+        now: Instant,
+    ) -> bool {
+        let Some(ledger) = ledger else {
+            return self.quota.spend(units, now).is_ok();
+        };
+        let charged = ledger.charge_peer(&zone.to_string(), units, now);
+        match charged {
+            Ok(()) => self.quota.record_spent(units, now),
+            Err(_) => self.quota.record_refused(units, now),
+        }
+        charged.is_ok()
+    }
+}
+
 struct Fleet {
     daemons: Vec<Daemon>,
+    /// the limit's owner and its ledger; none while it is lost
+    owner: Option<(usize, Ledger)>,
+    /// step since which the daemons of the first zone reach no other zone
+    cut_at: Option<usize>,
+    /// ledger that these daemons charge, once they have noticed the cut
+    cut_ledger: Option<Ledger>,
     rng: ChaCha8Rng,
     now: Instant,
     step: usize,
@@ -73,7 +104,11 @@
                 next_report: rng.random_range(0..12),
             });
         }
+        let owner = DAEMONS - 1;
         Fleet {
+            owner: Some((owner, Ledger::new(limit, BURST, now))),
+            cut_at: None,
+            cut_ledger: None,
             daemons,
             rng,
             now,
@@ -89,13 +124,19 @@
         let mean = f64::midpoint(SIZES.start, SIZES.end);
         let per_step = load * RATE * STEP.as_secs_f64() / mean / DAEMONS as f64;
         for _ in 0..steps {
-            for daemon in &mut self.daemons {
+            for (index, daemon) in self.daemons.iter_mut().enumerate() {
+                let reaches_owner = !(self.cut_at.is_some() && index < PER_ZONE);
+                let mut ledger = if reaches_owner {
+                    self.owner.as_mut().map(|(_, ledger)| ledger)
+                } else {
+                    self.cut_ledger.as_mut()
+                };
                 let mut left = per_step;
                 while self.rng.random::<f64>() < left {
                     left -= 1.0;
                     let units = self.rng.random_range(SIZES);
                     self.offered += units;
-                    if daemon.quota.spend(units, self.now).is_err() {
+                    if !daemon.charge(ledger.as_deref_mut(), index / PER_ZONE, units, self.now) {
                         self.refused += units;
                     }
                 }
@@ -114,31 +155,65 @@
 
     /// applies what a daemon knows of its peers
     fn report(&mut self, index: usize) {
-        let (mut spent, mut demand) = (0.0, 0.0);
+        let (mut spent, mut assumed, mut demand) = (0.0, 0.0, 0.0);
         for (other, daemon) in self.daemons.iter().enumerate() {
             if other == index {
                 continue;
             }
             let is_local = other / PER_ZONE == index / PER_ZONE;
             let delay = if is_local { ZONE_DELAY } else { REMOTE_DELAY };
-            let at = self.step.saturating_sub(delay);
+            let mut at = self.step.saturating_sub(delay);
+            let is_cut = (other < PER_ZONE) != (index < PER_ZONE);
+            if let Some(cut_at) = self.cut_at.filter(|_| is_cut) {
+                at = at.min(cut_at);
+                let is_silent = self.step > cut_at + delay + REPORT_TIMEOUT;
+                // the demand last heard of, for the time since the previous report
+                let interval = REPORT_INTERVAL.as_secs_f64();
+                assumed += if is_silent {
+                    daemon.demand[at] * interval
+                } else {
+                    0.0
+                };
+            }
             spent += daemon.spent[at];
             demand += daemon.demand[at];
         }
         let now = self.now;
         let daemon = &mut self.daemons[index];
         let peers = PeerSpending {
-            spent: spent - daemon.applied,
+            spent: (spent - daemon.applied).max(0.0) + assumed,
             demand,
             daemons: DAEMONS,
             is_partial: false,
         };
         daemon.quota.apply_peers(&peers, now);
-        daemon.applied = spent;
+        daemon.applied = daemon.applied.max(spent);
+        if let Some((_, ledger)) = self.owner.as_mut().filter(|(owner, _)| *owner == index) {
+            ledger.record_reported(peers.spent, now);
+        }
         let interval = REPORT_INTERVAL.as_millis() / STEP.as_millis();
         daemon.next_report = self.step + interval as usize;
     }
 
+    /// loses the owner; the next one opens its ledger after a time, in which shares are spent
+    fn replace_owner(&mut self, load: f64, time: Duration) {
+        let (lost, _) = self.owner.take().expect("an owner");
+        self.run(load, time);
+        let next = lost - 1;
+        let quota = &self.daemons[next].quota;
+        let ledger = Ledger::new(quota.limit(), quota.level(), self.now);
+        self.owner = Some((next, ledger));
+    }
+
+    fn assert_within_limit(&self, case: &str) {
+        let (worst, allowed) = (self.worst_window(), allowed());
+        let share = worst / allowed;
+        assert!(
+            share <= 1.0,
+            "{case}: {worst:.0} of {allowed:.0} ({share:.3})"
+        );
+    }
+
     /// most units spent in a window
     fn worst_window(&self) -> f64 {
         let total =
@@ -162,13 +237,7 @@
             let mut fleet = Fleet::new(seed);
             fleet.run(0.5, Duration::from_secs(12));
             fleet.run(load, Duration::from_secs(16));
-            let worst = fleet.worst_window();
-            let allowed = allowed();
-            let share = worst / allowed;
-            assert!(
-                share <= 1.0,
-                "seed {seed}, load {load}: {worst:.0} of {allowed:.0} ({share:.3})"
-            );
+            fleet.assert_within_limit(&format!("seed {seed}, load {load}"));
         }
     }
 }
@@ -182,3 +251,49 @@
         assert!(share < 0.01, "seed {seed}: {share:.4} refused");
     }
 }
+
+#[test]
+fn loss_of_the_owner_keeps_to_the_limit() {
+    for seed in 0..10 {
+        for load in [0.85, 1.6, 3.0, 8.0] {
+            let mut fleet = Fleet::new(seed);
+            fleet.run(load, Duration::from_secs(12));
+            fleet.replace_owner(load, Duration::from_secs(3));
+            fleet.run(load, Duration::from_secs(12));
+            fleet.replace_owner(load, Duration::from_millis(200));
+            fleet.run(load, Duration::from_secs(12));
+            fleet.assert_within_limit(&format!("seed {seed}, load {load}"));
+        }
+    }
+}
+
+#[test]
+fn cut_zone_keeps_to_the_limit_and_is_served() {
+    for seed in 0..10 {
+        for load in [0.85, 1.6, 3.0] {
+            let mut fleet = Fleet::new(seed);
+            fleet.run(load, Duration::from_secs(12));
+            let served = |fleet: &Fleet| -> f64 {
+                let zone = &fleet.daemons[..PER_ZONE];
+                zone.iter().map(|daemon| daemon.quota.spent()).sum()
+            };
+            let before = served(&fleet);
+            fleet.cut_at = Some(fleet.step);
+            fleet.run(load, Duration::from_secs(3));
+            let quota = &fleet.daemons[0].quota;
+            let part = 1.0 / ZONES as f64;
+            let ledger = Ledger::new(quota.limit().part(part), quota.level() * part, fleet.now);
+            fleet.cut_ledger = Some(ledger);
+            fleet.run(load, Duration::from_secs(7));
+            let share = (served(&fleet) - before) / (RATE * 10.0 / ZONES as f64);
+            assert!(
+                share > 0.5,
+                "seed {seed}, load {load}: {share:.2} of its part"
+            );
+            fleet.cut_at = None;
+            fleet.cut_ledger = None;
+            fleet.run(load, Duration::from_secs(16));
+            fleet.assert_within_limit(&format!("seed {seed}, load {load}"));
+        }
+    }
+}
