--- a/crates/gateway/src/limits/owners.rs
+++ b/crates/gateway/src/limits/owners.rs
@@ -54,11 +54,12 @@
     /// There are none while daemons are missing just after the start. On the smaller side of a
     /// partition they grant the part of its daemons, since the other side grants the rest.
     pub fn set_daemons(&self, members: usize, registered: usize, now: Instant) {
-        let (largest, seen_at) = self.largest.get().unwrap_or((members, now));
+        let (mut largest, seen_at) = self.largest.get().unwrap_or((members, now));
         if members >= largest || now > seen_at + LARGEST_TTL {
+            largest = members;
             self.largest.set(Some((members, now)));
         }
-        let is_majority = members >= largest || 2 * members > largest;
+        let is_majority = 2 * members > largest;
         let fraction = members as f64 / largest.max(1) as f64;
         self.part.set(if is_majority { 1.0 } else { fraction });
         self.is_enabled.set(members >= registered);
