Give back the units of requests that did not run

Cause: a request was charged before a VM was chosen, and kept its charge when it was refused for want of capacity. A caller that repeats it three times uses up its limit while nothing runs, and then gets 429 below its limit. QUOTA counts what a server runs. Change: a failure that states not-run is refunded to this daemon's quota and to the limit's owner; the reported total never decreases, the next spending is reduced instead. Measured: without the refund the new test fails (429 at the 11th of 30 requests refused by an empty service, see limits.rs); with it ten requests run once a VM registers.

--- a/crates/gateway/src/limits/message.rs
+++ b/crates/gateway/src/limits/message.rs
@@ -3,7 +3,7 @@
 use macro_rules_attribute::apply;
 use schema::message;
 
-/// a request to charge units to the limit of a workspace
+/// a request to charge units to the limit of a workspace, or to give them back
 #[apply(message!)]
 pub struct Charge {
     /// name of the workspace
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -10,11 +10,14 @@
 //!
 //! While the owner does not answer, or daemons differ on who it is, shares are spent; the owner
 //! subtracts what is reported beyond its grants.
+//!
+//! Load pattern: VMs are full, and callers repeat what was refused. A request that certainly did not
+//! run is refunded; else its repeats use up the limit without any work being done.
 
 mod charge;
 mod message;
 mod owners;
 
-pub use charge::{CHARGE_METHOD, charge, rule_for_peer};
+pub use charge::{CHARGE_METHOD, REFUND_METHOD, charge, refund, refund_peer, rule_for_peer};
 pub use message::{Charge, Ruling};
 pub use owners::{Owner, Owners, choose};
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -17,7 +17,7 @@
 use super::topology::{Peer, Topology};
 use crate::adapter::{Dialect, Objects};
 use crate::freshness::Confirmation;
-use crate::limits::rule_for_peer;
+use crate::limits::{refund_peer, rule_for_peer};
 use crate::relay::{Known, Reply};
 use crate::shared::Shared;
 use crate::usage::{Counts, Snapshot};
@@ -230,6 +230,7 @@
                     }
                 }
             }
+            Message::Refund(charge) => refund_peer(shared, &charge),
             Message::Charge(charge, reply) => {
                 if reply.send(rule_for_peer(shared, &charge)).is_err() {
                     tracing::debug!(event = "charge_given_up", workspace = charge.workspace);
--- a/crates/gateway/src/peers/join.rs
+++ b/crates/gateway/src/peers/join.rs
@@ -14,7 +14,7 @@
 use crate::Confirmation;
 use crate::adapter::{Dialect, ObjectError, Objects, Write};
 use crate::freshness::Freshness;
-use crate::limits::{CHARGE_METHOD, Charge, Ruling};
+use crate::limits::{CHARGE_METHOD, Charge, REFUND_METHOD, Ruling};
 use crate::relay::{Known, Relay, Reply};
 use crate::shared::Shared;
 
@@ -39,6 +39,7 @@
     Report(Box<Report>),
     Update(Update),
     Charge(Charge, oneshot::Sender<Ruling>),
+    Refund(Charge),
 }
 
 /// pause before joining is tried again, before jitter
@@ -108,6 +109,13 @@
         }
     });
     added.expect("the names are distinct");
+    let refund_sender = sender.clone();
+    let added = module.register_method(REFUND_METHOD, move |params, (), _| {
+        let charge: Charge = params.one()?;
+        enqueue(&refund_sender, Message::Refund(charge));
+        Ok::<(), jsonrpsee::types::ErrorObjectOwned>(())
+    });
+    added.expect("the names are distinct");
     let update_sender = sender.clone();
     let added = module.register_method(REPORT_METHOD, move |params, (), _| {
         let report: Report = params.one()?;
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -145,10 +145,11 @@
 /// sends a request to VMs and records the outcome
 async fn forward<D: Dialect>(shared: &Rc<Shared<D>>, request: Request) -> Response<Body> {
     let id = request.call.id.clone();
-    let workspace = request
-        .workspace
+    let workspace = request.workspace.as_ref().map(Rc::clone);
+    let limit = workspace
         .as_ref()
-        .map(|workspace| workspace.name.clone());
+        .and_then(|workspace| workspace.limit.as_ref());
+    let units = limit.map(|limit| request_units(limit, &request.call));
     let route = Rc::clone(&request.route);
     let arrived = request.arrived;
     let result = if route.kind.is_stream() {
@@ -164,6 +165,12 @@
             response
         }
         Err(failure) => {
+            let workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
+            if let (Some(workspace), Some(units)) = (&workspace, units)
+                && failure.reason.states_not_run()
+            {
+                limits::refund(shared, workspace, units);
+            }
             let refused = Refused {
                 id,
                 route: route.name.clone(),
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -1,10 +1,14 @@
 //! Bounds of a workspace's limit over a window, and when requests are refused.
 
+mod support;
+
+use std::rc::Rc;
 use std::time::Duration;
 
 use gateway::QuotaTolerance;
-use gateway::model::{Limit, Unit};
+use gateway::model::{Limit, Unit, Workspace};
 use route::quota::{self, Quota};
+use support::{FakeStore, FakeVm, Harness, Script, config, run, settings};
 use tokio::time::Instant;
 
 const TOLERANCE: QuotaTolerance = QuotaTolerance {
@@ -58,3 +62,48 @@
         .count();
     assert_eq!(refused, 0);
 }
+
+/// no VM is registered, and a caller repeats a request three times as often as its limit allows
+#[test]
+fn requests_that_did_not_run_do_not_use_up_the_limit() {
+    run(async {
+        let store = FakeStore::new();
+        store.configure(|| {
+            let mut config = config(1);
+            let workspace = Rc::new(Workspace {
+                name: "workspace-1".to_owned(),
+                priority: None,
+                limit: Some(Limit {
+                    unit: Unit::Requests,
+                    rate: 0.01,
+                    burst: 10.0,
+                }),
+            });
+            for key in config.keys.values_mut() {
+                *key = Rc::clone(&workspace);
+            }
+            config
+        });
+        let harness = Harness::with(settings(), store);
+        harness
+            .wait_until(|harness| harness.shared.is_ready())
+            .await;
+        for number in 0..30 {
+            let response = harness
+                .call("POST", "/once/a", &format!("id-{number}"))
+                .await;
+            assert_eq!(response.status, 503, "request {number}");
+        }
+        let vm = FakeVm::start("vm-1", "desk", Script::response(200, "done")).await;
+        harness.register(&[&vm]).await;
+        let mut served = 0;
+        for number in 30..45 {
+            let response = harness
+                .call("POST", "/once/a", &format!("id-{number}"))
+                .await;
+            served += usize::from(response.status == 200);
+        }
+        assert_eq!(served, 10);
+        assert_eq!(vm.requests().len(), 10);
+    });
+}
--- a/crates/route/src/quota/ledger.rs
+++ b/crates/route/src/quota/ledger.rs
@@ -140,6 +140,18 @@
         charged
     }
 
+    /// gives back the units of a request of this daemon that did not run
+    pub fn refund(&mut self, units: f64, now: Instant) {
+        self.advance(now);
+        self.level = (self.level + units).min(self.limit.burst);
+    }
+
+    /// gives back the units of a request of another daemon that did not run
+    pub fn refund_peer(&mut self, units: f64, now: Instant) {
+        self.refund(units, now);
+        self.granted -= units;
+    }
+
     /// subtracts what other daemons are reported to have spent beyond the grants: they spend their
     /// shares while they do not reach this daemon
     pub fn record_reported(&mut self, units: f64, now: Instant) {
--- a/crates/route/src/quota/quota.rs
+++ b/crates/route/src/quota/quota.rs
@@ -24,6 +24,8 @@
     budget: f64,
     share: f64,
     spent: f64,
+    /// units of requests that did not run, by which the next spending is reduced in the total
+    refunded: f64,
     offered: f64,
     peer_rate: f64,
     assumed_peer_spent: f64,
@@ -40,6 +42,7 @@
             budget: level * share,
             share,
             spent: 0.0,
+            refunded: 0.0,
             offered: 0.0,
             peer_rate: 0.0,
             assumed_peer_spent: 0.0,
@@ -104,6 +107,14 @@
         self.deduct(units);
     }
 
+    /// gives back the units of a request that did not run
+    pub fn refund(&mut self, units: f64, now: Instant) {
+        self.advance(now);
+        self.level = (self.level + units).min(self.limit.burst);
+        self.budget = (self.budget + units).min(self.limit.burst * self.share);
+        self.refunded += units;
+    }
+
     /// records units that the limit's owner refused
     pub fn record_refused(&mut self, units: f64, now: Instant) {
         self.offer(units, now);
@@ -120,7 +131,7 @@
         self.offered
     }
 
-    /// units spent since the start
+    /// units spent since the start; never decreases
     pub fn spent(&self) -> f64 {
         self.spent
     }
@@ -143,7 +154,9 @@
     fn deduct(&mut self, units: f64) {
         self.budget -= units;
         self.level -= units;
-        self.spent += units;
+        let reported = units.min(self.refunded);
+        self.refunded -= reported;
+        self.spent += units - reported;
     }
 
     fn advance(&mut self, now: Instant) {
--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use route::quota::{Limit, PeerSpending, Quota};
+use route::quota::{Ledger, Limit, PeerSpending, Quota};
 use tokio::time::Instant;
 
 /// interval between two reports of a daemon
@@ -213,3 +213,45 @@
         prop_assert!(shares <= 1.0 + 1e-9, "shares add up to {}", shares);
     }
 }
+
+#[test]
+fn refunds_restore_the_level_and_leave_no_gap_in_the_total() {
+    let now = Instant::now();
+    let mut quota = Quota::new(LIMIT, LIMIT.burst * 0.5, 1.0, now);
+    let mut ledger = Ledger::new(LIMIT, LIMIT.burst * 0.5, now);
+    let units = LIMIT.burst * 0.2;
+    let mut total = 0.0;
+    for _ in 0..20 {
+        assert!(quota.spend(units, now).is_ok());
+        assert!(quota.spent() >= total);
+        total = quota.spent();
+        quota.refund(units, now);
+        assert!(ledger.charge_peer("zone", units, now).is_ok());
+        ledger.refund_peer(units, now);
+    }
+    assert_eq!(total, units);
+    assert_eq!(quota.level(), LIMIT.burst * 0.5);
+    assert_eq!(ledger.level(), LIMIT.burst * 0.5);
+}
+
+#[test]
+fn refund_does_not_raise_the_level_above_the_burst() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(LIMIT, LIMIT.burst, now);
+    ledger.refund(LIMIT.burst, now);
+    assert_eq!(ledger.level(), LIMIT.burst);
+}
+
+#[test]
+fn spending_beyond_the_grants_is_subtracted_once() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(LIMIT, LIMIT.burst, now);
+    let units = LIMIT.burst * 0.1;
+    assert!(ledger.charge_peer("zone", units, now).is_ok());
+    ledger.record_reported(units, now);
+    assert_eq!(ledger.level(), LIMIT.burst - units);
+    ledger.record_reported(units, now);
+    assert_eq!(ledger.level(), LIMIT.burst - 2.0 * units);
+    ledger.record_reported(0.0, now);
+    assert_eq!(ledger.level(), LIMIT.burst - 2.0 * units);
+}
