Start with the newest revision of several daemons while the object API is away

Cause of the flaky test accepted_configurations_...: a daemon that starts in an outage took the revision of the first daemon that had any; that one was at 25 when the predecessor had published 26. Change: it asks up to eight daemons, those of its data centre first, and puts only the newest in force.

--- a/crates/daemon/src/config/follow.rs
+++ b/crates/daemon/src/config/follow.rs
@@ -2,18 +2,19 @@
 
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, bounded, tick};
 use crossbeam::select;
 use entry::Context;
 use peer::{Member, Publication};
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use schema::member::Fact;
 use store::config::{Revision, Watcher};
 
 use super::History;
-use super::message::{PULL, Pull, Update};
+use super::first::pull_newest;
+use super::message::{NO_REVISION, PULL, Pull, Update};
 
 /// duty of following the object API
 pub const DUTY: &str = "config";
@@ -25,8 +26,10 @@
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 /// capacity of the queue of revisions to put in force
 const QUEUE_CAPACITY: usize = 16;
-/// revision number in a pull that is answered with the complete revision
-const NO_REVISION: u64 = 0;
+/// daemons that a starting daemon asks while it has no revision
+const STARTUP_SOURCES: usize = 8;
+/// time after which a starting daemon asks no further ones if it has a revision
+const STARTUP_TIME: Duration = Duration::from_secs(2);
 
 /// follows the configuration in a thread of its own
 pub struct Follower {
@@ -111,11 +114,38 @@
             _ => (),
         }
         let newest_number = self.history.newest_number();
-        if newest_number == 0 || self.context.node.revision() > newest_number {
+        if newest_number == NO_REVISION {
+            self.pull_first();
+        } else if self.context.node.revision() > newest_number {
             self.pull(None);
         }
     }
 
+    /// pulls the newest revision that several daemons have, since any one of them may be behind
+    fn pull_first(&self) {
+        let deadline = Instant::now() + STARTUP_TIME;
+        let body = pull_newest(&self.startup_sources(), |member, have, has_revision| {
+            if has_revision && Instant::now() >= deadline {
+                return None;
+            }
+            self.call(member, have)
+        });
+        if let Some(body) = body {
+            self.history.apply_update(Update::Body(body));
+        }
+    }
+
+    /// members of this data centre, then others, each in random order
+    fn startup_sources(&self) -> Vec<Member> {
+        let me = self.context.node.me();
+        let mut members = self.context.node.members().to_vec();
+        members.retain(|member| member.instance != me.instance);
+        members.shuffle(&mut rand::rng());
+        members.sort_by_key(|member| member.data_centre != me.data_centre);
+        members.truncate(STARTUP_SOURCES);
+        members
+    }
+
     /// pulls from the daemon that published the revision, else from others, until one has a newer
     /// revision
     fn pull(&self, publisher: Option<u64>) {
@@ -131,17 +161,21 @@
     }
 
     fn pull_from(&self, member: &Member, have: u64) -> bool {
+        self.call(member, have)
+            .is_none_or(|update| self.history.apply_update(update))
+    }
+
+    /// asks a daemon for its revision; none if it does not answer
+    fn call(&self, member: &Member, have: u64) -> Option<Update> {
         let result: Result<Update, _> =
             self.context
                 .node
                 .call_blocking(member, PULL, &Pull { have }, PULL_TIMEOUT);
-        match result {
-            Ok(update) => self.history.apply_update(update),
-            Err(error) => {
+        result
+            .inspect_err(|error| {
                 tracing::debug!(event = "config_pull_failed", from = member.vm, %error);
-                true
-            }
-        }
+            })
+            .ok()
     }
 
     /// up to three daemons to pull from: the publisher, one of the data centre, one of the fleet
--- a/crates/daemon/src/config/message.rs
+++ b/crates/daemon/src/config/message.rs
@@ -8,6 +8,9 @@
 /// method that pulls a revision
 pub const PULL: &str = "config_pull";
 
+/// revision number in a pull that is answered with the complete revision
+pub const NO_REVISION: u64 = 0;
+
 /// request for the newest revision
 #[apply(message!)]
 pub struct Pull {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,7 +9,7 @@
 mod app;
 mod args;
 mod capacity;
-mod config;
+pub mod config;
 mod error;
 mod gauges;
 mod load;
