Collect the reports of a zone at two hubs that answer with those of all others

Zone sums go out each 0.8 s. A report that no longer comes on this path is dropped when a daemon becomes a hub or stops being one.

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,11 +12,10 @@
 
 use super::following::follow_watchers;
 use super::join::{FOLLOW_METHOD, Message, REPORT_METHOD, UPDATE_METHOD, join};
-use super::report::{Report, Scope, Spending, Update};
+use super::report::{Answer, Report, Scope, Spending, Update};
 use super::reports::Reports;
 use super::topology::{Peer, Topology};
 use crate::adapter::{Dialect, Objects};
-use crate::freshness::Confirmation;
 use crate::limits::{refund_peer, rule_for_peer};
 use crate::relay::{Known, Reply};
 use crate::shared::Shared;
@@ -25,12 +24,15 @@
 /// interval between two reports to the same peer in small deployments
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// reports per second of one daemon, which bounds its traffic to about 5 KB/s: a zone of 49 is
-/// covered in 4 s
+/// reports per second that a hub answers, each with the loads of all VMs: a zone of 49 has one
+/// round a second
+const MAX_ANSWERS_PER_SECOND: f64 = 50.0;
+
+/// reports per second of a daemon in a small deployment, which has no hubs
 const MAX_REPORTS_PER_SECOND: f64 = 12.0;
 
 /// interval between two exchanges of sums between zones
-const ZONE_SUM_INTERVAL: Duration = Duration::from_millis(1200);
+const ZONE_SUM_INTERVAL: Duration = Duration::from_millis(800);
 
 /// time for which drain notices are batched before they are sent: VMs stop in groups
 const UPDATE_BATCH_TIME: Duration = Duration::from_millis(10);
@@ -126,17 +128,27 @@
     /// applies a report to the placement state
     fn receive<D: Dialect>(&self, shared: &Shared<D>, report: Report) {
         let now = Instant::now();
-        if report.scope == Scope::Daemon && report.time_ms > 0 {
+        if report.scope != Scope::Zone && report.time_ms > 0 {
+            for (name, time_ms) in &report.times_ms {
+                shared.wall_clock.add_peer(name, *time_ms);
+            }
             shared.wall_clock.add_peer(&report.from, report.time_ms);
         }
         let mut reports = self.reports.borrow_mut();
         let mut placement = shared.placement.borrow_mut();
-        for part in reports.receive(report, now) {
-            placement.set_peer_loads(&part.from, part.loads.clone(), now);
-            placement.add_peer_prefills(&part.prefills, now);
+        if let Some(report) = reports.receive(report, now) {
+            placement.set_peer_loads(&report.from, report.loads.clone(), now);
+            placement.add_peer_prefills(&report.prefills, now);
         }
     }
 
+    /// the sum of all daemons but the one that sent this report, if this daemon collects them
+    fn others(&self, receiver: &Report) -> Option<Box<Report>> {
+        let mut reports = self.reports.borrow_mut();
+        let is_asked = receiver.wants_others && reports.topology().is_hub();
+        is_asked.then(|| Box::new(reports.others(receiver, Instant::now())))
+    }
+
     /// updates this daemon's share of each limit from the spending and demand of all daemons
     fn rebalance<D: Dialect>(&self, shared: &Shared<D>, elapsed: Duration) {
         let now = Instant::now();
@@ -168,7 +180,12 @@
 
 /// interval between two reports of a daemon to the same peer
 pub fn report_interval(topology: &Topology) -> Duration {
-    let seconds = topology.group_peers().len() as f64 / MAX_REPORTS_PER_SECOND;
+    let per_second = if topology.has_remote_zones() {
+        MAX_ANSWERS_PER_SECOND
+    } else {
+        MAX_REPORTS_PER_SECOND
+    };
+    let seconds = topology.group_peers().len() as f64 / per_second;
     REPORT_INTERVAL.max(Duration::from_secs_f64(seconds))
 }
 
@@ -193,6 +210,7 @@
         registered,
         instance: rand::rng().random::<u32>().into(),
         start: Instant::now(),
+        asked: Cell::default(),
     };
     let receiving = receive(&shared, &peers, queue);
     let call = async |name: &str, known: &Known, timeout: Duration| {
@@ -222,7 +240,13 @@
 async fn receive<D: Dialect>(shared: &Shared<D>, peers: &Peers, mut queue: Receiver<Message>) {
     while let Some(message) = queue.recv().await {
         match message {
-            Message::Report(report) => peers.receive(shared, *report),
+            Message::Report(report, reply) => {
+                let others = peers.others(&report);
+                peers.receive(shared, *report);
+                if reply.send(others).is_err() {
+                    tracing::debug!(event = "report_given_up");
+                }
+            }
             Message::Update(update) => {
                 for (id, started_at_ms) in update.draining {
                     if shared.start_drain(&id, started_at_ms) {
@@ -249,6 +273,8 @@
     registered: usize,
     instance: u64,
     start: Instant,
+    /// which of the reported peers is asked for the others' reports
+    asked: Cell<usize>,
 }
 
 impl<D: Dialect> Reporter<D> {
@@ -267,20 +293,19 @@
             next = (next + interval.mul_f64(jitter)).max(Instant::now());
             let now = Instant::now();
             let sends_zone_sum = topology.forwards_sums() && now >= zone_sum_next;
-            // the sum of a zone has to include every window of this daemon
-            let is_full = sends_zone_sum || now >= full_next;
+            // the sums of a zone have to include every window of this daemon
+            let is_full = topology.is_hub() || now >= full_next;
             if is_full {
                 full_next = now + FULL_REPORT_INTERVAL;
             }
-            let mut report = self.report(is_full, now);
+            let report = self.report(is_full, now);
+            self.peers.reports.borrow_mut().set_local(report.clone());
             if sends_zone_sum {
                 zone_sum_next = now + ZONE_SUM_INTERVAL;
-                let (zone, remote) = self.sums(&report, now);
-                report.remote = Some(Box::new(remote));
-                self.send(&members, topology.remote_delegates(), &zone)
-                    .await;
+                let zone = self.peers.reports.borrow_mut().zone_sum(now);
+                self.send(&members, topology.remote_hubs(), &zone).await;
             }
-            self.send(&members, topology.group_peers(), &report).await;
+            self.send_report(&members, &topology, report).await;
             let now = Instant::now();
             self.peers.rebalance(&self.shared, now - rebalanced_at);
             rebalanced_at = now;
@@ -347,14 +372,32 @@
         topology
     }
 
-    /// the sums of this zone and of the remote zones
-    fn sums(&self, local: &Report, now: Instant) -> (Report, Report) {
-        let mut reports = self.peers.reports.borrow_mut();
-        (reports.zone_sum(local, now), reports.remote_sum(local, now))
+    /// sends this daemon's report; one that is no hub asks one hub for the other daemons' reports,
+    /// and the other one next time if it gets none
+    async fn send_report(&self, members: &[Member], topology: &Topology, report: Report) {
+        let names = topology.reported_peers();
+        if topology.is_hub() || !topology.has_remote_zones() || names.is_empty() {
+            self.send(members, names, &report).await;
+            return;
+        }
+        let asked = self.asked.get() % names.len();
+        let asking = Report {
+            wants_others: true,
+            ..report.clone()
+        };
+        let (is_answered, ()) =
+            tokio::join!(self.send(members, &names[asked..=asked], &asking), async {
+                let others = [&names[..asked], &names[asked + 1..]].concat();
+                self.send(members, &others, &report).await;
+            });
+        if !is_answered {
+            self.asked.set(asked + 1);
+        }
     }
 
-    /// sends a report to the named members and applies the confirmations they answer with
-    async fn send(&self, members: &[Member], names: &[String], message: &Report) {
+    /// sends a report to the named members and applies what they answer with; returns whether one of
+    /// them answered with the other daemons' reports
+    async fn send(&self, members: &[Member], names: &[String], message: &Report) -> bool {
         let mut calls = Vec::new();
         for member in members.iter().filter(|member| names.contains(&member.vm)) {
             let node = self.node.clone();
@@ -362,32 +405,34 @@
             let message = message.clone();
             let requested_at = self.shared.clock.now();
             let call = tokio::spawn(async move {
-                let reply = node.call::<Report, Option<Confirmation>>(
-                    &member,
-                    REPORT_METHOD,
-                    &message,
-                    CALL_TIMEOUT,
-                );
-                match reply.await {
-                    Ok(confirmation) => confirmation,
-                    Err(error) => {
-                        tracing::debug!(event = "peer_not_told", peer = member.vm, %error);
-                        None
-                    }
-                }
+                let reply =
+                    node.call::<Report, Answer>(&member, REPORT_METHOD, &message, CALL_TIMEOUT);
+                reply.await.unwrap_or_else(|error| {
+                    tracing::debug!(event = "peer_not_told", peer = member.vm, %error);
+                    Answer::default()
+                })
             });
             calls.push((requested_at, call));
         }
+        let mut is_answered = false;
         for (requested_at, call) in calls {
-            match call.await {
-                Ok(Some(confirmation)) => {
-                    self.shared.apply_confirmation(&confirmation, requested_at)
+            let answer = match call.await {
+                Ok(answer) => answer,
+                Err(error) => {
+                    // the task panicked, which is a bug
+                    tracing::error!(event = "peer_call_failed", %error);
+                    continue;
                 }
-                Ok(None) => {}
-                // the task panicked, which is a bug
-                Err(error) => tracing::error!(event = "peer_call_failed", %error),
+            };
+            if let Some(confirmation) = answer.confirmation {
+                self.shared.apply_confirmation(&confirmation, requested_at);
+            }
+            if let Some(others) = answer.others {
+                is_answered = true;
+                self.peers.receive(&self.shared, *others);
             }
         }
+        is_answered
     }
 
     /// this daemon's own report
@@ -422,7 +467,7 @@
             prefills,
             rates,
             counts: Snapshot { windows },
-            remote: None,
+            ..Report::default()
         }
     }
 }
--- a/crates/gateway/src/peers/join.rs
+++ b/crates/gateway/src/peers/join.rs
@@ -10,8 +10,7 @@
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
-use super::report::{Report, Update};
-use crate::Confirmation;
+use super::report::{Answer, Report, Update};
 use crate::adapter::{Dialect, ObjectError, Objects, Write};
 use crate::freshness::Freshness;
 use crate::limits::{CHARGE_METHOD, Charge, REFUND_METHOD, Ruling};
@@ -36,7 +35,7 @@
 /// a message from a peer
 #[derive(Debug)]
 pub(super) enum Message {
-    Report(Box<Report>),
+    Report(Box<Report>, oneshot::Sender<Option<Box<Report>>>),
     Update(Update),
     Charge(Charge, oneshot::Sender<Ruling>),
     Refund(Charge),
@@ -117,12 +116,19 @@
     });
     added.expect("the names are distinct");
     let update_sender = sender.clone();
-    let added = module.register_method(REPORT_METHOD, move |params, (), _| {
-        let report: Report = params.one()?;
-        enqueue(&sender, Message::Report(Box::new(report)));
-        Ok::<Option<Confirmation>, jsonrpsee::types::ErrorObjectOwned>(
-            freshness.confirmation(clock),
-        )
+    let added = module.register_async_method(REPORT_METHOD, move |params, _, _| {
+        let (sender, freshness) = (sender.clone(), freshness.clone());
+        async move {
+            let report: Report = params.one()?;
+            let (reply, others) = oneshot::channel();
+            enqueue(&sender, Message::Report(Box::new(report), reply));
+            let answer = Answer {
+                // none if the message was dropped
+                others: others.await.unwrap_or_default(),
+                confirmation: freshness.confirmation(clock),
+            };
+            Ok::<Answer, jsonrpsee::types::ErrorObjectOwned>(answer)
+        }
     });
     added.expect("the names are distinct");
     let added = module.register_method(UPDATE_METHOD, move |params, (), _| {
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -4,6 +4,7 @@
 use route::placement::{Load, Prefill, Rate};
 use schema::message;
 
+use crate::freshness::Confirmation;
 use crate::usage::Snapshot;
 
 /// which daemons a report covers
@@ -15,9 +16,8 @@
     Daemon,
     /// all daemons of a zone
     Zone,
-    /// all zones but that of the receiver
-    #[serde(rename = "elsewhere")]
-    Remote,
+    /// all daemons but the receiver
+    Others,
 }
 
 /// spending of a workspace
@@ -59,11 +59,21 @@
     pub draining: Vec<(String, u64)>,
 }
 
+/// answer to a report
+#[apply(message!)]
+#[derive(Default)]
+pub struct Answer {
+    /// what the answering daemon knows of the configuration
+    pub confirmation: Option<Confirmation>,
+    /// the sum of all daemons but the receiver, if it was asked for
+    pub others: Option<Box<Report>>,
+}
+
 /// periodic report of a daemon, or the sum of several
 #[apply(message!)]
 #[derive(Default)]
 pub struct Report {
-    /// sender: the daemon's name, `zone/` and a zone, or `elsewhere`
+    /// sender: the daemon's name, `zone/` and a zone, or `others`
     pub from: String,
     /// zone of the sending daemon
     pub zone: String,
@@ -87,9 +97,12 @@
     pub rates: HashMap<String, Rate>,
     /// requests begun, by window and workspace
     pub counts: Snapshot,
-    /// the sum of the remote zones, if the sender exchanges sums for its zone
-    #[serde(rename = "elsewhere")]
-    pub remote: Option<Box<Report>>,
+    /// whether the receiver is to answer with the reports of all other daemons
+    #[serde(default)]
+    pub wants_others: bool,
+    /// times of day at other daemons of the zone, for a process that has just started
+    #[serde(default)]
+    pub times_ms: HashMap<String, u64>,
 }
 
 impl Report {
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use route::placement::{Prefill, Rate};
@@ -36,6 +36,8 @@
 struct Received {
     at: Instant,
     report: Report,
+    /// units that the sender spent since its first report, over its restarts
+    spent: HashMap<String, f64>,
 }
 
 /// time after the start in which registered daemons may still be missing from the membership
@@ -48,14 +50,17 @@
     /// number of registered daemons, terminated ones included, and when it was read
     registered: Option<(usize, Instant)>,
     received: HashMap<String, Received>,
+    /// this daemon's last report
+    local: Report,
     /// units spent by peers since the last [`Reports::peer_spending`], by workspace
     spent: HashMap<String, f64>,
-    /// units spent since the start by peers of this zone, and by remote zones
-    zone_spent: HashMap<String, f64>,
-    remote_spent: HashMap<String, f64>,
-    /// prefills to forward to remote zones, and to this zone
+    /// prefills to forward to remote zones
     zone_prefills: Vec<Prefill>,
-    remote_prefills: Vec<Prefill>,
+    /// prefills to forward to the daemons of this zone, of which the oldest has this number
+    prefills: VecDeque<(String, Prefill)>,
+    first_prefill: u64,
+    /// number of the first prefill that a daemon of this zone has not been told
+    told_prefills: HashMap<String, u64>,
 }
 
 impl Reports {
@@ -65,11 +70,12 @@
             topology: Topology::new(me, &[]),
             registered: None,
             received: HashMap::new(),
+            local: Report::default(),
             spent: HashMap::new(),
-            zone_spent: HashMap::new(),
-            remote_spent: HashMap::new(),
             zone_prefills: Vec::new(),
-            remote_prefills: Vec::new(),
+            prefills: VecDeque::new(),
+            first_prefill: 0,
+            told_prefills: HashMap::new(),
         }
     }
 
@@ -78,9 +84,16 @@
         &self.topology
     }
 
-    /// replaces the topology after a membership change
+    /// replaces the topology after a membership change; reports that no longer come on this path are
+    /// dropped, so that no daemon is counted twice
     pub fn set_topology(&mut self, topology: Topology) {
+        let was_hub = self.topology.is_hub();
         self.topology = topology;
+        if was_hub != self.topology.is_hub() {
+            let topology = &self.topology;
+            self.received
+                .retain(|_, received| topology.accepts(&received.report));
+        }
     }
 
     /// sets the number of registered daemons, this one included
@@ -97,26 +110,27 @@
         }
     }
 
-    /// stores a report and the one of the remote zones in it; returns the accepted ones
-    pub fn receive(&mut self, report: Report, now: Instant) -> Vec<&Report> {
-        let mut report = report;
-        let remote = report.remote.take();
-        let mut names = Vec::new();
-        for part in [Some(report), remote.map(|part| *part)]
-            .into_iter()
-            .flatten()
-        {
-            if self.topology.accepts(&part) {
-                names.push(part.from.clone());
-                self.store(part, now);
-            }
+    /// sets this daemon's own report, which the sums include
+    pub fn set_local(&mut self, report: Report) {
+        if self.topology.is_hub() {
+            self.queue_prefills(&report.from, &report.prefills);
+        }
+        if self.topology.forwards_sums() {
+            self.queue_zone_prefills(&report.prefills);
         }
+        self.local = report;
+    }
+
+    /// stores a report if it counts; returns it then
+    pub fn receive(&mut self, report: Report, now: Instant) -> Option<&Report> {
         self.received
             .retain(|_, received| now < received.at + COUNTS_RETENTION);
-        names
-            .iter()
-            .filter_map(|name| Some(&self.received.get(name)?.report))
-            .collect()
+        if !self.topology.accepts(&report) {
+            return None;
+        }
+        let from = report.from.clone();
+        self.store(report, now);
+        self.received.get(&from).map(|received| &received.report)
     }
 
     /// the peers' requests of a window by workspace
@@ -173,67 +187,106 @@
     }
 
     /// the sum of this daemon's zone, which includes its own report
-    pub fn zone_sum(&mut self, local: &Report, now: Instant) -> Report {
+    pub fn zone_sum(&mut self, now: Instant) -> Report {
         let mut sum = Report {
-            from: format!("zone/{}", local.zone),
-            zone: local.zone.clone(),
+            from: format!("zone/{}", self.local.zone),
             scope: Scope::Zone,
-            instance: local.instance,
-            age_ms: local.age_ms,
             prefills: std::mem::take(&mut self.zone_prefills),
-            ..Report::default()
+            ..empty(&self.local)
         };
-        sum.prefills.extend(local.prefills.iter().cloned());
-        sum.add(local);
-        self.add_all(&mut sum, Scope::Daemon, now);
-        set_spent(&mut sum, &self.zone_spent);
-        for (workspace, spending) in &local.spending {
-            sum.spending.entry(workspace.clone()).or_default().spent += spending.spent;
-        }
+        let in_zone = |received: &&Received| received.report.scope == Scope::Daemon;
+        self.add_all(&mut sum, in_zone, now);
         sum
     }
 
-    /// the sum of the remote zones
-    pub fn remote_sum(&mut self, local: &Report, now: Instant) -> Report {
+    /// the sum of all daemons but one of this zone
+    pub fn others(&mut self, receiver: &Report, now: Instant) -> Report {
         let mut sum = Report {
-            from: "elsewhere".to_owned(),
-            zone: local.zone.clone(),
-            scope: Scope::Remote,
-            instance: local.instance,
-            age_ms: local.age_ms,
-            prefills: std::mem::take(&mut self.remote_prefills),
-            ..Report::default()
+            from: "others".to_owned(),
+            scope: Scope::Others,
+            time_ms: self.local.time_ms,
+            prefills: self.take_prefills(&receiver.from),
+            ..empty(&self.local)
         };
-        self.add_all(&mut sum, Scope::Zone, now);
-        set_spent(&mut sum, &self.remote_spent);
+        let is_other = |received: &&Received| received.report.from != receiver.from;
+        self.add_all(&mut sum, is_other, now);
+        if receiver.age_ms <= MAX_NEW_AGE_MS {
+            sum.times_ms = self.times_ms(now);
+            sum.times_ms
+                .insert(self.local.from.clone(), self.local.time_ms);
+        }
         sum
     }
 
+    /// queues prompt parts that VMs prefill for a daemon, to be told to the others of its zone
+    fn queue_prefills(&mut self, from: &str, prefills: &[Prefill]) {
+        for prefill in prefills {
+            if self.prefills.len() >= MAX_QUEUED_PREFILLS {
+                self.prefills.pop_front();
+                self.first_prefill += 1;
+            }
+            self.prefills.push_back((from.to_owned(), prefill.clone()));
+        }
+    }
+
+    /// queues prompt parts that VMs prefill for this zone, to be told to the remote zones
+    fn queue_zone_prefills(&mut self, prefills: &[Prefill]) {
+        if self.zone_prefills.len() < MAX_QUEUED_PREFILLS {
+            self.zone_prefills.extend(prefills.iter().cloned());
+        }
+    }
+
+    fn take_prefills(&mut self, receiver: &str) -> Vec<Prefill> {
+        let end = self.first_prefill + self.prefills.len() as u64;
+        let told = self.told_prefills.insert(receiver.to_owned(), end);
+        let from = told.unwrap_or(end).max(self.first_prefill) - self.first_prefill;
+        let new = self.prefills.iter().skip(from as usize);
+        let of_others = new.filter(|(from, _)| from != receiver);
+        of_others.map(|(_, prefill)| prefill.clone()).collect()
+    }
+
+    /// times of day at the daemons of this zone
+    fn times_ms(&self, now: Instant) -> HashMap<String, u64> {
+        let mut times = HashMap::new();
+        for received in self.received.values() {
+            let age = now.saturating_duration_since(received.at);
+            if received.report.scope == Scope::Daemon && age < LOAD_TTL {
+                let time_ms = received.report.time_ms + age.as_millis() as u64;
+                times.insert(received.report.from.clone(), time_ms);
+            }
+        }
+        times
+    }
+
     fn store(&mut self, report: Report, now: Instant) {
         let previous = self.received.remove(&report.from);
+        let mut spent = HashMap::new();
         for (workspace, spending) in &report.spending {
             let more = newly_spent(&report, previous.as_ref(), workspace, spending);
             *self.spent.entry(workspace.clone()).or_default() += more;
-            let sum = match report.scope {
-                Scope::Daemon => &mut self.zone_spent,
-                Scope::Zone => &mut self.remote_spent,
-                Scope::Remote => continue,
-            };
-            *sum.entry(workspace.clone()).or_default() += more;
+            spent.insert(workspace.clone(), more);
         }
-        let prefills = match report.scope {
-            Scope::Daemon => &mut self.zone_prefills,
-            Scope::Zone | Scope::Remote => &mut self.remote_prefills,
-        };
-        if self.topology.forwards_sums() && prefills.len() < MAX_QUEUED_PREFILLS {
-            prefills.extend(report.prefills.iter().cloned());
+        if let Some(previous) = &previous {
+            for (workspace, before) in &previous.spent {
+                *spent.entry(workspace.clone()).or_default() += before;
+            }
+        }
+        if self.topology.is_hub() {
+            if report.scope == Scope::Daemon && self.topology.forwards_sums() {
+                self.queue_zone_prefills(&report.prefills);
+            }
+            self.queue_prefills(&report.from, &report.prefills);
         }
         let mut report = report;
         if let Some(previous) = previous {
             report.keep_counts(previous.report, MAX_WINDOWS);
         }
-        self.received
-            .insert(report.from.clone(), Received { at: now, report });
+        let received = Received {
+            at: now,
+            report,
+            spent,
+        };
+        self.received.insert(received.report.from.clone(), received);
     }
 
     /// reports recent enough to count as current demand
@@ -243,13 +296,18 @@
             .filter(move |received| now < received.at + DEMAND_TTL)
     }
 
-    /// adds all reports of a scope; of outdated ones, only the usage counts
-    fn add_all(&self, sum: &mut Report, scope: Scope, now: Instant) {
-        for received in self
-            .received
-            .values()
-            .filter(|received| received.report.scope == scope)
-        {
+    /// adds this daemon's report and those received from some; of outdated ones, only the usage
+    /// counts and the totals spent
+    fn add_all(&self, sum: &mut Report, is_included: impl Fn(&&Received) -> bool, now: Instant) {
+        sum.add(&self.local);
+        let mut spent: HashMap<&str, f64> = HashMap::new();
+        for (workspace, spending) in &self.local.spending {
+            *spent.entry(workspace).or_default() += spending.spent;
+        }
+        for received in self.received.values().filter(is_included) {
+            for (workspace, units) in &received.spent {
+                *spent.entry(workspace).or_default() += units;
+            }
             if now < received.at + LOAD_TTL {
                 sum.add(&received.report);
             } else {
@@ -260,6 +318,19 @@
                 sum.add(&counts);
             }
         }
+        for (workspace, spent) in spent {
+            sum.spending.entry(workspace.to_owned()).or_default().spent = spent;
+        }
+    }
+}
+
+/// an empty sum of the daemon that has this report
+fn empty(local: &Report) -> Report {
+    Report {
+        zone: local.zone.clone(),
+        instance: local.instance,
+        age_ms: local.age_ms,
+        ..Report::default()
     }
 }
 
@@ -279,10 +350,3 @@
         _ => now.spent,
     }
 }
-
-/// sets the totals spent, which [`Report::add`] leaves out
-fn set_spent(sum: &mut Report, spent: &HashMap<String, f64>) {
-    for (workspace, spent) in spent {
-        sum.spending.entry(workspace.clone()).or_default().spent = *spent;
-    }
-}
--- a/crates/gateway/src/peers/topology.rs
+++ b/crates/gateway/src/peers/topology.rs
@@ -8,9 +8,9 @@
 /// number of daemons up to which all report to each other directly
 const MAX_DIRECT: usize = 12;
 
-/// daemons of a zone that receive the sums of the remote zones: the second one can take over
-/// without a gap
-const DELEGATES: usize = 2;
+/// daemons of a zone that collect its reports and the sums of the remote zones: the second one can
+/// take over without a gap
+const HUBS: usize = 2;
 
 /// daemons of a zone, or of a small deployment, that the others follow: the first one polls the
 /// object API, the second one continues if the first is lost
@@ -35,7 +35,7 @@
     daemons: usize,
     /// in the order of [`order`], so that the watcher and the standby come first
     group_peers: Vec<String>,
-    remote_delegates: Vec<String>,
+    remote_hubs: Vec<String>,
 }
 
 impl Topology {
@@ -51,9 +51,9 @@
         let mut group: Vec<&&Peer> = peers.iter().filter(is_in_group).collect();
         group.sort_by_key(|peer| order(&peer.name));
         let group_peers = group.iter().map(|peer| peer.name.clone()).collect();
-        let mut remote_delegates = Vec::new();
+        let mut remote_hubs = Vec::new();
         if !is_single_group && zone_rank == 0 {
-            remote_delegates = delegates(&me, &peers);
+            remote_hubs = hubs(&me, &peers);
         }
         Topology {
             is_single_group,
@@ -61,7 +61,7 @@
             zone_rank,
             daemons,
             group_peers,
-            remote_delegates,
+            remote_hubs,
             me,
         }
     }
@@ -98,14 +98,30 @@
         order(&self.me.name)
     }
 
-    /// peers that receive this daemon's own report
+    /// the other daemons of the zone, or of a small deployment
     pub fn group_peers(&self) -> &[String] {
         &self.group_peers
     }
 
+    /// whether this daemon collects the reports of its zone and answers them with those of all
+    /// other daemons
+    pub fn is_hub(&self) -> bool {
+        !self.is_single_group && self.zone_rank < HUBS
+    }
+
+    /// peers that receive this daemon's own report
+    pub fn reported_peers(&self) -> &[String] {
+        let count = match (self.is_single_group, self.is_hub()) {
+            (true, _) => self.group_peers.len(),
+            (false, true) => HUBS - 1,
+            (false, false) => HUBS,
+        };
+        &self.group_peers[..count.min(self.group_peers.len())]
+    }
+
     /// daemons of remote zones that receive the sum of this daemon's zone
-    pub fn remote_delegates(&self) -> &[String] {
-        &self.remote_delegates
+    pub fn remote_hubs(&self) -> &[String] {
+        &self.remote_hubs
     }
 
     /// whether reports of some daemons arrive as sums of their zones, seconds late
@@ -113,7 +129,7 @@
         !self.is_single_group
     }
 
-    /// whether this daemon forwards the sum of the remote zones to its zone
+    /// whether this daemon sends the sum of its zone to the remote zones
     pub fn forwards_sums(&self) -> bool {
         !self.is_single_group && self.zone_rank == 0
     }
@@ -123,11 +139,10 @@
         if self.is_single_group {
             return report.scope == Scope::Daemon;
         }
-        let is_delegate = self.zone_rank < DELEGATES;
         match report.scope {
-            Scope::Daemon => report.zone == self.me.zone,
-            Scope::Zone => is_delegate && report.zone != self.me.zone,
-            Scope::Remote => !is_delegate,
+            Scope::Daemon => self.is_hub() && report.zone == self.me.zone,
+            Scope::Zone => self.is_hub() && report.zone != self.me.zone,
+            Scope::Others => !self.is_hub(),
         }
     }
 }
@@ -144,7 +159,7 @@
 }
 
 /// the daemons of each remote zone that receive sums
-fn delegates(me: &Peer, peers: &[&Peer]) -> Vec<String> {
+fn hubs(me: &Peer, peers: &[&Peer]) -> Vec<String> {
     let mut remote: Vec<&&Peer> = peers.iter().filter(|peer| peer.zone != me.zone).collect();
     remote.sort_by_key(|peer| (peer.zone.clone(), order(&peer.name)));
     let mut names = Vec::new();
@@ -152,7 +167,7 @@
     for (index, peer) in remote.iter().enumerate() {
         let is_same_zone = index > 0 && remote[index - 1].zone == peer.zone;
         position = if is_same_zone { position + 1 } else { 0 };
-        if position < DELEGATES {
+        if position < HUBS {
             names.push(peer.name.clone());
         }
     }
