--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -24,11 +24,11 @@
 /// interval between two reports to the same peer in small deployments
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// reports per second that a hub answers, each with the loads of all VMs: a zone of 49 has one
+/// reports per second that a delegate answers, each with the loads of all VMs: a zone of 49 has one
 /// round a second
 const MAX_ANSWERS_PER_SECOND: f64 = 50.0;
 
-/// reports per second of a daemon in a small deployment, which has no hubs
+/// reports per second of a daemon in a small deployment, which has no delegates
 const MAX_REPORTS_PER_SECOND: f64 = 12.0;
 
 /// interval between two exchanges of sums between zones
@@ -145,7 +145,7 @@
     /// the sum of all daemons but the one that sent this report, if this daemon collects them
     fn others(&self, receiver: &Report) -> Option<Box<Report>> {
         let mut reports = self.reports.borrow_mut();
-        let is_asked = receiver.wants_others && reports.topology().is_hub();
+        let is_asked = receiver.wants_others && reports.topology().is_delegate();
         is_asked.then(|| Box::new(reports.others(receiver, Instant::now())))
     }
 
@@ -294,7 +294,7 @@
             let now = Instant::now();
             let sends_zone_sum = topology.forwards_sums() && now >= zone_sum_next;
             // the sums of a zone have to include every window of this daemon
-            let is_full = topology.is_hub() || now >= full_next;
+            let is_full = topology.is_delegate() || now >= full_next;
             if is_full {
                 full_next = now + FULL_REPORT_INTERVAL;
             }
@@ -303,7 +303,8 @@
             if sends_zone_sum {
                 zone_sum_next = now + ZONE_SUM_INTERVAL;
                 let zone = self.peers.reports.borrow_mut().zone_sum(now);
-                self.send(&members, topology.remote_hubs(), &zone).await;
+                self.send(&members, topology.remote_delegates(), &zone)
+                    .await;
             }
             self.send_report(&members, &topology, report).await;
             let now = Instant::now();
@@ -372,11 +373,11 @@
         topology
     }
 
-    /// sends this daemon's report; one that is no hub asks one hub for the other daemons' reports,
+    /// sends this daemon's report; one that is no delegate asks one delegate for the other daemons' reports,
     /// and the other one next time if it gets none
     async fn send_report(&self, members: &[Member], topology: &Topology, report: Report) {
         let names = topology.reported_peers();
-        if topology.is_hub() || !topology.has_remote_zones() || names.is_empty() {
+        if topology.is_delegate() || !topology.has_remote_zones() || names.is_empty() {
             self.send(members, names, &report).await;
             return;
         }
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -87,9 +87,9 @@
     /// replaces the topology after a membership change; reports that no longer come on this path are
     /// dropped, so that no daemon is counted twice
     pub fn set_topology(&mut self, topology: Topology) {
-        let was_hub = self.topology.is_hub();
+        let was_delegate = self.topology.is_delegate();
         self.topology = topology;
-        if was_hub != self.topology.is_hub() {
+        if was_delegate != self.topology.is_delegate() {
             let topology = &self.topology;
             self.received
                 .retain(|_, received| topology.accepts(&received.report));
@@ -112,7 +112,7 @@
 
     /// sets this daemon's own report, which the sums include
     pub fn set_local(&mut self, report: Report) {
-        if self.topology.is_hub() {
+        if self.topology.is_delegate() {
             self.queue_prefills(&report.from, &report.prefills);
         }
         if self.topology.forwards_sums() {
@@ -271,7 +271,7 @@
                 *spent.entry(workspace.clone()).or_default() += before;
             }
         }
-        if self.topology.is_hub() {
+        if self.topology.is_delegate() {
             if report.scope == Scope::Daemon && self.topology.forwards_sums() {
                 self.queue_zone_prefills(&report.prefills);
             }
--- a/crates/gateway/src/peers/topology.rs
+++ b/crates/gateway/src/peers/topology.rs
@@ -10,7 +10,7 @@
 
 /// daemons of a zone that collect its reports and the sums of the remote zones: the second one can
 /// take over without a gap
-const HUBS: usize = 2;
+const DELEGATES: usize = 2;
 
 /// daemons of a zone, or of a small deployment, that the others follow: the first one polls the
 /// object API, the second one continues if the first is lost
@@ -35,7 +35,7 @@
     daemons: usize,
     /// in the order of [`order`], so that the watcher and the standby come first
     group_peers: Vec<String>,
-    remote_hubs: Vec<String>,
+    remote_delegates: Vec<String>,
 }
 
 impl Topology {
@@ -51,9 +51,9 @@
         let mut group: Vec<&&Peer> = peers.iter().filter(is_in_group).collect();
         group.sort_by_key(|peer| order(&peer.name));
         let group_peers = group.iter().map(|peer| peer.name.clone()).collect();
-        let mut remote_hubs = Vec::new();
+        let mut remote_delegates = Vec::new();
         if !is_single_group && zone_rank == 0 {
-            remote_hubs = hubs(&me, &peers);
+            remote_delegates = delegates(&me, &peers);
         }
         Topology {
             is_single_group,
@@ -61,7 +61,7 @@
             zone_rank,
             daemons,
             group_peers,
-            remote_hubs,
+            remote_delegates,
             me,
         }
     }
@@ -105,23 +105,23 @@
 
     /// whether this daemon collects the reports of its zone and answers them with those of all
     /// other daemons
-    pub fn is_hub(&self) -> bool {
-        !self.is_single_group && self.zone_rank < HUBS
+    pub fn is_delegate(&self) -> bool {
+        !self.is_single_group && self.zone_rank < DELEGATES
     }
 
     /// peers that receive this daemon's own report
     pub fn reported_peers(&self) -> &[String] {
-        let count = match (self.is_single_group, self.is_hub()) {
+        let count = match (self.is_single_group, self.is_delegate()) {
             (true, _) => self.group_peers.len(),
-            (false, true) => HUBS - 1,
-            (false, false) => HUBS,
+            (false, true) => DELEGATES - 1,
+            (false, false) => DELEGATES,
         };
         &self.group_peers[..count.min(self.group_peers.len())]
     }
 
     /// daemons of remote zones that receive the sum of this daemon's zone
-    pub fn remote_hubs(&self) -> &[String] {
-        &self.remote_hubs
+    pub fn remote_delegates(&self) -> &[String] {
+        &self.remote_delegates
     }
 
     /// whether reports of some daemons arrive as sums of their zones, seconds late
@@ -140,9 +140,9 @@
             return report.scope == Scope::Daemon;
         }
         match report.scope {
-            Scope::Daemon => self.is_hub() && report.zone == self.me.zone,
-            Scope::Zone => self.is_hub() && report.zone != self.me.zone,
-            Scope::Others => !self.is_hub(),
+            Scope::Daemon => self.is_delegate() && report.zone == self.me.zone,
+            Scope::Zone => self.is_delegate() && report.zone != self.me.zone,
+            Scope::Others => !self.is_delegate(),
         }
     }
 }
@@ -159,7 +159,7 @@
 }
 
 /// the daemons of each remote zone that receive sums
-fn hubs(me: &Peer, peers: &[&Peer]) -> Vec<String> {
+fn delegates(me: &Peer, peers: &[&Peer]) -> Vec<String> {
     let mut remote: Vec<&&Peer> = peers.iter().filter(|peer| peer.zone != me.zone).collect();
     remote.sort_by_key(|peer| (peer.zone.clone(), order(&peer.name)));
     let mut names = Vec::new();
@@ -167,7 +167,7 @@
     for (index, peer) in remote.iter().enumerate() {
         let is_same_zone = index > 0 && remote[index - 1].zone == peer.zone;
         position = if is_same_zone { position + 1 } else { 0 };
-        if position < HUBS {
+        if position < DELEGATES {
             names.push(peer.name.clone());
         }
     }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -117,18 +117,18 @@
             let topology = reports.topology().clone();
             if topology.forwards_sums() {
                 let sum = reports.zone_sum(self.now);
-                for name in topology.remote_hubs() {
+                for name in topology.remote_delegates() {
                     self.deliver(name, sum.clone());
                 }
             }
             for name in topology.reported_peers() {
                 self.deliver(name, report.clone());
             }
-            if topology.has_remote_zones() && !topology.is_hub() {
-                // a hub that did not answer is not the one asked next
-                let mut hubs = topology.reported_peers().iter();
-                if let Some(hub) = hubs.find(|hub| !self.lost.contains(hub)) {
-                    self.answer(hub, &report);
+            if topology.has_remote_zones() && !topology.is_delegate() {
+                // a delegate that did not answer is not the one asked next
+                let mut delegates = topology.reported_peers().iter();
+                if let Some(delegate) = delegates.find(|delegate| !self.lost.contains(delegate)) {
+                    self.answer(delegate, &report);
                 }
             }
         }
@@ -142,9 +142,9 @@
         self.age_ms += 1000;
     }
 
-    /// lets a hub answer a report with those of all other daemons
-    fn answer(&mut self, hub: &str, report: &Report) {
-        let reports = self.reports.get_mut(hub).expect("a known daemon");
+    /// lets a delegate answer a report with those of all other daemons
+    fn answer(&mut self, delegate: &str, report: &Report) {
+        let reports = self.reports.get_mut(delegate).expect("a known daemon");
         let others = reports.others(report, self.now);
         self.deliver(&report.from, others);
     }
@@ -221,7 +221,7 @@
     }
 }
 
-/// to the hub, to the hubs of the other zones, to their daemons
+/// to the delegate, to the delegates of the other zones, to their daemons
 #[test]
 fn loads_of_all_daemons_are_known_within_three_rounds() {
     for (zones, per_zone) in [(3, 4), (6, 14), (8, 49)] {
@@ -237,23 +237,23 @@
 }
 
 #[test]
-fn loss_of_a_hub_or_of_both_leaves_no_daemon_without_the_others() {
-    for hubs in [1, 2] {
+fn loss_of_a_delegate_or_of_both_leaves_no_daemon_without_the_others() {
+    for delegates in [1, 2] {
         let mut fleet = Fleet::new(3, 14);
         for _ in 0..3 {
             fleet.round();
         }
         let zone = |peer: &&Peer| peer.zone == "zone-1";
-        let is_hub = |peer: &&Peer| fleet.reports[&peer.name].topology().is_hub();
+        let is_delegate = |peer: &&Peer| fleet.reports[&peer.name].topology().is_delegate();
         let names: Vec<String> = fleet
             .peers
             .iter()
             .filter(zone)
-            .filter(is_hub)
-            .take(hubs)
+            .filter(is_delegate)
+            .take(delegates)
             .map(|peer| peer.name.clone())
             .collect();
-        assert_eq!(names.len(), hubs);
+        assert_eq!(names.len(), delegates);
         fleet.lost = names.clone();
         // not noticed yet
         fleet.round();
@@ -266,11 +266,11 @@
         for peer in fleet.peers.clone() {
             let reports = &fleet.reports[&peer.name];
             let rate = reports.rate(SERVICE, now).requests;
-            let lost = hubs as f64;
+            let lost = delegates as f64;
             // reports of the lost ones count for a time
             assert!(
                 (41.0 - lost..=41.0).contains(&rate),
-                "{}: {rate} requests, {hubs} hubs lost",
+                "{}: {rate} requests, {delegates} delegates lost",
                 peer.name
             );
         }
