Write the daemons' entries again after a restore that lost them

Cause: keys and addresses of daemons are in the store. A copy from before they were written left none: a daemon that started then made keys of its own and stayed alone, and none of the others were in its list.

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -196,7 +196,7 @@
     peers: Rc<Peers>,
 ) {
     let (sender, queue) = channel(QUEUE_CAPACITY);
-    let (node, registered) = join(&shared, &*store, sender).await;
+    let (node, registered, entries) = join(&shared, &*store, sender).await;
     peers
         .reports
         .borrow_mut()
@@ -217,7 +217,14 @@
         follow(&reporter.node, name, known, timeout).await
     };
     let following = follow_watchers(&shared, &*store, || peers.topology(), call);
-    tokio::join!(receiving, reporter.run(), reporter.run_updates(), following);
+    let rewriting = entries.rewrite_after_restores(&shared, &*store);
+    tokio::join!(
+        receiving,
+        reporter.run(),
+        reporter.run_updates(),
+        following,
+        rewriting
+    );
 }
 
 /// asks a daemon for its view of the store; none if it is no member or does not answer
--- a/crates/gateway/src/peers/join.rs
+++ b/crates/gateway/src/peers/join.rs
@@ -5,24 +5,18 @@
 use jsonrpsee::RpcModule;
 use peer::Node;
 use rand::Rng;
-use serde_json::{Value, json};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
+use super::entries::{DAEMON_KIND, Entries, Keys};
 use super::report::{Answer, Report, Update};
-use crate::adapter::{Dialect, ObjectError, Objects, Write};
+use crate::adapter::{Dialect, ObjectError, Objects};
 use crate::freshness::Freshness;
 use crate::limits::{CHARGE_METHOD, Charge, REFUND_METHOD, Ruling};
 use crate::relay::{Known, Relay, Reply};
 use crate::shared::Shared;
 
-/// kind of the entries with which daemons register themselves
-const DAEMON_KIND: &str = "daemons";
-
-/// kind and name of the object with the keys with which daemons authenticate to each other
-const KEYS: (&str, &str) = ("fleet", "keys");
-
 /// method for periodic reports
 pub(super) const REPORT_METHOD: &str = "gateway_tell";
 
@@ -41,20 +35,25 @@
     Refund(Charge),
 }
 
+/// time for which a daemon that starts waits for the peers to write the keys
+const KEYS_TIME: Duration = Duration::from_secs(5);
+
 /// pause before joining is tried again, before jitter
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// reads the other daemons from the object API and joins them; returns this daemon's node and
-/// the number of registered daemons
+/// reads the other daemons from the object API and joins them; returns this daemon's node, the
+/// number of registered daemons and what this one wrote
 pub(super) async fn join<D: Dialect, S: Objects>(
     shared: &Shared<D>,
     store: &S,
     sender: Sender<Message>,
-) -> (Node, usize) {
+) -> (Node, usize, Entries) {
     let settings = &shared.settings;
+    let started = Instant::now();
     loop {
-        let discovered = discover(shared, store).await;
-        let (fleet_key, operator_key, seeds) = match discovered {
+        // after the first start, missing keys were lost in a restore, and a peer writes them again
+        let may_create = settings.is_first_start || started.elapsed() > KEYS_TIME;
+        let (entries, seeds) = match discover(shared, store, may_create).await {
             Ok(discovered) => discovered,
             Err(error) => {
                 tracing::debug!(event = "peers_not_found", cause = %error);
@@ -67,12 +66,12 @@
             .control(&settings.peers.to_string())
             .callers(&settings.callers.to_string())
             .seeds(&seeds)
-            .fleet_key(&fleet_key)
-            .operator_key(&operator_key);
+            .fleet_key(&entries.keys.fleet)
+            .operator_key(&entries.keys.operator);
         match Node::start(node, methods(shared, sender.clone())).await {
             Ok(node) => {
                 tracing::info!(event = "peers_joined", seeds = seeds.len());
-                return (node, seeds.len() + 1);
+                return (node, seeds.len() + 1, entries);
             }
             Err(error) => {
                 tracing::error!(event = "peers_not_joined", %error);
@@ -146,59 +145,25 @@
     }
 }
 
-/// registers this daemon; returns the keys and the addresses of the other registered daemons
+/// registers this daemon; returns what it wrote and the addresses of the other registered daemons
 async fn discover<D: Dialect, S: Objects>(
     shared: &Shared<D>,
     store: &S,
-) -> Result<(String, String, Vec<String>), ObjectError> {
-    let (fleet_key, operator_key) = keys(store).await?;
-    let local = shared.settings.peers.to_string();
-    register(store, &shared.settings.name, &local).await?;
+    may_create: bool,
+) -> Result<(Entries, Vec<String>), ObjectError> {
+    let control = shared.settings.peers.to_string();
+    let keys = Keys::read_or_create(store, may_create).await?;
+    let entries = Entries {
+        name: shared.settings.name.clone(),
+        control,
+        keys,
+    };
+    entries.register(store).await?;
     let list = store.list(DAEMON_KIND).await?;
     let controls = list.objects.iter().filter_map(|object| {
         let control = object.spec.get("control")?.as_str()?;
-        (control != local).then(|| control.to_owned())
+        (control != entries.control).then(|| control.to_owned())
     });
-    Ok((fleet_key, operator_key, controls.collect()))
-}
-
-/// the keys that all daemons share; the first daemon generates them
-async fn keys<S: Objects>(store: &S) -> Result<(String, String), ObjectError> {
-    let random = || format!("{:032x}", rand::rng().random::<u128>());
-    let generated = json!({ "fleet": random(), "operator": random() });
-    match store.get(KEYS.0, KEYS.1).await {
-        Ok(object) => read_keys(&object.spec),
-        Err(ObjectError::Missing) => {
-            match store.write(KEYS.0, KEYS.1, &generated, Write::Create).await {
-                Ok(_) => read_keys(&generated),
-                Err(ObjectError::Conflict) => read_keys(&store.get(KEYS.0, KEYS.1).await?.spec),
-                Err(error) => Err(error),
-            }
-        }
-        Err(error) => Err(error),
-    }
-}
-
-fn read_keys(spec: &Value) -> Result<(String, String), ObjectError> {
-    let read = |name: &str| spec.get(name).and_then(Value::as_str).map(str::to_owned);
-    match (read("fleet"), read("operator")) {
-        (Some(fleet), Some(operator)) => Ok((fleet, operator)),
-        _ => Err(ObjectError::Unknown(
-            "object fleet/keys lacks the fleet key or the operator key".to_owned(),
-        )),
-    }
-}
-
-async fn register<S: Objects>(store: &S, name: &str, control: &str) -> Result<(), ObjectError> {
-    let spec = json!({ "control": control });
-    match store.write(DAEMON_KIND, name, &spec, Write::Create).await {
-        Ok(_) => Ok(()),
-        Err(ObjectError::Conflict) => {
-            store
-                .write(DAEMON_KIND, name, &spec, Write::Overwrite)
-                .await?;
-            Ok(())
-        }
-        Err(error) => Err(error),
-    }
+    let controls = controls.collect();
+    Ok((entries, controls))
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! the sum of the remote zones ([`Topology`]), so that the number of messages grows with the size
 //! of a zone and the number of zones, not with their product.
 
+mod entries;
 mod exchange;
 mod following;
 mod join;
--- a/crates/gateway/tests/restore.rs
+++ b/crates/gateway/tests/restore.rs
@@ -2,12 +2,17 @@
 
 mod support;
 
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::time::Duration;
 
+use gateway::Settings;
 use gateway::checkpoint::{Record, restore};
 use gateway::model::Health;
+use gateway::peers::{Peers, exchange_reports};
 use route::trust::Trust;
-use support::{FakeVm, Harness, Script, config_with, run};
+use support::{FakeStore, FakeVm, Harness, Script, config, config_with, run, settings};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 async fn start_vm(id: &str) -> FakeVm {
@@ -193,3 +198,47 @@
         }
     });
 }
+
+/// the copy was made before the daemons met; one starts before the others have written again
+#[test]
+fn daemons_find_each_other_after_a_restore_that_lost_their_keys() {
+    run(async {
+        let store = FakeStore::new();
+        store.configure(|| config(1));
+        let copy = store.copy();
+        let first = start_daemon(&store, 1, true);
+        first
+            .wait_until(|first| first.shared.owners.node().is_some())
+            .await;
+        let keys = store.spec("fleet", "keys").expect("keys");
+        first.wait_until(|first| first.shared.is_ready()).await;
+        store.restore(&copy);
+        assert_eq!(store.spec("fleet", "keys"), None);
+        let second = start_daemon(&store, 2, false);
+        let members =
+            |daemon: &Harness| daemon.shared.owners.node().map(|node| node.members().len());
+        for daemon in [&first, &second] {
+            daemon.wait_until(|daemon| members(daemon) == Some(2)).await;
+        }
+        assert_eq!(store.spec("fleet", "keys"), Some(keys));
+        assert!(store.spec("daemons", "daemon-1").is_some());
+    });
+}
+
+fn start_daemon(store: &FakeStore, number: u8, is_first_start: bool) -> Harness {
+    let listener = TcpListener::bind(SocketAddr::from(([127, 78, 0, number], 0)));
+    let peers = listener.and_then(|listener| listener.local_addr());
+    let settings = Settings {
+        is_alone: false,
+        is_first_start,
+        name: format!("daemon-{number}"),
+        peers: peers.expect("a free port"),
+        ..settings()
+    };
+    let harness = Harness::with(settings, store.clone());
+    let settings = &harness.shared.settings;
+    let peers = Peers::new(&settings.name, &settings.zone);
+    let (shared, store) = (Rc::clone(&harness.shared), Rc::new(store.clone()));
+    spawn_local(exchange_reports(shared, store, peers));
+    harness
+}
