--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -15,9 +15,11 @@
 //! run is refunded; else its repeats use up the limit without any work being done.
 
 mod charge;
+mod configure;
 mod message;
 mod owners;
 
 pub use charge::{CHARGE_METHOD, REFUND_METHOD, charge, refund, refund_peer, rule_for_peer};
+pub use configure::configure;
 pub use message::{Charge, Ruling};
 pub use owners::{Owner, Owners, choose};
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -2,21 +2,26 @@
 //!
 //! A report holds current values and totals since the sender's start, so that lost or repeated
 //! messages do no harm; only the prefills of shared prompt parts are sent once and may be lost.
-//! A small number of daemons report to each other directly. In larger deployments, only the
-//! daemons of a zone do, and one daemon of each zone exchanges the sums of the zones and forwards
-//! the sum of the remote zones ([`Topology`]), so that the number of messages grows with the size
-//! of a zone and the number of zones, not with their product.
+//! A small number of daemons report to each other directly. In larger deployments, a daemon
+//! reports to the two delegates of its zone, one of which answers with the sum of all other
+//! daemons; delegates exchange the sums of their zones ([`Topology`]). So the number of messages
+//! grows with the number of daemons and of pairs of zones, and a report reaches all in three steps.
 
 mod entries;
 mod exchange;
 mod following;
+mod interval;
 mod join;
 mod report;
+mod reporter;
 mod reports;
+mod state;
 mod topology;
 
-pub use exchange::{Peers, counts_age, exchange_reports, report_interval};
+pub use exchange::exchange_reports;
 pub use following::follow_watchers;
+pub use interval::{counts_age, report_interval};
 pub use report::{Report, Scope, Spending};
 pub use reports::Reports;
+pub use state::Peers;
 pub use topology::{Peer, Topology};
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use route::placement::{Balancer, Distance, Member, Pick};
-use route::quota::{self, Ledger, Quota};
+use route::quota::{Ledger, Quota};
 use route::retry::{Allowance, RepeatLimit};
 use route::trust::{self, Role, Trust};
 use tokio::sync::{Notify, watch};
@@ -22,10 +22,10 @@
 use crate::follow::Departed;
 use crate::freshness::{Confirmation, Freshness};
 use crate::generation::Generation;
-use crate::limits::Owners;
+use crate::limits::{self, Owners};
 use crate::log::Sampler;
 use crate::metrics::Metrics;
-use crate::model::{Config, Health, Limit, Vm};
+use crate::model::{Config, Health, Vm};
 use crate::pool::Pool;
 use crate::relay::{Position, Relay};
 use crate::settings::Settings;
@@ -238,34 +238,7 @@
 
     /// replaces the current configuration by a newer one
     pub fn configure(&self, config: Config) {
-        let now = Instant::now();
-        let mut quotas = self.quotas.borrow_mut();
-        let mut limits: HashMap<&str, Limit> = HashMap::new();
-        for workspace in config.keys.values() {
-            if let Some(limit) = workspace.limit {
-                limits.insert(&workspace.name, limit);
-            }
-        }
-        let mut ledgers = self.ledgers.borrow_mut();
-        quotas.retain(|name, _| limits.contains_key(name.as_str()));
-        ledgers.retain(|name, _| limits.contains_key(name.as_str()));
-        let share = 1.0 / self.daemons.get() as f64;
-        let restored = self.restored.borrow();
-        let wall_clock = self.wall_clock.now();
-        for (name, limit) in limits {
-            let enforced = self.settings.policy.quota.enforced_limit(&limit);
-            match quotas.get_mut(name) {
-                Some(quota) => quota.configure(enforced, now),
-                None => {
-                    let record = restored.as_ref();
-                    let level =
-                        record.and_then(|record| record.remaining(name, &enforced, wall_clock));
-                    let level = level.unwrap_or_else(|| self.unrecorded_level(&enforced));
-                    quotas.insert(name.to_owned(), Quota::new(enforced, level, share, now));
-                }
-            }
-        }
-        drop((quotas, ledgers, restored));
+        limits::configure(self, &config);
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.configured.notify_waiters();
         self.update_candidates();
@@ -283,15 +256,6 @@
         *self.restored.borrow_mut() = Some(record);
     }
 
-    /// initial level of a limit that is in no checkpoint
-    fn unrecorded_level(&self, limit: &quota::Limit) -> f64 {
-        if self.settings.is_first_start {
-            limit.burst
-        } else {
-            limit.burst * UNRECORDED_FRACTION
-        }
-    }
-
     /// replaces the candidates for placement by the ready VMs of each configured service
     pub fn update_candidates(&self) {
         self.relay.set_vms(&self.vms.borrow());
@@ -437,10 +401,6 @@
 /// large deployments that the design targets
 const INITIAL_DAEMONS: usize = 390;
 
-/// fraction of a limit's burst that a restarted daemon starts with if no checkpoint has the
-/// limit: all daemons may have restarted at once after spending it
-const UNRECORDED_FRACTION: f64 = 0.0;
-
 impl<D: Dialect> Shared<D> {
     /// removes a VM until the object API lists it again
     pub fn drop_vm(&self, id: &str, cause: &str) {
