Believe no load of a peer beyond what a VM can have; test malformed messages

Cause: sums of loads and counts that a peer states overflowed: a panic in debug builds, loads that wrap to small numbers in release builds. Change: loads of peers are bounded when they arrive, sums saturate.

--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -122,7 +122,8 @@
         for (window, counts) in &other.counts.windows {
             let sums = self.counts.windows.entry(*window).or_default();
             for (workspace, count) in counts {
-                *sums.entry(workspace.clone()).or_default() += count;
+                let sum = sums.entry(workspace.clone()).or_default();
+                *sum = sum.saturating_add(*count);
             }
         }
     }
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -251,7 +251,10 @@
         for received in self.received.values() {
             let age = now.saturating_duration_since(received.at);
             if received.report.scope == Scope::Daemon && age < LOAD_TTL {
-                let time_ms = received.report.time_ms + age.as_millis() as u64;
+                let time_ms = received
+                    .report
+                    .time_ms
+                    .saturating_add(age.as_millis() as u64);
                 times.insert(received.report.from.clone(), time_ms);
             }
         }
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -38,7 +38,8 @@
         let mut sum = self.reports.borrow().counts(window);
         let local = shared.tally.borrow().snapshot();
         for (workspace, count) in local.windows.get(&window).into_iter().flatten() {
-            *sum.entry(workspace.clone()).or_default() += count;
+            let sum = sum.entry(workspace.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         if let Some(record) = &*shared.restored.borrow() {
             record.raise_counts(window, &mut sum);
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -68,7 +68,8 @@
         .filter_map(|daemon| daemon.windows.get(&window))
     {
         for (workspace, count) in counts {
-            *sum.entry(workspace.clone()).or_default() += count;
+            let sum = sum.entry(workspace.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
     }
     sum
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -65,6 +65,11 @@
             .expect("the gateway reads the request");
     }
 
+    /// sends bytes; the gateway may have closed the connection before it has read all
+    pub async fn send_bytes(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes).await;
+    }
+
     /// sends a request and reads its response
     pub async fn call(&mut self, text: &str) -> Response {
         self.send(text).await;
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -154,9 +154,10 @@
 
     /// sets the load that a peer reported
     pub fn set_peer_loads(&mut self, peer: &str, loads: HashMap<String, Load>, now: Instant) {
+        let loads = loads.into_iter().map(|(vm, load)| (vm, load.bounded()));
         let report = PeerLoads {
             received_at: now,
-            loads,
+            loads: loads.collect(),
         };
         self.peer_loads.insert(peer.to_owned(), report);
         let ttl = self.peer_load_ttl();
--- a/crates/route/src/placement/load.rs
+++ b/crates/route/src/placement/load.rs
@@ -28,12 +28,26 @@
     pub held: u32,
 }
 
+/// largest number of requests and of tokens that is believed of the requests that the daemons have
+/// sent to a VM
+const MAX_RUNNING: u32 = 1_000_000;
+const MAX_TOKENS: u64 = 1_000_000_000_000;
+
 impl Load {
-    /// adds another load
+    /// the load, no larger than any VM can have: a peer may have stated it wrongly
+    pub fn bounded(self) -> Load {
+        Load {
+            running: self.running.min(MAX_RUNNING),
+            prefill_tokens: self.prefill_tokens.min(MAX_TOKENS),
+            held: self.held.min(MAX_TOKENS),
+        }
+    }
+
+    /// adds another load, which a peer may have stated wrongly
     pub fn add(&mut self, other: &Load) {
-        self.running += other.running;
-        self.prefill_tokens += other.prefill_tokens;
-        self.held += other.held;
+        self.running = self.running.saturating_add(other.running);
+        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
+        self.held = self.held.saturating_add(other.held);
     }
 
     /// adds a request that is sent
