Announce a planned stop to the peers, so that limits get another owner at once

Cause: a daemon that stopped told its peers nothing; until they noticed its death, each request to a limit that it owned was decided by shares, and its reports counted on. Change: it announces that it drains when it gets the signal, and that it is gone before it exits, if there is time for it.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -24,6 +24,9 @@
 /// a second and sends new callers until two checks have failed
 const MIN_STOP_TIME: Duration = Duration::from_millis(3000);
 
+/// longest time that the announcement to the peers takes that this daemon is gone
+const ANNOUNCE_TIME: Duration = Duration::from_millis(1000);
+
 /// interval at which a stopping process checks for open caller connections
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -135,6 +138,11 @@
         peer_bytes_received = received,
         up_s = started.elapsed().as_secs(),
     );
+    let node = shared.owners.node();
+    if let Some(node) = node.clone() {
+        // the limits that this daemon owns go to others at once
+        spawn_local(async move { node.start_drain().await });
+    }
     let limit = shared.settings.policy.grace.mul_f64(USABLE_GRACE_FRACTION);
     loop {
         sleep(STOP_CHECK_INTERVAL).await;
@@ -145,6 +153,10 @@
                 event = "stopped",
                 connections = shared.caller_connections.get()
             );
+            // without time for it, the peers notice by themselves
+            if let Some(node) = node.filter(|_| elapsed + ANNOUNCE_TIME < limit) {
+                node.stop().await;
+            }
             return Ok(());
         }
     }
--- a/crates/gateway/tests/limit_owners.rs
+++ b/crates/gateway/tests/limit_owners.rs
@@ -25,6 +25,9 @@
 /// time within which a charge is decided, also if the owner is lost
 const DECISION_TIME: Duration = Duration::from_millis(400);
 
+/// time until all daemons have the next owner when one announces that it stops
+const HAND_OVER_TIME: Duration = Duration::from_millis(1500);
+
 fn limited_config() -> Config {
     let mut config = config(1);
     let workspace = Rc::new(Workspace {
@@ -195,6 +198,34 @@
     });
 }
 
+#[test]
+fn owner_that_stops_hands_its_limits_over_at_once() {
+    run(async {
+        let daemons = start_daemons().await;
+        let leaving = position_of_owner(&daemons);
+        let name = daemons[leaving].shared.settings.name.clone();
+        let node = daemons[leaving].shared.owners.node().expect("a node");
+        node.start_drain().await;
+        let started = Instant::now();
+        for daemon in &daemons {
+            daemon
+                .wait_until(|daemon| match owner(daemon) {
+                    Owner::Local => daemon.shared.settings.name != name,
+                    Owner::Peer(member) => member.vm != name,
+                    Owner::Nobody => false,
+                })
+                .await;
+        }
+        assert!(
+            started.elapsed() < HAND_OVER_TIME,
+            "{:?}",
+            started.elapsed()
+        );
+        let busy = &daemons[(leaving + 1) % DAEMONS];
+        assert_eq!(charge_times(busy, 30).await, 30);
+    });
+}
+
 #[test]
 fn daemon_that_is_not_the_owner_does_not_decide() {
     run(async {
