Connect to the owners of limits before callers wait for them

In 9 s 670 lines limit_owner_silent, 199 of them in the second after the first requests: the first call to an owner in another region opens a connection, three round trips of 40 ms, while a request waits 150 ms; the call was then dropped with the connection, and shares were spent, which do not hold a jump. Change: each daemon calls the owners of its limits once when it knows them; a call goes on for up to 1 s after the request has stopped waiting for it.

--- a/crates/gateway/src/limits/charge.rs
+++ b/crates/gateway/src/limits/charge.rs
@@ -4,7 +4,7 @@
 use route::quota::Ledger;
 use schema::member::Member;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::message::{Charge, Ruling};
 use super::owners::Owner;
@@ -21,6 +21,9 @@
 /// trip between regions
 const CHARGE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// time limit of the call itself, which opens the connection if there is none
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+
 /// charges units to the limit of a workspace; one without a limit is charged nothing
 ///
 /// # Errors
@@ -137,23 +140,54 @@
     }
 }
 
+/// opens connections to the owners of this daemon's limits that it has not asked yet: the first call
+/// to another region takes three round trips, longer than a caller waits
+pub fn connect_to_owners<D: Dialect + 'static>(shared: &Rc<Shared<D>>) {
+    let now = Instant::now();
+    let workspaces: Vec<String> = shared.quotas.borrow().keys().cloned().collect();
+    for workspace in workspaces {
+        if let Owner::Peer(owner) = shared.owners.find(&workspace, now)
+            && shared.owners.record_contact(&owner)
+        {
+            let charge = Charge {
+                workspace,
+                zone: shared.settings.zone.clone(),
+                units: 0.0,
+            };
+            let shared = Rc::clone(shared);
+            spawn_local(async move { ask(&shared, &owner, &charge).await });
+        }
+    }
+}
+
 /// asks the owner of a limit; one that does not answer is left alone for a while
+///
+/// The call goes on after the wait, so that a connection that is being opened serves later calls.
 async fn ask<D: Dialect>(shared: &Shared<D>, owner: &Member, charge: &Charge) -> Ruling {
     let Some(node) = shared.owners.node() else {
         return Ruling::NotOwner;
     };
-    let reply = node
-        .call::<Charge, Ruling>(owner, CHARGE_METHOD, charge, CHARGE_TIMEOUT)
-        .await;
-    match reply {
-        Ok(ruling) => ruling,
-        Err(error) => {
-            shared.owners.record_silence(&owner.vm, Instant::now());
-            if let Some(left_out) = shared.permit_log("limit_owner_silent") {
-                let workspace = &charge.workspace;
-                tracing::info!(event = "limit_owner_silent", peer = owner.vm, workspace, %error, left_out);
-            }
-            Ruling::NotOwner
-        }
+    let (member, message) = (owner.clone(), charge.clone());
+    let call = spawn_local(async move {
+        node.call::<Charge, Ruling>(&member, CHARGE_METHOD, &message, CALL_TIMEOUT)
+            .await
+    });
+    let cause = match timeout(CHARGE_TIMEOUT, call).await {
+        Ok(Ok(Ok(ruling))) => return ruling,
+        Ok(Ok(Err(error))) => error.to_string(),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "no answer in time".to_owned(),
+    };
+    shared.owners.record_silence(&owner.vm, Instant::now());
+    if let Some(left_out) = shared.permit_log("limit_owner_silent") {
+        let workspace = &charge.workspace;
+        tracing::info!(
+            event = "limit_owner_silent",
+            peer = owner.vm,
+            workspace,
+            cause,
+            left_out
+        );
     }
+    Ruling::NotOwner
 }
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -19,7 +19,9 @@
 mod message;
 mod owners;
 
-pub use charge::{CHARGE_METHOD, REFUND_METHOD, charge, refund, refund_peer, rule_for_peer};
+pub use charge::{
+    CHARGE_METHOD, REFUND_METHOD, charge, connect_to_owners, refund, refund_peer, rule_for_peer,
+};
 pub use configure::configure;
 pub use message::{Charge, Ruling};
 pub use owners::{Owner, Owners, choose};
--- a/crates/gateway/src/limits/owners.rs
+++ b/crates/gateway/src/limits/owners.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,6 +38,8 @@
     part: Cell<f64>,
     /// largest number of members and when it was last seen
     largest: Cell<Option<(usize, Instant)>>,
+    /// instances of daemons that were asked before
+    contacted: RefCell<HashSet<u64>>,
     /// daemons that are not asked before a time
     silent: RefCell<HashMap<String, Instant>>,
 }
@@ -102,6 +104,11 @@
         Owner::Peer(Box::new(owner.clone()))
     }
 
+    /// records that a daemon is asked; returns whether it is for the first time
+    pub fn record_contact(&self, member: &Member) -> bool {
+        self.contacted.borrow_mut().insert(member.instance)
+    }
+
     /// records that a daemon did not answer
     pub fn record_silence(&self, vm: &str, now: Instant) {
         let mut silent = self.silent.borrow_mut();
--- a/crates/gateway/src/peers/reporter.rs
+++ b/crates/gateway/src/peers/reporter.rs
@@ -14,6 +14,7 @@
 use super::state::Peers;
 use super::topology::{Peer, Topology};
 use crate::adapter::Dialect;
+use crate::limits::connect_to_owners;
 use crate::shared::Shared;
 use crate::usage::{Counts, Snapshot};
 
@@ -40,7 +41,7 @@
     asked: Cell<usize>,
 }
 
-impl<D: Dialect> Reporter<D> {
+impl<D: Dialect + 'static> Reporter<D> {
     /// a reporter of a process that has just joined the others
     pub fn new(
         shared: &Rc<Shared<D>>,
@@ -90,6 +91,7 @@
             self.send_report(&members, &topology, report).await;
             let now = Instant::now();
             self.peers.rebalance(&self.shared, now - rebalanced_at);
+            connect_to_owners(&self.shared);
             rebalanced_at = now;
             sleep_until(next).await;
         }
