Let a deputy with a copy of the ledger decide while a limit's owner is silent

Change: the next member in the owner's order is asked in the same request when the owner does not answer; it goes on from the copy of the ledger that the owner sends each 0.2 s while the limit is used, units that are granted and not reported yet included, so that they do not count twice.

--- a/crates/gateway/src/limits/charge.rs
+++ b/crates/gateway/src/limits/charge.rs
@@ -1,12 +1,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use route::quota::Ledger;
+use route::quota::{Copied, Ledger};
 use schema::member::Member;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
-use super::message::{Charge, Ruling};
+use super::message::{Charge, LedgerCopy, Ruling};
 use super::owners::Owner;
 use crate::adapter::Dialect;
 use crate::shared::Shared;
@@ -14,6 +14,9 @@
 /// method by which a daemon gives back units of a request that did not run
 pub const REFUND_METHOD: &str = "gateway_refund";
 
+/// method by which the owner of a limit copies its ledger to its deputy
+pub const COPY_METHOD: &str = "gateway_ledger";
+
 /// method by which a daemon charges units to a limit that another one owns
 pub const CHARGE_METHOD: &str = "gateway_charge";
 
@@ -41,11 +44,7 @@
         zone: shared.settings.zone.clone(),
         units,
     };
-    let ruling = match shared.owners.find(workspace, Instant::now()) {
-        Owner::Local => rule(shared, &charge, true),
-        Owner::Peer(owner) => ask(shared, &owner, &charge).await,
-        Owner::Nobody => Ruling::NotOwner,
-    };
+    let ruling = decide(shared, &charge).await;
     let now = Instant::now();
     let mut quotas = shared.quotas.borrow_mut();
     let Some(quota) = quotas.get_mut(workspace) else {
@@ -64,6 +63,22 @@
     }
 }
 
+/// the decision of the owner, or of the deputy if the owner turns out to be silent
+async fn decide<D: Dialect>(shared: &Shared<D>, charge: &Charge) -> Ruling {
+    for _ in 0..2 {
+        match shared.owners.find(&charge.workspace, Instant::now()) {
+            Owner::Local => return rule(shared, charge, true),
+            Owner::Peer(owner) => {
+                if let Some(ruling) = ask(shared, &owner, charge).await {
+                    return ruling;
+                }
+            }
+            Owner::Nobody => return Ruling::NotOwner,
+        }
+    }
+    Ruling::NotOwner
+}
+
 /// gives back the units of a request that did not run, so that it does not count when the caller
 /// repeats it
 pub fn refund<D: Dialect + 'static>(shared: &Rc<Shared<D>>, workspace: &str, units: f64) {
@@ -98,7 +113,7 @@
 
 /// decides on a charge of another daemon
 pub fn rule_for_peer<D: Dialect>(shared: &Shared<D>, charge: &Charge) -> Ruling {
-    if shared.owners.find(&charge.workspace, Instant::now()) != Owner::Local {
+    if !shared.owners.may_decide(&charge.workspace) {
         return Ruling::NotOwner;
     }
     rule(shared, charge, false)
@@ -113,10 +128,11 @@
     };
     let part = shared.owners.part();
     let (limit, level) = (quota.limit().part(part), quota.level() * part);
+    let assumed = quota.assumed_peer_spent() * part;
     let mut ledgers = shared.ledgers.borrow_mut();
     let ledger = ledgers
         .entry(charge.workspace.clone())
-        .or_insert_with(|| Ledger::new(limit, level, now));
+        .or_insert_with(|| Ledger::new(limit, level, assumed, now));
     ledger.configure(limit, now);
     ledger.resume(level, now);
     let charged = if is_own {
@@ -124,9 +140,55 @@
     } else {
         ledger.charge_peer(&charge.zone, charge.units, now)
     };
+    if let Some(copied) = ledger.copy(now) {
+        copy_to_deputy(shared, &charge.workspace, copied);
+    }
     charged.map_or_else(Ruling::refused, |()| Ruling::Granted)
 }
 
+/// sends a copy of a ledger to the deputy; if it is lost, the next one follows
+fn copy_to_deputy<D: Dialect>(shared: &Shared<D>, workspace: &str, copied: Copied) {
+    let (Some(node), Some(deputy)) = (shared.owners.node(), shared.owners.deputy(workspace)) else {
+        return;
+    };
+    let message = LedgerCopy {
+        workspace: workspace.to_owned(),
+        level: copied.level,
+        unreported: copied.unreported,
+    };
+    spawn_local(async move {
+        let sent = node
+            .call::<LedgerCopy, ()>(&deputy, COPY_METHOD, &message, CALL_TIMEOUT)
+            .await;
+        if let Err(error) = sent {
+            let workspace = message.workspace;
+            tracing::debug!(event = "ledger_not_copied", peer = deputy.vm, workspace, %error);
+        }
+    });
+}
+
+/// applies a copy of the ledger of a limit that this daemon is the deputy for
+pub fn restore_ledger<D: Dialect>(shared: &Shared<D>, message: &LedgerCopy) {
+    let now = Instant::now();
+    let quotas = shared.quotas.borrow();
+    let Some(quota) = quotas.get(&message.workspace) else {
+        return;
+    };
+    let limit = quota.limit().part(shared.owners.part());
+    let copied = Copied {
+        level: message.level,
+        unreported: message.unreported,
+    };
+    let mut ledgers = shared.ledgers.borrow_mut();
+    match ledgers.get_mut(&message.workspace) {
+        Some(ledger) => ledger.restore(copied, now),
+        None => {
+            let ledger = Ledger::new(limit, copied.level, copied.unreported, now);
+            ledgers.insert(message.workspace.clone(), ledger);
+        }
+    }
+}
+
 /// tells the owner of a limit once; a lost refund only makes the limit smaller
 async fn send_refund<D: Dialect>(shared: Rc<Shared<D>>, owner: Box<Member>, charge: Charge) {
     let Some(node) = shared.owners.node() else {
@@ -160,20 +222,18 @@
     }
 }
 
-/// asks the owner of a limit; one that does not answer is left alone for a while
+/// asks the owner of a limit; one that does not answer is left alone for a while, and none returned
 ///
 /// The call goes on after the wait, so that a connection that is being opened serves later calls.
-async fn ask<D: Dialect>(shared: &Shared<D>, owner: &Member, charge: &Charge) -> Ruling {
-    let Some(node) = shared.owners.node() else {
-        return Ruling::NotOwner;
-    };
+async fn ask<D: Dialect>(shared: &Shared<D>, owner: &Member, charge: &Charge) -> Option<Ruling> {
+    let node = shared.owners.node()?;
     let (member, message) = (owner.clone(), charge.clone());
     let call = spawn_local(async move {
         node.call::<Charge, Ruling>(&member, CHARGE_METHOD, &message, CALL_TIMEOUT)
             .await
     });
     let cause = match timeout(CHARGE_TIMEOUT, call).await {
-        Ok(Ok(Ok(ruling))) => return ruling,
+        Ok(Ok(Ok(ruling))) => return Some(ruling),
         Ok(Ok(Err(error))) => error.to_string(),
         Ok(Err(error)) => error.to_string(),
         Err(_) => "no answer in time".to_owned(),
@@ -189,5 +249,5 @@
             left_out
         );
     }
-    Ruling::NotOwner
+    None
 }
--- a/crates/gateway/src/limits/message.rs
+++ b/crates/gateway/src/limits/message.rs
@@ -37,3 +37,14 @@
         }
     }
 }
+
+/// a copy of an owner's ledger for its deputy
+#[apply(message!)]
+pub struct LedgerCopy {
+    /// name of the workspace
+    pub workspace: String,
+    /// units that may be granted
+    pub level: f64,
+    /// units granted to daemons that have not reported them yet
+    pub unreported: f64,
+}
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -8,8 +8,11 @@
 //!   daemon, chosen by the name of the workspace, that decides on every request. Daemons ask it
 //!   before they send the request on. It opens its ledger at the level known from the reports.
 //!
-//! While the owner does not answer, or daemons differ on who it is, shares are spent; the owner
-//! subtracts what is reported beyond its grants.
+//! While the owner does not answer, its deputy is asked, the next one in the same order, which goes on
+//! from the owner's last copy of its ledger; both subtract what is reported beyond their grants. While neither answers, or
+//! daemons differ on who they are, shares are spent.
+//!
+//! Load pattern: the traffic of a workspace jumps, and a second later the owner of its limit is lost.
 //!
 //! Load pattern: VMs are full, and callers repeat what was refused. A request that certainly did not
 //! run is refunded; else its repeats use up the limit without any work being done.
@@ -20,8 +23,9 @@
 mod owners;
 
 pub use charge::{
-    CHARGE_METHOD, REFUND_METHOD, charge, connect_to_owners, refund, refund_peer, rule_for_peer,
+    CHARGE_METHOD, COPY_METHOD, REFUND_METHOD, charge, connect_to_owners, refund, refund_peer,
+    restore_ledger, rule_for_peer,
 };
 pub use configure::configure;
-pub use message::{Charge, Ruling};
-pub use owners::{Owner, Owners, choose};
+pub use message::{Charge, LedgerCopy, Ruling};
+pub use owners::{Owner, Owners, ranked};
--- a/crates/gateway/src/limits/owners.rs
+++ b/crates/gateway/src/limits/owners.rs
@@ -67,9 +67,9 @@
         self.is_enabled.set(members >= registered);
     }
 
-    /// part of a limit that its owner may grant
+    /// part of a limit that its owner may grant; all of it before the members are known
     pub fn part(&self) -> f64 {
-        self.part.get()
+        self.largest.get().map_or(1.0, |_| self.part.get())
     }
 
     /// lets each daemon spend its share
@@ -82,7 +82,7 @@
         self.node.borrow().clone()
     }
 
-    /// the owner of a workspace's limit
+    /// who decides on a workspace's limit: its owner, or the deputy while the owner is silent
     pub fn find(&self, workspace: &str, now: Instant) -> Owner {
         if !self.is_enabled.get() {
             return Owner::Nobody;
@@ -91,17 +91,36 @@
             return Owner::Nobody;
         };
         let members: Arc<[Member]> = node.members();
-        let Some(owner) = choose(&members, workspace) else {
-            return Owner::Nobody;
-        };
-        if owner.vm == node.me().vm {
-            return Owner::Local;
+        for member in ranked(&members, workspace).into_iter().flatten() {
+            if member.vm == node.me().vm {
+                return Owner::Local;
+            }
+            let silent_until = self.silent.borrow().get(&member.vm).copied();
+            if silent_until.is_none_or(|until| now >= until) {
+                return Owner::Peer(Box::new(member.clone()));
+            }
         }
-        let silent_until = self.silent.borrow().get(&owner.vm).copied();
-        if silent_until.is_some_and(|until| now < until) {
-            return Owner::Nobody;
-        }
-        Owner::Peer(Box::new(owner.clone()))
+        Owner::Nobody
+    }
+
+    /// whether this daemon owns a limit or is the deputy of its owner, who decides for those that the
+    /// owner does not answer
+    pub fn may_decide(&self, workspace: &str) -> bool {
+        let Some(node) = self.node().filter(|_| self.is_enabled.get()) else {
+            return false;
+        };
+        let members = node.members();
+        let mut ranked = ranked(&members, workspace).into_iter().flatten();
+        ranked.any(|member| member.vm == node.me().vm)
+    }
+
+    /// the daemon that decides on a limit if this one is lost
+    pub fn deputy(&self, workspace: &str) -> Option<Member> {
+        let node = self.node()?;
+        let members = node.members();
+        let others = ranked(&members, workspace).into_iter().flatten();
+        let mut others = others.filter(|member| member.vm != node.me().vm);
+        others.next().cloned()
     }
 
     /// records that a daemon is asked; returns whether it is for the first time
@@ -117,9 +136,19 @@
     }
 }
 
-/// the member that decides on the limit of a workspace, the same at all daemons (rendezvous hashing)
-pub fn choose<'a>(members: &'a [Member], workspace: &str) -> Option<&'a Member> {
+/// the member that decides on the limit of a workspace and its deputy, the same at all daemons
+/// (rendezvous hashing)
+pub fn ranked<'a>(members: &'a [Member], workspace: &str) -> [Option<&'a Member>; 2] {
     let seed = xxh3_64(workspace.as_bytes());
-    let live = members.iter().filter(|member| member.state == State::Live);
-    live.max_by_key(|member| xxh3_64_with_seed(member.vm.as_bytes(), seed))
+    let mut best: [Option<(u64, &Member)>; 2] = [None, None];
+    for member in members.iter().filter(|member| member.state == State::Live) {
+        let entry = Some((xxh3_64_with_seed(member.vm.as_bytes(), seed), member));
+        let weight = |entry: &Option<(u64, &Member)>| entry.map(|(weight, _)| weight);
+        if weight(&entry) > weight(&best[0]) {
+            best = [entry, best[0]];
+        } else if weight(&entry) > weight(&best[1]) {
+            best[1] = entry;
+        }
+    }
+    best.map(|entry| entry.map(|(_, member)| member))
 }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -10,7 +10,7 @@
 use super::reporter::Reporter;
 use super::state::Peers;
 use crate::adapter::{Dialect, Objects};
-use crate::limits::{refund_peer, rule_for_peer};
+use crate::limits::{refund_peer, restore_ledger, rule_for_peer};
 use crate::relay::{Known, Reply};
 use crate::shared::Shared;
 
@@ -82,6 +82,7 @@
                 }
             }
             Message::Refund(charge) => refund_peer(shared, &charge),
+            Message::Ledger(copy) => restore_ledger(shared, &copy),
             Message::Charge(charge, reply) => {
                 if reply.send(rule_for_peer(shared, &charge)).is_err() {
                     tracing::debug!(event = "charge_given_up", workspace = charge.workspace);
--- a/crates/gateway/src/peers/join.rs
+++ b/crates/gateway/src/peers/join.rs
@@ -13,7 +13,7 @@
 use super::report::{Answer, Report, Update};
 use crate::adapter::{Dialect, ObjectError, Objects};
 use crate::freshness::Freshness;
-use crate::limits::{CHARGE_METHOD, Charge, REFUND_METHOD, Ruling};
+use crate::limits::{CHARGE_METHOD, COPY_METHOD, Charge, LedgerCopy, REFUND_METHOD, Ruling};
 use crate::relay::{Known, Relay, Reply};
 use crate::shared::Shared;
 
@@ -33,6 +33,7 @@
     Update(Update),
     Charge(Charge, oneshot::Sender<Ruling>),
     Refund(Charge),
+    Ledger(LedgerCopy),
 }
 
 /// time for which a daemon that starts waits for the peers to write the keys
@@ -107,6 +108,13 @@
         }
     });
     added.expect("the names are distinct");
+    let copy_sender = sender.clone();
+    let added = module.register_method(COPY_METHOD, move |params, (), _| {
+        let copy: LedgerCopy = params.one()?;
+        enqueue(&copy_sender, Message::Ledger(copy));
+        Ok::<(), jsonrpsee::types::ErrorObjectOwned>(())
+    });
+    added.expect("the names are distinct");
     let refund_sender = sender.clone();
     let added = module.register_method(REFUND_METHOD, move |params, (), _| {
         let charge: Charge = params.one()?;
--- a/crates/route/src/quota/ledger.rs
+++ b/crates/route/src/quota/ledger.rs
@@ -12,6 +12,9 @@
 /// may have owned the limit meanwhile
 const OWNERSHIP_PAUSE: Duration = Duration::from_secs(2);
 
+/// interval at which a ledger in use is copied to the deputy of its owner
+const COPY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// time constant of the rate at which a zone is granted units
 const ZONE_TIME_CONSTANT: Duration = Duration::from_secs(3);
 
@@ -32,7 +35,8 @@
     level: f64,
     updated_at: Instant,
     charged_at: Instant,
-    /// units granted to other daemons since the ledger was opened
+    copied_at: Option<Instant>,
+    /// units granted to other daemons or assumed to be spent by them
     granted: f64,
     /// units that other daemons reported as spent since then
     reported: f64,
@@ -42,6 +46,15 @@
     zones: HashMap<String, Zone>,
 }
 
+/// what the deputy of an owner has to know of a ledger
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Copied {
+    /// units that may be granted
+    pub level: f64,
+    /// units granted to daemons that have not reported them yet
+    pub unreported: f64,
+}
+
 /// charges of the daemons of a zone
 #[derive(Debug, Clone)]
 struct Zone {
@@ -67,14 +80,16 @@
 }
 
 impl Ledger {
-    /// opens a ledger at a level
-    pub fn new(limit: Limit, level: f64, now: Instant) -> Ledger {
+    /// opens a ledger at a level from which units that other daemons have not reported yet, but are
+    /// assumed to have spent, are subtracted already
+    pub fn new(limit: Limit, level: f64, assumed: f64, now: Instant) -> Ledger {
         Ledger {
             limit,
             level,
             updated_at: now,
             charged_at: now,
-            granted: 0.0,
+            copied_at: None,
+            granted: assumed,
             reported: 0.0,
             refused: 0.0,
             zones: HashMap::new(),
@@ -91,6 +106,30 @@
         self.level = self.level.min(limit.burst);
     }
 
+    /// the state to copy to the deputy, if that is due
+    pub fn copy(&mut self, now: Instant) -> Option<Copied> {
+        if self.copied_at.is_some_and(|at| now < at + COPY_INTERVAL) {
+            return None;
+        }
+        self.advance(now);
+        self.copied_at = Some(now);
+        Some(Copied {
+            level: self.level,
+            unreported: self.granted - self.reported,
+        })
+    }
+
+    /// takes over a copy of the owner's ledger; while this daemon decides itself, only a lower level
+    pub fn restore(&mut self, copied: Copied, now: Instant) {
+        self.advance(now);
+        if now > self.charged_at + OWNERSHIP_PAUSE {
+            self.level = copied.level;
+            self.granted = self.reported + copied.unreported;
+        } else {
+            self.level = self.level.min(copied.level);
+        }
+    }
+
     /// lowers the level to the one known from reports if nothing was charged for a while
     pub fn resume(&mut self, reported_level: f64, now: Instant) {
         self.advance(now);
--- a/crates/route/src/quota/mod.rs
+++ b/crates/route/src/quota/mod.rs
@@ -27,7 +27,7 @@
 )]
 mod quota;
 
-pub use ledger::Ledger;
+pub use ledger::{Copied, Ledger};
 pub use limit::{Limit, PeerSpending};
 pub use quota::Quota;
 
--- a/crates/route/src/quota/quota.rs
+++ b/crates/route/src/quota/quota.rs
@@ -141,6 +141,11 @@
         self.level
     }
 
+    /// units that peers are assumed to have spent since their last reports
+    pub fn assumed_peer_spent(&self) -> f64 {
+        self.assumed_peer_spent
+    }
+
     /// fraction of the limit that this daemon may spend
     pub fn share(&self) -> f64 {
         self.share
