--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,7 +1,8 @@
 //! State shared by all tasks of the gateway, which run on one thread.
 //!
 //! Every mutable field is in its own cell. No cell is borrowed across an `await`, and none
-//! while another is borrowed, except for the placement state while it is rebuilt from the VMs.
+//! while another is borrowed, except for the placement state while it is rebuilt from the VMs,
+//! and quotas and ledgers, which are borrowed together, also while the reports of peers are.
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
