Count the round of answers in the age of counts; split limits and VMs that depart

Cause: a holder of the lease that is no delegate gets the counts with its next answer; the age covered one round only (the wait for a window has a floor of 4.5 s, so no report was seen off by it).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod app;
 pub mod checkpoint;
 mod clock;
+mod departure;
 pub mod duty;
 pub mod follow;
 mod freshness;
--- a/crates/gateway/src/limits/charge.rs
+++ b/crates/gateway/src/limits/charge.rs
@@ -1,31 +1,26 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use route::quota::{Copied, Ledger};
+use route::quota::Ledger;
 use schema::member::Member;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
-use super::message::{Charge, LedgerCopy, Ruling};
+use super::deputy::copy_to_deputy;
+use super::message::{Charge, Ruling};
 use super::owners::Owner;
 use crate::adapter::Dialect;
 use crate::shared::Shared;
 
-/// method by which a daemon gives back units of a request that did not run
-pub const REFUND_METHOD: &str = "gateway_refund";
-
-/// method by which the owner of a limit copies its ledger to its deputy
-pub const COPY_METHOD: &str = "gateway_ledger";
-
 /// method by which a daemon charges units to a limit that another one owns
 pub const CHARGE_METHOD: &str = "gateway_charge";
 
 /// time limit of a call to the owner of a limit, which the caller waits for: three times the round
 /// trip between regions
-const CHARGE_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const CHARGE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// time limit of the call itself, which opens the connection if there is none
-const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// charges units to the limit of a workspace; one without a limit is charged nothing
 ///
@@ -79,38 +74,6 @@
     Ruling::NotOwner
 }
 
-/// gives back the units of a request that did not run, so that it does not count when the caller
-/// repeats it
-pub fn refund<D: Dialect + 'static>(shared: &Rc<Shared<D>>, workspace: &str, units: f64) {
-    let now = Instant::now();
-    if let Some(quota) = shared.quotas.borrow_mut().get_mut(workspace) {
-        quota.refund(units, now);
-    }
-    match shared.owners.find(workspace, now) {
-        Owner::Local => {
-            if let Some(ledger) = shared.ledgers.borrow_mut().get_mut(workspace) {
-                ledger.refund(units, now);
-            }
-        }
-        Owner::Peer(owner) => {
-            let charge = Charge {
-                workspace: workspace.to_owned(),
-                zone: shared.settings.zone.clone(),
-                units,
-            };
-            spawn_local(send_refund(Rc::clone(shared), owner, charge));
-        }
-        Owner::Nobody => {}
-    }
-}
-
-/// applies a refund of another daemon
-pub fn refund_peer<D: Dialect>(shared: &Shared<D>, charge: &Charge) {
-    if let Some(ledger) = shared.ledgers.borrow_mut().get_mut(&charge.workspace) {
-        ledger.refund_peer(charge.units, Instant::now());
-    }
-}
-
 /// decides on a charge of another daemon
 pub fn rule_for_peer<D: Dialect>(shared: &Shared<D>, charge: &Charge) -> Ruling {
     if !shared.owners.may_decide(&charge.workspace) {
@@ -146,62 +109,6 @@
     charged.map_or_else(Ruling::refused, |()| Ruling::Granted)
 }
 
-/// sends a copy of a ledger to the deputy; if it is lost, the next one follows
-fn copy_to_deputy<D: Dialect>(shared: &Shared<D>, workspace: &str, copied: Copied) {
-    let (Some(node), Some(deputy)) = (shared.owners.node(), shared.owners.deputy(workspace)) else {
-        return;
-    };
-    let message = LedgerCopy {
-        workspace: workspace.to_owned(),
-        level: copied.level,
-        unreported: copied.unreported,
-    };
-    spawn_local(async move {
-        let sent = node
-            .call::<LedgerCopy, ()>(&deputy, COPY_METHOD, &message, CALL_TIMEOUT)
-            .await;
-        if let Err(error) = sent {
-            let workspace = message.workspace;
-            tracing::debug!(event = "ledger_not_copied", peer = deputy.vm, workspace, %error);
-        }
-    });
-}
-
-/// applies a copy of the ledger of a limit that this daemon is the deputy for
-pub fn restore_ledger<D: Dialect>(shared: &Shared<D>, message: &LedgerCopy) {
-    let now = Instant::now();
-    let quotas = shared.quotas.borrow();
-    let Some(quota) = quotas.get(&message.workspace) else {
-        return;
-    };
-    let limit = quota.limit().part(shared.owners.part());
-    let copied = Copied {
-        level: message.level,
-        unreported: message.unreported,
-    };
-    let mut ledgers = shared.ledgers.borrow_mut();
-    match ledgers.get_mut(&message.workspace) {
-        Some(ledger) => ledger.restore(copied, now),
-        None => {
-            let ledger = Ledger::new(limit, copied.level, copied.unreported, now);
-            ledgers.insert(message.workspace.clone(), ledger);
-        }
-    }
-}
-
-/// tells the owner of a limit once; a lost refund only makes the limit smaller
-async fn send_refund<D: Dialect>(shared: Rc<Shared<D>>, owner: Box<Member>, charge: Charge) {
-    let Some(node) = shared.owners.node() else {
-        return;
-    };
-    let sent = node
-        .call::<Charge, ()>(&owner, REFUND_METHOD, &charge, CHARGE_TIMEOUT)
-        .await;
-    if let Err(error) = sent {
-        tracing::debug!(event = "refund_lost", peer = owner.vm, workspace = charge.workspace, %error);
-    }
-}
-
 /// opens connections to the owners of this daemon's limits that it has not asked yet: the first call
 /// to another region takes three round trips, longer than a caller waits
 pub fn connect_to_owners<D: Dialect + 'static>(shared: &Rc<Shared<D>>) {
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -19,13 +19,14 @@
 
 mod charge;
 mod configure;
+mod deputy;
 mod message;
 mod owners;
+mod refund;
 
-pub use charge::{
-    CHARGE_METHOD, COPY_METHOD, REFUND_METHOD, charge, connect_to_owners, refund, refund_peer,
-    restore_ledger, rule_for_peer,
-};
+pub use charge::{CHARGE_METHOD, charge, connect_to_owners, rule_for_peer};
 pub use configure::configure;
+pub use deputy::{COPY_METHOD, restore_ledger};
 pub use message::{Charge, LedgerCopy, Ruling};
 pub use owners::{Owner, Owners, ranked};
+pub use refund::{REFUND_METHOD, refund, refund_peer};
--- a/crates/gateway/src/peers/interval.rs
+++ b/crates/gateway/src/peers/interval.rs
@@ -18,10 +18,14 @@
 /// time limit of a call to a peer
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// longest time until the counts of all daemons have arrived at one that receives the sums of the
-/// zones
+/// longest time until the counts of all daemons have arrived at any one
 pub fn counts_age(topology: &Topology) -> Duration {
-    report_interval(topology) + ZONE_SUM_INTERVAL + CALL_TIMEOUT
+    let to_delegates = report_interval(topology) + CALL_TIMEOUT;
+    if !topology.has_remote_zones() {
+        return to_delegates;
+    }
+    // the holder of the lease may be no delegate, and then waits for its next answer
+    2 * to_delegates + ZONE_SUM_INTERVAL
 }
 
 /// interval between two reports of a daemon to the same peer
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -52,8 +52,7 @@
         self.reports.borrow().demand(workspace, Instant::now())
     }
 
-    /// longest time until the counts of all daemons have arrived at one that receives the sums of
-    /// the zones
+    /// longest time until the counts of all daemons have arrived at this one
     pub fn counts_age(&self) -> Duration {
         counts_age(self.reports.borrow().topology())
     }
--- a/crates/route/src/quota/mod.rs
+++ b/crates/route/src/quota/mod.rs
@@ -5,9 +5,10 @@
 //! at the limit's rate, drained by its own spending and by the spending that its peers
 //! report. Between two reports it may spend its share of that level, in proportion to its
 //! demand. A fixed fraction is split evenly, so that a daemon without demand so far can
-//! start. A workspace below its limit is thus refused nowhere, however unevenly its callers
-//! are distributed, and one above its limit is held to it by all daemons together. Until
-//! their next report, peers are assumed to spend at the rate of the previous interval.
+//! start. While shares are large against requests and reports recent, a workspace below its
+//! limit is thus refused nowhere, however unevenly its callers are distributed, and one above
+//! its limit is held to it by all daemons together. Until their next report, peers are
+//! assumed to spend at the rate of the previous interval.
 //! Peers that stop reporting are assumed to keep spending at the demand they last reported.
 //!
 //! Load patterns: one workspace sends many times its limit through a few daemons, while the
@@ -15,7 +16,7 @@
 //! a large request to a daemon that rarely sees it.
 //!
 //! Where reports take seconds, one daemon keeps the [`Ledger`] of a limit and decides on every
-//! request; the shares are spent while it can't be asked.
+//! request, or another one from a copy of it; shares are spent while neither can be asked.
 
 use std::time::Duration;
 
