--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -1,17 +1,17 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use macro_rules_attribute::apply;
-use schema::message;
 use tokio::time::Instant;
 
+use super::completion::{Completion, Outcome};
 use super::cost::{MIN_RETRY_AFTER, admit, distance_penalty, jitter, preferred_vm, tokens};
 use super::engine::{self, Capacity};
-use super::health::Health;
+use super::entry::Entry;
 use super::load::{Load, Meter, Rate, Work};
+use super::member::Member;
 use super::plain::{self, ResponseTime};
-use super::prefix_cache::PrefixCache;
-use super::request::{Choice, Distance, Full, Pick, Request};
+use super::prefix_cache::Prefill;
+use super::request::{Choice, Full, Pick, Request};
 
 /// largest number of prefills kept for the next report to peers
 const MAX_PENDING_PREFILLS: usize = 256;
@@ -30,50 +30,6 @@
 /// weight of a new outcome in a service's baseline failure rate
 const BASELINE_WEIGHT: f64 = 0.01;
 
-/// a VM that may be chosen
-#[derive(Debug, Clone, PartialEq)]
-pub struct Member {
-    /// instance id
-    pub id: String,
-    /// start time since the Unix epoch; differs after a restart under the same id
-    pub started_at_ms: u64,
-    /// network distance
-    pub distance: Distance,
-    /// requests that it runs concurrently
-    pub slots: u32,
-    /// size of its KV cache in tokens, if it is an engine
-    pub cache_tokens: Option<u64>,
-    /// connections that it accepts from all daemons together; each request uses one
-    pub connections: u32,
-}
-
-/// how a request ended at a VM
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome {
-    /// answered
-    Answered,
-    /// answered with an error of the VM itself
-    Failed,
-    /// refused before execution
-    Refused,
-    /// the connection broke, or could not be made
-    Broken,
-    /// cancelled by this daemon or its caller
-    Cancelled,
-}
-
-/// a VM and its state at this daemon
-#[derive(Debug, Clone)]
-struct Entry {
-    member: Member,
-    local: Load,
-    prefix_cache: PrefixCache,
-    health: Health,
-    response_time: ResponseTime,
-    /// until when the VM wants no requests from this daemon
-    closed_until: Option<Instant>,
-}
-
 /// the VMs of one service
 #[derive(Debug, Clone, Default)]
 struct Service {
@@ -83,17 +39,6 @@
     meter: Meter,
 }
 
-/// prefill of the shared parts of a prompt at a VM
-#[apply(message!)]
-pub struct Prefill {
-    /// the service
-    pub service: String,
-    /// the VM's instance id
-    pub vm: String,
-    /// ids and token counts of the parts
-    pub parts: Vec<(u64, u32)>,
-}
-
 /// last reported load of a peer, by VM
 #[derive(Debug, Clone)]
 struct PeerLoads {
@@ -439,31 +384,3 @@
         }
     }
 }
-
-/// a request that ended at a VM
-#[derive(Debug, Clone, Copy)]
-pub struct Completion<'a> {
-    /// the service
-    pub service: &'a str,
-    /// the VM's instance id
-    pub id: &'a str,
-    /// work that [`Balancer::begin`] added
-    pub work: &'a Work,
-    /// outcome
-    pub outcome: Outcome,
-    /// time to the response, if the service is a plain one
-    pub took: Option<Duration>,
-}
-
-impl Entry {
-    fn new(member: Member) -> Entry {
-        Entry {
-            member,
-            local: Load::default(),
-            prefix_cache: PrefixCache::default(),
-            health: Health::new(),
-            response_time: ResponseTime::default(),
-            closed_until: None,
-        }
-    }
-}
--- /dev/null
+++ b/crates/route/src/placement/member.rs
@@ -0,0 +1,18 @@
+use super::request::Distance;
+
+/// a VM that may be chosen
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// instance id
+    pub id: String,
+    /// start time since the Unix epoch; differs after a restart under the same id
+    pub started_at_ms: u64,
+    /// network distance
+    pub distance: Distance,
+    /// requests that it runs concurrently
+    pub slots: u32,
+    /// size of its KV cache in tokens, if it is an engine
+    pub cache_tokens: Option<u64>,
+    /// connections that it accepts from all daemons together; each request uses one
+    pub connections: u32,
+}
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -29,15 +29,21 @@
 
 mod admission;
 mod balancer;
+mod completion;
 mod cost;
 mod engine;
+mod entry;
 mod health;
 mod load;
+mod member;
 mod plain;
 mod prefix_cache;
 mod request;
 
 pub use admission::{Kind, retry_after, time_limit};
-pub use balancer::{Balancer, Completion, Member, Outcome, Prefill};
+pub use balancer::Balancer;
+pub use completion::{Completion, Outcome};
 pub use load::{Load, Rate, Work};
+pub use member::Member;
+pub use prefix_cache::Prefill;
 pub use request::{Choice, Distance, Full, Pick, Request, TimeLimit};
--- a/crates/route/src/placement/prefix_cache.rs
+++ b/crates/route/src/placement/prefix_cache.rs
@@ -1,7 +1,20 @@
 use std::collections::HashMap;
 
+use macro_rules_attribute::apply;
+use schema::message;
 use tokio::time::Instant;
 
+/// prefill of the shared parts of a prompt at a VM
+#[apply(message!)]
+pub struct Prefill {
+    /// the service
+    pub service: String,
+    /// the VM's instance id
+    pub vm: String,
+    /// ids and token counts of the parts
+    pub parts: Vec<(u64, u32)>,
+}
+
 /// fraction of a VM's KV cache that prompt parts may fill before the least recently used are
 /// assumed to be evicted; the rest holds running requests
 const MAX_CACHED_FRACTION: f64 = 0.7;
