--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -4,11 +4,13 @@
 //! got: one of which no byte was written did not run, any other may have run.
 
 mod error;
+mod framing;
 #[allow(clippy::module_inception)]
 mod pool;
 mod timeouts;
 
 pub use error::Error;
+pub use framing::Framing;
 pub(crate) use pool::describe;
 pub use pool::{Connection, Exchange, Pool};
 pub use timeouts::Timeouts;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -11,6 +11,7 @@
 use super::{Chunk, Reason};
 use crate::adapter::Dialect;
 use crate::model::Vm;
+use crate::pool::Framing;
 
 /// time without an event that has data after which a stream is resumed at another VM; callers abandon a
 /// stream after two seconds or more
@@ -50,6 +51,7 @@
             let end = self.forward(&mut vm_stream).await;
             let cause = match end {
                 StreamEnd::Complete(rest) => {
+                    vm_stream.log_end(&self.stream.shared, &self.stream.request, &rest);
                     vm_stream.in_flight.set_outcome(Outcome::Answered);
                     vm_stream.connection.release();
                     self.finish(rest).await;
@@ -167,6 +169,7 @@
                     self.log("stream_resumed", &vm, last_id.as_deref().unwrap_or(""));
                     return Some(VmStream {
                         vm,
+                        framing: Framing::of(&vm_response.head.headers),
                         body: vm_response.body,
                         connection: vm_response.connection,
                         in_flight: vm_response.in_flight,
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -25,6 +25,7 @@
 use super::{Body, Failure, Reason};
 use crate::adapter::Dialect;
 use crate::model::Vm;
+use crate::pool::Framing;
 use crate::shared::Shared;
 
 /// chunks of a stream that wait to be sent to the caller
@@ -121,6 +122,7 @@
         let head = vm_response.head;
         let mut vm_stream = VmStream {
             vm: Rc::clone(vm),
+            framing: Framing::of(&head.headers),
             body: vm_response.body,
             connection: vm_response.connection,
             in_flight: vm_response.in_flight,
@@ -132,6 +134,7 @@
                 Ok(Opened::Stream(head, first, vm_stream))
             }
             Ok(Ok(Next::End(rest))) => {
+                vm_stream.log_end(shared, request, &rest);
                 vm_stream.in_flight.set_outcome(Outcome::Answered);
                 vm_stream.connection.release();
                 record_response(shared, request, vm, &head, request.arrived.elapsed());
--- a/crates/gateway/src/serve/vm_stream.rs
+++ b/crates/gateway/src/serve/vm_stream.rs
@@ -6,13 +6,16 @@
 
 use super::events::EventBuffer;
 use super::in_flight::InFlight;
+use super::request::Request;
 use crate::adapter::Dialect;
 use crate::model::Vm;
-use crate::pool::Connection;
+use crate::pool::{Connection, Framing};
+use crate::shared::Shared;
 
 /// event stream from a VM
 pub(super) struct VmStream<D: Dialect> {
     pub vm: Rc<Vm>,
+    pub framing: Framing,
     pub body: Incoming,
     pub connection: Connection,
     pub in_flight: InFlight<D>,
@@ -44,4 +47,20 @@
         }
         Ok(Next::End(events.take_rest()))
     }
+
+    /// logs the end of the stream, as its VM marked it
+    pub fn log_end(&self, shared: &Shared<D>, request: &Request, rest: &Bytes) {
+        let Some(left_out) = shared.permit_log("stream_ended") else {
+            return;
+        };
+        tracing::info!(
+            event = "stream_ended",
+            request = request.call.id,
+            vm = self.vm.id,
+            framing = %self.framing,
+            rest_bytes = rest.len(),
+            after_ms = request.arrived.elapsed().as_millis() as u64,
+            left_out,
+        );
+    }
 }
