--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -22,9 +22,15 @@
 /// runs a stream whose first VM fails after three events, while the second VM continues with the
 /// fourth; returns the response and the second VM
 async fn run_failing_stream(path: &str, failure: Vec<Step>) -> (support::Response, FakeVm) {
-    let harness = Harness::start().await;
     let mut script = Script::events(1, 3, GAP);
     script.0.extend(failure);
+    run_resumable_stream(path, script).await
+}
+
+/// runs a stream at a VM with this script, while a second VM starts that continues with the fourth
+/// event; returns the response and the second VM
+async fn run_resumable_stream(path: &str, script: Script) -> (support::Response, FakeVm) {
+    let harness = Harness::start().await;
     let first = FakeVm::start("vm-1", "desk", script).await;
     harness.register(&[&first]).await;
     let mut caller = harness.connect().await;
@@ -110,6 +116,74 @@
     }
 }
 
+/// the events 1 to 3 and a part of the fourth, under either framing
+fn streams_that_end_inside_an_event() -> Vec<(&'static str, Script)> {
+    let mut scripts = Vec::new();
+    for part in ["i", "id: 4", "id: 4\ndata: pie", "id: 4\ndata: piece 4\n"] {
+        let wait = Step::Wait(Duration::from_millis(200));
+        let chunk = Step::Write(format!("{:x}\r\n{part}\r\n", part.len()));
+        let chunked = Script::events(1, 3, GAP).then(wait.clone());
+        scripts.push(("chunked", chunked.then(chunk).end()));
+        let part = Step::Write(part.to_owned());
+        let unframed = Script::unframed_events(1, 3).then(wait).then(part);
+        let unframed = unframed.then(Step::Close);
+        scripts.push(("ends with its connection", unframed));
+    }
+    scripts
+}
+
+#[test]
+fn stream_that_ends_inside_an_event_does_not_look_complete() {
+    for (framing, script) in streams_that_end_inside_an_event() {
+        run(async {
+            let harness = Harness::start().await;
+            let vm = FakeVm::start("vm-1", "desk", script.clone()).await;
+            harness.register(&[&vm]).await;
+            let response = harness.call("POST", "/non-resumable/", "id-1").await;
+            assert!(!response.is_complete, "{framing}: {script:?}: {response:?}");
+            assert_eq!(response.body, events_text(1, 3), "{framing}: {script:?}");
+        });
+    }
+}
+
+#[test]
+fn stream_that_ends_inside_an_event_is_resumed() {
+    for (framing, script) in streams_that_end_inside_an_event() {
+        run(async {
+            let (response, second) = run_resumable_stream("/stream/", script.clone()).await;
+            assert!(response.is_complete, "{framing}: {script:?}");
+            assert_eq!(response.body, events_text(1, 6), "{framing}: {script:?}");
+            let requests = second.requests();
+            assert!(requests[0].contains("last-event-id: 3"), "{requests:?}");
+        });
+    }
+}
+
+#[test]
+fn connection_that_ends_before_the_first_event_is_no_empty_stream() {
+    run(async {
+        let harness = Harness::start().await;
+        let script = Script::unframed_events(1, 0).then(Step::Close);
+        let vm = FakeVm::start("vm-1", "desk", script).await;
+        harness.register(&[&vm]).await;
+        let response = harness.call("POST", "/non-resumable/", "id-1").await;
+        assert_eq!(response.status, 502, "{response:?}");
+    });
+}
+
+#[test]
+fn stream_without_a_length_ends_with_its_connection() {
+    run(async {
+        let harness = Harness::start().await;
+        let script = Script::unframed_events(1, 3).then(Step::Close);
+        let vm = FakeVm::start("vm-1", "desk", script).await;
+        harness.register(&[&vm]).await;
+        let response = harness.call("POST", "/non-resumable/", "id-1").await;
+        assert!(response.is_complete, "{response:?}");
+        assert_eq!(response.body, events_text(1, 3));
+    });
+}
+
 #[test]
 fn stream_that_fails_before_its_first_event_is_retried() {
     run(async {
--- a/crates/gateway/tests/support/vm.rs
+++ b/crates/gateway/tests/support/vm.rs
@@ -54,6 +54,16 @@
         Script(steps)
     }
 
+    /// the head of a stream that ends with its connection, then events with the ids `first` to `last`
+    pub fn unframed_events(first: u32, last: u32) -> Script {
+        let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: seal\r\n\r\n";
+        let events = (first..=last).map(|id| format!("id: {id}\ndata: piece {id}\n\n"));
+        Script(vec![
+            Step::Write(head.to_owned()),
+            Step::Write(events.collect()),
+        ])
+    }
+
     /// appends a step
     pub fn then(mut self, step: Step) -> Script {
         self.0.push(step);
