Treat a stream that ends inside an event as broken off

Cause: VmStream took every end of a body without a transport error for the end of the stream, and the relay passed the bytes after the last complete event on and ended the caller's body properly. A body without a length or chunks ends without an error also when its sender crashes. Fix: the end of a stream is an error if it leaves part of an event, under any framing, and if the connection ends it before an event with data. The error takes the same path as a reset: resume where that is allowed, otherwise the caller's body is truncated. Responses with another media type end as their framing says. So that the end of an event is known for every line end of the format, a lone CR counts as one as well; before, such streams arrived only at their end.

--- a/crates/gateway/src/serve/events.rs
+++ b/crates/gateway/src/serve/events.rs
@@ -81,19 +81,32 @@
         self.last_id.as_deref()
     }
 
+    /// whether the bytes after the last complete event belong to a further one
+    ///
+    /// Blank lines and complete comments do not.
+    pub fn ends_inside_event(&self) -> bool {
+        let text = String::from_utf8_lossy(&self.buffer).replace("\r\n", "\n");
+        let mut is_inside = false;
+        for line in text.split_inclusive(['\n', '\r']) {
+            let content = line.trim_end_matches(['\n', '\r']);
+            if content.len() == line.len() {
+                return true;
+            }
+            is_inside = !content.is_empty() && (is_inside || !content.starts_with(':'));
+        }
+        is_inside
+    }
+
     /// end of the first event at or after an offset, including its blank line
     fn next_end(&self, start: usize) -> Option<usize> {
         let buffer = &self.buffer;
         let mut offset = start.max(self.scanned);
         while offset < buffer.len() {
-            if buffer[offset] == b'\n' {
-                match buffer.get(offset + 1..) {
-                    Some([b'\n', ..]) => return Some(offset + 2),
-                    Some([b'\r', b'\n', ..]) => return Some(offset + 3),
-                    _ => {}
-                }
+            match &buffer[offset..] {
+                [b'\n', b'\n', ..] | [b'\r', b'\r', ..] => return Some(offset + 2),
+                [b'\n', b'\r', b'\n', ..] => return Some(offset + 3),
+                _ => offset += 1,
             }
-            offset += 1;
         }
         None
     }
@@ -112,7 +125,7 @@
 /// value of the `id` field of an event
 fn event_id(event: &[u8]) -> Option<String> {
     let text = std::str::from_utf8(event).ok()?;
-    let mut lines = text.lines().rev();
+    let mut lines = text.split(['\n', '\r']).rev();
     let id = lines.find_map(|line| line.strip_prefix("id:"))?;
     Some(id.trim().to_owned())
 }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -11,7 +11,6 @@
 use super::{Chunk, Reason};
 use crate::adapter::Dialect;
 use crate::model::Vm;
-use crate::pool::Framing;
 
 /// time without an event that has data after which a stream is resumed at another VM; callers abandon a
 /// stream after two seconds or more
@@ -167,13 +166,8 @@
             attempt_error = match sent {
                 Ok(vm_response) if vm_response.head.status.is_success() => {
                     self.log("stream_resumed", &vm, last_id.as_deref().unwrap_or(""));
-                    return Some(VmStream {
-                        vm,
-                        framing: Framing::of(&vm_response.head.headers),
-                        body: vm_response.body,
-                        connection: vm_response.connection,
-                        in_flight: vm_response.in_flight,
-                    });
+                    let (_, vm_stream) = VmStream::new(&vm, vm_response);
+                    return Some(vm_stream);
                 }
                 Ok(_) => lost_attempt(),
                 Err(attempt_error) => attempt_error,
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -25,7 +25,6 @@
 use super::{Body, Failure, Reason};
 use crate::adapter::Dialect;
 use crate::model::Vm;
-use crate::pool::Framing;
 use crate::shared::Shared;
 
 /// chunks of a stream that wait to be sent to the caller
@@ -119,14 +118,7 @@
         if !vm_response.head.status.is_success() {
             return pass_on_buffered(shared, request, vm, vm_response).await;
         }
-        let head = vm_response.head;
-        let mut vm_stream = VmStream {
-            vm: Rc::clone(vm),
-            framing: Framing::of(&head.headers),
-            body: vm_response.body,
-            connection: vm_response.connection,
-            in_flight: vm_response.in_flight,
-        };
+        let (head, mut vm_stream) = VmStream::new(vm, vm_response);
         let next = timeout_at(request.deadline, vm_stream.next(&mut self.events)).await;
         match next {
             Ok(Ok(Next::Events(first, _))) => {
--- a/crates/gateway/src/serve/vm_stream.rs
+++ b/crates/gateway/src/serve/vm_stream.rs
@@ -1,9 +1,13 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use super::attempt::VmResponse;
 use super::events::EventBuffer;
 use super::in_flight::InFlight;
 use super::request::Request;
@@ -16,6 +20,10 @@
 pub(super) struct VmStream<D: Dialect> {
     pub vm: Rc<Vm>,
     pub framing: Framing,
+    /// whether an event with data has been received
+    has_data: bool,
+    /// whether the body consists of events, as far as its head says
+    is_event_stream: bool,
     pub body: Incoming,
     pub connection: Connection,
     pub in_flight: InFlight<D>,
@@ -30,6 +38,20 @@
 }
 
 impl<D: Dialect> VmStream<D> {
+    /// creates a stream from a VM's response; also returns the head of the response
+    pub fn new(vm: &Rc<Vm>, response: VmResponse<D>) -> (Parts, VmStream<D>) {
+        let stream = VmStream {
+            vm: Rc::clone(vm),
+            framing: Framing::of(&response.head.headers),
+            has_data: false,
+            is_event_stream: is_event_stream(&response.head.headers),
+            body: response.body,
+            connection: response.connection,
+            in_flight: response.in_flight,
+        };
+        (response.head, stream)
+    }
+
     /// waits for complete events or the end of the stream
     pub async fn next(&mut self, events: &mut EventBuffer) -> Result<Next, String> {
         while let Some(frame) = self.body.frame().await {
@@ -42,12 +64,27 @@
                 .push(&data)
                 .map_err(|_| "event exceeds 1 MiB".to_owned())?;
             if let Some(batch) = batch {
+                self.has_data |= batch.has_data;
                 return Ok(Next::Events(batch.bytes, batch.has_data));
             }
         }
+        if self.is_event_stream {
+            self.check_end(events)?;
+        }
         Ok(Next::End(events.take_rest()))
     }
 
+    /// returns an error if the VM broke the stream off
+    fn check_end(&self, events: &EventBuffer) -> Result<(), String> {
+        if events.ends_inside_event() {
+            return Err("the stream ended inside an event".to_owned());
+        }
+        if self.framing == Framing::Close && !self.has_data {
+            return Err("the connection ended before the first event".to_owned());
+        }
+        Ok(())
+    }
+
     /// logs the end of the stream, as its VM marked it
     pub fn log_end(&self, shared: &Shared<D>, request: &Request, rest: &Bytes) {
         let Some(left_out) = shared.permit_log("stream_ended") else {
@@ -64,3 +101,12 @@
         );
     }
 }
+
+/// whether a response is an event stream; one without a content type is taken for one
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(CONTENT_TYPE) else {
+        return true;
+    };
+    let media_type = value.to_str().unwrap_or_default().split(';').next();
+    media_type.is_some_and(|name| name.trim().eq_ignore_ascii_case("text/event-stream"))
+}
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -171,6 +171,21 @@
     });
 }
 
+#[test]
+fn response_that_is_no_stream_ends_with_its_connection() {
+    run(async {
+        let harness = Harness::start().await;
+        let text = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: seal\r\n\
+            content-type: application/json\r\n\r\n{\"done\": true}";
+        let script = Script(vec![Step::Write(text.to_owned()), Step::Close]);
+        let vm = FakeVm::start("vm-1", "desk", script).await;
+        harness.register(&[&vm]).await;
+        let response = harness.call("POST", "/non-resumable/", "id-1").await;
+        assert!(response.is_complete, "{response:?}");
+        assert_eq!(response.body, "{\"done\": true}");
+    });
+}
+
 #[test]
 fn stream_without_a_length_ends_with_its_connection() {
     run(async {
@@ -246,17 +261,15 @@
 proptest! {
     /// however a stream is split into chunks, each event is returned complete and once
     #[test]
-    fn events_are_complete_for_any_split(chunk_sizes in prop::collection::vec(1usize..30, 1..60), crlf in any::<bool>()) {
-        let text = events_text(1, 12);
-        let text = if crlf { text.replace('\n', "\r\n") } else { text };
+    fn events_are_complete_for_any_split(chunk_sizes in prop::collection::vec(1usize..30, 1..60), line_end in prop::sample::select(vec!["\n", "\r\n", "\r"])) {
+        let text = events_text(1, 12).replace('\n', line_end);
         let mut events = EventBuffer::new();
         let (mut out, mut at, mut count) = (Vec::new(), 0, 0);
         let mut chunk_sizes = chunk_sizes.iter().cycle();
         while at < text.len() {
             let end = (at + chunk_sizes.next().expect("a chunk size")).min(text.len());
             if let Ok(Some(batch)) = events.push(&text.as_bytes()[at..end]) {
-                let ends = batch.bytes.ends_with(b"\n\n") || batch.bytes.ends_with(b"\n\r\n");
-                prop_assert!(ends);
+                prop_assert!(batch.bytes.ends_with(line_end.repeat(2).as_bytes()));
                 out.extend_from_slice(&batch.bytes);
                 count += batch.count;
             }
@@ -265,6 +278,25 @@
         prop_assert_eq!(String::from_utf8_lossy(&out).into_owned(), text);
         prop_assert_eq!(count, 12);
         prop_assert_eq!(events.last_id(), Some("12"));
+        prop_assert!(!events.ends_inside_event());
+    }
+
+    /// a stream cut at any byte ends inside an event unless an event is complete there
+    #[test]
+    fn a_cut_stream_ends_inside_an_event(cut in 0usize..1000, line_end in prop::sample::select(vec!["\n", "\r\n", "\r"])) {
+        let comment = format!(": comment{line_end}");
+        let text = events_text(1, 12).replace('\n', line_end);
+        let cut = cut % (text.len() + 1);
+        let mut events = EventBuffer::new();
+        prop_assert!(events.push(text[..cut].as_bytes()).is_ok());
+        let rest = text[..cut].rsplit(&line_end.repeat(2)).next().unwrap_or_default();
+        // the final line feed of a blank line adds nothing to the event
+        let is_inside = !rest.trim_end_matches(['\n', '\r']).is_empty() && !rest.ends_with("\r\n\r");
+        prop_assert_eq!(events.ends_inside_event(), is_inside, "{:?}", rest);
+        if !is_inside {
+            prop_assert!(events.push(comment.as_bytes()).is_ok());
+            prop_assert!(!events.ends_inside_event());
+        }
     }
 
     /// arbitrary bytes are returned unchanged and never cause a panic
