--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -288,7 +288,7 @@
         let text = events_text(1, 12).replace('\n', line_end);
         let cut = cut % (text.len() + 1);
         let mut events = EventBuffer::new();
-        prop_assert!(events.push(text[..cut].as_bytes()).is_ok());
+        prop_assert!(events.push(&text.as_bytes()[..cut]).is_ok());
         let rest = text[..cut].rsplit(&line_end.repeat(2)).next().unwrap_or_default();
         // the final line feed of a blank line adds nothing to the event
         let is_inside = !rest.trim_end_matches(['\n', '\r']).is_empty() && !rest.ends_with("\r\n\r");
