Reset the connection of an HTTP/1.0 caller whose response is truncated

The connection is reset now if such a response ends early; HTTP/1.1 keeps the missing last chunk, as a reset could discard events that are already sent. Tests, both failed before (regular end instead of a reset): truncated_stream_does_not_look_complete_to_an_http_1_0_caller, a_dropped_writer_resets_the_connection_of_an_http_1_0_caller.

--- a/crates/gateway/src/listeners/activity.rs
+++ b/crates/gateway/src/listeners/activity.rs
@@ -1,6 +1,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use http::Version;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -12,6 +13,8 @@
     head_since: Cell<Option<Instant>>,
     has_begun: Cell<bool>,
     first_request: Notify,
+    version: Cell<Version>,
+    is_truncated: Cell<bool>,
 }
 
 /// marks a request as in progress on a connection; dropped once the response is written
@@ -28,6 +31,8 @@
             head_since: Cell::new(None),
             has_begun: Cell::new(false),
             first_request: Notify::new(),
+            version: Cell::new(Version::HTTP_11),
+            is_truncated: Cell::new(false),
         })
     }
 
@@ -39,7 +44,8 @@
     }
 
     /// records that a request head is complete; the request lasts until the guard is dropped
-    pub fn begin_request(self: &Rc<Self>) -> BusyGuard {
+    pub fn begin_request(self: &Rc<Self>, version: Version) -> BusyGuard {
+        self.version.set(version);
         self.head_since.set(None);
         if !self.has_begun.replace(true) {
             self.first_request.notify_one();
@@ -50,6 +56,11 @@
         }
     }
 
+    /// whether the connection has to be reset, as its regular end would complete the last response
+    pub fn must_reset(&self) -> bool {
+        self.is_truncated.get() && self.version.get() < Version::HTTP_11
+    }
+
     /// waits until the first request head is complete
     pub async fn wait_for_first_request(&self) {
         if !self.has_begun.get() {
@@ -68,6 +79,13 @@
     }
 }
 
+impl BusyGuard {
+    /// records that the response ends before it is complete
+    pub fn record_truncated(&self) {
+        self.activity.is_truncated.set(true);
+    }
+}
+
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         let activity = &self.activity;
--- a/crates/gateway/src/listeners/connection.rs
+++ b/crates/gateway/src/listeners/connection.rs
@@ -4,6 +4,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use http::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -34,6 +36,17 @@
     activity: Rc<Activity>,
 }
 
+impl Drop for MonitoredStream {
+    fn drop(&mut self) {
+        if !self.activity.must_reset() {
+            return;
+        }
+        if let Err(error) = self.stream.set_zero_linger() {
+            tracing::warn!(event = "caller_not_reset", %error);
+        }
+    }
+}
+
 impl AsyncRead for MonitoredStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -90,8 +103,8 @@
         activity: Rc::clone(&activity),
     };
     let mut stage = shared.stage.subscribe();
-    let service = service_fn(|request| {
-        let busy = activity.begin_request();
+    let service = service_fn(|request: Request<Incoming>| {
+        let busy = activity.begin_request(request.version());
         let shared = Rc::clone(&shared);
         async move {
             let mut response = handle(shared, request).await?;
--- a/crates/gateway/src/serve/body.rs
+++ b/crates/gateway/src/serve/body.rs
@@ -84,6 +84,9 @@
                 }
                 Poll::Ready(None) => {
                     self.source = Source::Ended;
+                    if let Some(busy) = &self.busy {
+                        busy.record_truncated();
+                    }
                     Poll::Ready(Some(Err(Truncated)))
                 }
             },
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -11,6 +11,8 @@
 /// the failure of a VM that goes on to send comments
 const COMMENTS: &str = "stalled with comments now and then";
 
+const HEADERS: &str = "x-id: id-1\r\nx-key: key-1\r\nx-time-limit-ms: 5000\r\n";
+
 const GAP: Duration = Duration::from_millis(20);
 
 fn events_text(first: u32, last: u32) -> String {
@@ -171,6 +173,26 @@
     });
 }
 
+#[test]
+fn truncated_stream_does_not_look_complete_to_an_http_1_0_caller() {
+    for (end, is_reset) in [
+        (Step::Close, true),
+        (Step::Write("0\r\n\r\n".to_owned()), false),
+    ] {
+        run(async {
+            let harness = Harness::start().await;
+            let script = Script::events(1, 3, GAP).then(end);
+            let vm = FakeVm::start("vm-1", "desk", script).await;
+            harness.register(&[&vm]).await;
+            let mut caller = harness.connect().await;
+            let request = support::request("POST", "/non-resumable/", HEADERS, "body");
+            caller.send(&request.replace("HTTP/1.1", "HTTP/1.0")).await;
+            let (text, was_reset) = caller.read_to_end().await;
+            assert_eq!(was_reset, is_reset, "{text}");
+        });
+    }
+}
+
 #[test]
 fn response_that_is_no_stream_ends_with_its_connection() {
     run(async {
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -83,6 +83,19 @@
             .expect("a response within the time-out")
     }
 
+    /// reads until the connection ends; returns what was received and whether it was reset
+    pub async fn read_to_end(&mut self) -> (String, bool) {
+        let mut bytes = Vec::new();
+        let reading = self.stream.read_to_end(&mut bytes);
+        let result = timeout(TIMEOUT, reading)
+            .await
+            .expect("the end of the connection within the time-out");
+        (
+            String::from_utf8_lossy(&bytes).into_owned(),
+            result.is_err(),
+        )
+    }
+
     /// reads until some text has been received
     pub async fn read_until(&mut self, text: &str) {
         let reading = async {
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -6,7 +6,9 @@
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio::sync::mpsc::Receiver;
 
-use crate::transport::ResponseSent;
+use http::Version;
+
+use crate::transport::ResponseState;
 
 /// part of a response that the handler writes chunk by chunk
 #[derive(Debug)]
@@ -45,14 +47,17 @@
 #[derive(Debug)]
 pub(crate) struct Body {
     source: Source,
-    response_sent: ResponseSent,
+    version: Version,
+    state: ResponseState,
 }
 
 impl Body {
-    pub(crate) fn new(source: Source, response_sent: ResponseSent) -> Body {
+    /// `version` is that of the request
+    pub(crate) fn new(source: Source, version: Version, state: ResponseState) -> Body {
         Body {
             source,
-            response_sent,
+            version,
+            state,
         }
     }
 }
@@ -78,7 +83,13 @@
                 return Poll::Ready(Some(Ok(Frame::data(bytes))));
             }
             Poll::Ready(Some(Chunk::End)) => None,
-            Poll::Ready(None) => Some(Err(Aborted)),
+            Poll::Ready(None) => {
+                // without chunks the regular end of the connection would complete the response
+                if self.version < Version::HTTP_11 {
+                    self.state.abort();
+                }
+                Some(Err(Aborted))
+            }
         };
         self.source = Source::Ended;
         Poll::Ready(frame)
@@ -101,6 +112,6 @@
 
 impl Drop for Body {
     fn drop(&mut self) {
-        self.response_sent.set();
+        self.state.end();
     }
 }
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -18,7 +18,7 @@
 use crate::head::{MAX_HEADERS, Malformed};
 use crate::listener::Timeouts;
 use crate::request::{BodyError, Command, Request};
-use crate::transport::{ResponseSent, Transport};
+use crate::transport::{ResponseState, Transport};
 
 /// callbacks of the program that uses the listener
 #[derive(Debug, Clone, Copy)]
@@ -50,19 +50,15 @@
 ) where
     H: Fn(Request),
 {
-    let response_sent = ResponseSent::new();
-    let transport = Transport::new(
-        stream,
-        timeouts.write,
-        response_sent.clone(),
-        callbacks.malformed,
-    );
-    let service = service_fn(|request| {
-        let response_sent = response_sent.clone();
+    let state = ResponseState::new();
+    let transport = Transport::new(stream, timeouts.write, state.clone(), callbacks.malformed);
+    let service = service_fn(|request: hyper::Request<Incoming>| {
+        let state = state.clone();
+        let version = request.version();
         let response = serve(request, timeouts, &callbacks.handle);
         async move {
             let response = response.await?;
-            Ok::<_, Dropped>(response.map(|source| Body::new(source, response_sent)))
+            Ok::<_, Dropped>(response.map(|source| Body::new(source, version, state)))
         }
     });
     let connection = http1::Builder::new()
--- a/crates/web/src/transport.rs
+++ b/crates/web/src/transport.rs
@@ -14,17 +14,40 @@
 /// bytes per read
 const READ_BYTES: usize = 8192;
 
-/// whether the response to the last request was sent completely
+/// state of the response to the last request
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// it is not sent completely
+    Open,
+    /// it was sent completely
+    Sent,
+    /// it ended before it was complete, and only a reset of the connection shows that
+    Aborted,
+}
+
+/// state of the response to the last request, shared by the body and the transport
 #[derive(Debug, Clone)]
-pub(crate) struct ResponseSent(Rc<Cell<bool>>);
+pub(crate) struct ResponseState(Rc<Cell<Progress>>);
+
+impl ResponseState {
+    pub(crate) fn new() -> ResponseState {
+        ResponseState(Rc::new(Cell::new(Progress::Sent)))
+    }
+
+    /// records the end of the response, unless it was aborted
+    pub(crate) fn end(&self) {
+        if self.0.get() == Progress::Open {
+            self.0.set(Progress::Sent);
+        }
+    }
 
-impl ResponseSent {
-    pub(crate) fn new() -> ResponseSent {
-        ResponseSent(Rc::new(Cell::new(true)))
+    /// records that the response ended before it was complete
+    pub(crate) fn abort(&self) {
+        self.0.set(Progress::Aborted);
     }
 
-    pub(crate) fn set(&self) {
-        self.0.set(true);
+    fn begin(&self) {
+        self.0.set(Progress::Open);
     }
 }
 
@@ -48,7 +71,7 @@
     stream: TcpStream,
     write_timeout: Duration,
     timer: Option<Pin<Box<Sleep>>>,
-    response_sent: ResponseSent,
+    response: ResponseState,
     next: Next,
     buffered: Vec<u8>,
     rejection: Option<Vec<u8>>,
@@ -60,14 +83,14 @@
     pub(crate) fn new(
         stream: TcpStream,
         write_timeout: Duration,
-        response_sent: ResponseSent,
+        response: ResponseState,
         malformed: fn(Malformed) -> Vec<u8>,
     ) -> Transport {
         Transport {
             stream,
             write_timeout,
             timer: None,
-            response_sent,
+            response,
             next: Next::Head,
             buffered: Vec::new(),
             rejection: None,
@@ -109,7 +132,7 @@
     fn poll_head(&mut self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
         // Pipelined requests wait for the response to the last one. Reading goes on up to
         // the size of the buffer, to notice when the caller disconnects.
-        while !self.response_sent.0.get() {
+        while self.response.0.get() == Progress::Open {
             if self.buffered.len() >= READ_BYTES {
                 return Poll::Pending;
             }
@@ -122,7 +145,7 @@
                 Head::Incomplete => {}
                 Head::Complete(length) => {
                     self.next = length.map_or(Next::Unknown, Next::Request);
-                    self.response_sent.0.set(false);
+                    self.response.begin();
                     return Poll::Ready(Ok(true));
                 }
                 Head::Malformed(fault) => {
@@ -157,6 +180,17 @@
     }
 }
 
+impl Drop for Transport {
+    fn drop(&mut self) {
+        if self.response.0.get() != Progress::Aborted {
+            return;
+        }
+        if let Err(error) = self.stream.set_zero_linger() {
+            tracing::warn!(event = "caller_not_reset", %error);
+        }
+    }
+}
+
 impl AsyncRead for Transport {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/web/tests/listener.rs
+++ b/crates/web/tests/listener.rs
@@ -145,6 +145,23 @@
     }
 }
 
+#[test]
+fn a_dropped_writer_resets_the_connection_of_an_http_1_0_caller() {
+    let (server, requests) = start(Timeouts::default());
+    for complete in [true, false] {
+        let mut caller = connect(server.address(), "GET / HTTP/1.0\r\nhost: x\r\n\r\n");
+        let mut writer = next_request(&requests).stream(200, &[]);
+        writer.write("part").expect("the caller is connected");
+        if complete {
+            writer.end().expect("the caller is connected");
+        } else {
+            drop(writer);
+        }
+        let result = caller.read_to_end(&mut Vec::new());
+        assert_eq!(result.is_ok(), complete, "{result:?}");
+    }
+}
+
 #[test]
 fn a_dropped_request_closes_its_connection() {
     let (server, requests) = start(Timeouts::default());
