Test that the product's streams cut inside an event are resumed

The test doubled_reordered_and_truncated_streams gets this corruption, under a response that ends with its connection.

--- a/crates/bench/tests/answers.rs
+++ b/crates/bench/tests/answers.rs
@@ -93,16 +93,19 @@
     Reordered,
     /// closes the connection before the last tokens
     Truncated,
+    /// closes the connection inside an event
+    EndedInsideEvent,
     /// sends the finish event before the last tokens
     FinishedEarly,
     /// sends a token with an index far ahead
     SkippedAhead,
 }
 
-const CORRUPTIONS: [Corruption; 5] = [
+const CORRUPTIONS: [Corruption; 6] = [
     Corruption::Doubled,
     Corruption::Reordered,
     Corruption::Truncated,
+    Corruption::EndedInsideEvent,
     Corruption::FinishedEarly,
     Corruption::SkippedAhead,
 ];
@@ -227,8 +230,8 @@
         }
         Some(Corruption::Reordered) => indexes.swap(half, half + 1),
         Some(Corruption::Truncated | Corruption::FinishedEarly) => indexes.truncate(half),
+        Some(Corruption::EndedInsideEvent) | None => (),
         Some(Corruption::SkippedAhead) => indexes[half] += 100,
-        None => (),
     }
     let mut events = String::new();
     for index in indexes {
@@ -236,6 +239,10 @@
         let chunk = serde_json::json!({ "index": index, "text": text });
         events.push_str(&format!("id: {index}\ndata: {chunk}\n\n"));
     }
+    if matches!(corruption, Some(Corruption::EndedInsideEvent)) {
+        events.truncate(events.len() * 2 / 3 - 2);
+        return events;
+    }
     if !matches!(corruption, Some(Corruption::Truncated)) {
         let usage = serde_json::json!({
             "prompt_tokens": 2,
