--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -295,6 +295,7 @@
         address = %vm.address,
         outcome = reason.name(),
         cause,
+        parts = request.shared_parts_text(),
         after_ms = request.arrived.elapsed().as_millis() as u64,
         left_ms = request.time_left().as_millis() as u64,
         left_out,
