--- /dev/null
+++ b/crates/gateway/tests/crashes.rs
@@ -0,0 +1,156 @@
+//! Prompts with a part that crashes every VM which begins a response to it.
+
+mod support;
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use gateway::Settings;
+use gateway::peers::{Peers, exchange_reports};
+use support::{FakeStore, FakeVm, Harness, Response, Script, config, request, run, settings};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// first part of all prompts
+const FIRST: u64 = 1;
+
+/// part that crashes VMs
+const CRASHING: u64 = 666;
+
+/// part of the other prompts
+const SOUND: u64 = 2;
+
+/// number of VMs that run at a time
+const VMS: usize = 6;
+
+/// crashes after which the part has to be known
+const KNOWN_AFTER: usize = 5;
+
+/// time after them within which every daemon knows it
+const SPREAD_TIME: Duration = Duration::from_secs(4);
+
+/// requests that may still reach VMs later
+const MAX_LATER: usize = 3;
+
+/// VMs of the service `desk`; those that have ended are replaced under new ids
+struct Vms {
+    store: FakeStore,
+    running: Vec<FakeVm>,
+    crashed: usize,
+}
+
+impl Vms {
+    async fn start(store: &FakeStore) -> Vms {
+        let mut vms = Vms {
+            store: store.clone(),
+            running: Vec::new(),
+            crashed: 0,
+        };
+        vms.replace().await;
+        vms
+    }
+
+    /// replaces the VMs that have ended
+    async fn replace(&mut self) {
+        for vm in self.running.extract_if(.., |vm| vm.has_crashed()) {
+            self.store.delete("vms", &vm.vm.id);
+            self.crashed += 1;
+        }
+        while self.running.len() < VMS {
+            let id = format!("vm-{}", self.crashed + self.running.len());
+            let script = Script::events(1, 2, Duration::ZERO).end();
+            let vm = FakeVm::start(&id, "desk", script).await;
+            vm.set_crashing_part(CRASHING);
+            self.store.register(&vm.vm);
+            self.running.push(vm);
+        }
+        sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// an address for peers that no other test uses
+fn free_address(number: usize) -> SocketAddr {
+    let host = u8::try_from(number + 1).expect("a small number");
+    let listener =
+        TcpListener::bind(SocketAddr::from(([127, 78, 1, host], 0))).expect("a free port");
+    listener.local_addr().expect("a bound address")
+}
+
+/// starts a daemon that exchanges reports with the others
+fn start_daemon(number: usize, zone: &str, store: &FakeStore) -> Harness {
+    let settings = Settings {
+        is_alone: false,
+        name: format!("daemon-{number}"),
+        zone: zone.to_owned(),
+        peers: free_address(number),
+        ..settings()
+    };
+    let harness = Harness::with(settings, store.clone());
+    let settings = &harness.shared.settings;
+    let peers = Peers::new(&settings.name, &settings.zone);
+    let shared = Rc::clone(&harness.shared);
+    spawn_local(exchange_reports(shared, Rc::new(store.clone()), peers));
+    harness
+}
+
+async fn wait_until_ready(daemons: &[Harness], vms: &Vms) {
+    for daemon in daemons {
+        daemon
+            .wait_until(|daemon| {
+                let known = daemon.shared.vms.borrow();
+                daemon.shared.is_ready()
+                    && vms.running.iter().all(|vm| known.contains_key(&vm.vm.id))
+            })
+            .await;
+    }
+}
+
+/// sends a request whose prompt has the common first part, this part and one of its own
+async fn call(daemon: &Harness, part: u64, number: usize) -> Response {
+    let own = 1000 + number;
+    let headers = format!(
+        "x-id: id-{part}-{number}\r\nx-key: key-1\r\nx-time-limit-ms: 3000\r\n\
+        x-parts: {FIRST},{part},{own}\r\n"
+    );
+    let text = request("POST", "/stream/", &headers, "body");
+    daemon.connect().await.call(&text).await
+}
+
+#[test]
+fn requests_with_a_part_that_crashes_vms_stop_reaching_them() {
+    run(async {
+        let store = FakeStore::new();
+        store.configure(|| config(1));
+        let mut daemons: Vec<Harness> = (0..3)
+            .map(|number| start_daemon(number, "here", &store))
+            .collect();
+        let mut vms = Vms::start(&store).await;
+        wait_until_ready(&daemons, &vms).await;
+        let mut number = 0;
+        while vms.crashed < KNOWN_AFTER {
+            let daemon = &daemons[number % daemons.len()];
+            assert_eq!(call(daemon, SOUND, number).await.status, 200);
+            call(daemon, CRASHING, number).await;
+            number += 1;
+            assert!(number < 20, "{} VMs have crashed", vms.crashed);
+            vms.replace().await;
+        }
+        sleep(SPREAD_TIME).await;
+        let before = vms.crashed;
+        // a daemon that starts afterwards learns it from the others
+        daemons.push(start_daemon(3, "here", &store));
+        sleep(SPREAD_TIME).await;
+        wait_until_ready(&daemons, &vms).await;
+        for later in 0..12 {
+            let daemon = &daemons[later % daemons.len()];
+            let response = call(daemon, CRASHING, number + later).await;
+            assert!(response.is_complete, "{response:?}");
+            let sound = call(daemon, SOUND, number + later).await;
+            assert_eq!(sound.status, 200, "daemon {}", later % daemons.len());
+            vms.replace().await;
+        }
+        let later = vms.crashed - before;
+        assert!(later <= MAX_LATER, "{later} VMs crashed later");
+    });
+}
--- a/crates/gateway/tests/support/dialect.rs
+++ b/crates/gateway/tests/support/dialect.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use gateway::adapter::{Attempt, Dialect, Malformed, Notice, Reply};
-use gateway::model::Call;
+use gateway::model::{Call, Part};
 use http::{HeaderMap, HeaderValue, StatusCode, request, response};
 
 /// dialect with the minimum set of headers
@@ -12,6 +12,12 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// parts of a prompt from their ids, separated by commas
+fn parts(list: &str) -> Vec<Part> {
+    let ids = list.split(',').filter_map(|id| id.parse().ok());
+    ids.map(|id| Part { id, tokens: 10 }).collect()
+}
+
 impl Dialect for TestDialect {
     fn decode_call(&self, head: &request::Parts) -> Result<Call, Malformed> {
         let headers = &head.headers;
@@ -27,7 +33,7 @@
                 None => None,
             },
             tokens: None,
-            parts: Vec::new(),
+            parts: text(headers, "x-parts").map(parts).unwrap_or_default(),
             resume_after: text(headers, "last-event-id").map(str::to_owned),
         })
     }
@@ -54,6 +60,9 @@
         if let Some(last) = attempt.resume_after {
             set("last-event-id", last);
         }
+        if let Some(parts) = head.headers.get("x-parts") {
+            headers.insert("x-parts", parts.clone());
+        }
         if let Some(host) = head.headers.get("host") {
             headers.insert("host", host.clone());
         }
--- a/crates/gateway/tests/support/vm.rs
+++ b/crates/gateway/tests/support/vm.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,6 +6,7 @@
 use gateway::model::{Health, Vm};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// one step of handling a request
@@ -84,6 +85,8 @@
     requests: Rc<RefCell<Vec<String>>>,
     cancelled: Rc<RefCell<u32>>,
     script: Rc<RefCell<Script>>,
+    crashing_part: Rc<Cell<Option<u64>>>,
+    crashed: watch::Sender<bool>,
 }
 
 impl FakeVm {
@@ -96,16 +99,50 @@
             requests: Rc::default(),
             cancelled: Rc::default(),
             script: Rc::new(RefCell::new(script)),
+            crashing_part: Rc::default(),
+            crashed: watch::Sender::new(false),
         };
         let serving = fake.clone();
         tokio::task::spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::task::spawn_local(serving.clone().serve(stream));
+            let mut crashed = serving.crashed.subscribe();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => {
+                            tokio::task::spawn_local(serving.clone().serve_until_crash(stream));
+                        }
+                        Err(_) => return,
+                    },
+                    _ = crashed.wait_for(|crashed| *crashed) => return,
+                }
             }
         });
         fake
     }
 
+    /// lets the process end when it begins a response to a prompt with this part
+    pub fn set_crashing_part(&self, part: u64) {
+        self.crashing_part.set(Some(part));
+    }
+
+    /// ends the process: its connections and its port are closed
+    pub fn crash(&self) {
+        self.crashed.send_replace(true);
+    }
+
+    /// whether the process has ended
+    pub fn has_crashed(&self) -> bool {
+        *self.crashed.borrow()
+    }
+
+    async fn serve_until_crash(self, stream: TcpStream) {
+        let mut crashed = self.crashed.subscribe();
+        tokio::select! {
+            () = self.serve(stream) => {}
+            _ = crashed.wait_for(|crashed| *crashed) => {}
+        }
+    }
+
     /// heads of the received requests, in lower case
     pub fn requests(&self) -> Vec<String> {
         self.requests.borrow().clone()
@@ -129,6 +166,14 @@
                 .find_map(|line| line.strip_prefix("x-id: "))
                 .unwrap_or_default()
                 .to_owned();
+            if self
+                .crashing_part
+                .get()
+                .is_some_and(|part| has_part(&head, part))
+            {
+                self.crash();
+                return;
+            }
             let script = self.script.borrow().clone();
             for step in &script.0 {
                 let mut byte = [0; 1];
@@ -175,6 +220,11 @@
     }
 }
 
+fn has_part(head: &str, part: u64) -> bool {
+    let list = head.lines().find_map(|line| line.strip_prefix("x-parts: "));
+    list.is_some_and(|list| list.split(',').any(|id| id.parse() == Ok(part)))
+}
+
 /// reads a request and returns its head
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
