Quarantine the part of a prompt that crashes VM after VM

Cause: each daemon took each break for a fault of the VM alone and sent the request to the next one. Nothing connected the crashes with what the requests had in common, within a daemon or between daemons. Fix: route::quarantine finds the part that explains the crashes from the evidence of all daemons; gateway::quarantine observes crashes and sound responses, exchanges them at once, and refuses requests with the part, also between attempts. Parts are in reports and in the checkpoint, so that daemons that were cut off or restarted know them. Also new: part_that_crashes_vms_becomes_known_in_all_zones, broken_connections_to_running_vms_quarantine_no_part, quarantined_parts_outlive_the_daemons_that_quarantined_them.

--- a/crates/gateway/src/checkpoint/read.rs
+++ b/crates/gateway/src/checkpoint/read.rs
@@ -4,6 +4,7 @@
 
 use super::{KIND, NAME, Record};
 use crate::adapter::{Dialect, ObjectError, Objects};
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// time limit of the read, after which the daemon starts without a checkpoint: twice the
@@ -45,6 +46,7 @@
         daemons = record.daemons,
         limits = record.limits.len(),
         windows = record.windows.len(),
+        quarantined = record.marks.len(),
     );
     if record.generation < object.revision.generation {
         // later spending was recorded in what the restored store has lost
@@ -55,5 +57,6 @@
         );
         record.limits.clear();
     }
+    quarantine::restore(shared, &record.marks);
     shared.restore(record);
 }
--- a/crates/gateway/src/checkpoint/record.rs
+++ b/crates/gateway/src/checkpoint/record.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use macro_rules_attribute::apply;
+use route::quarantine::Mark;
 use route::quota;
 use schema::message;
 
@@ -54,6 +55,9 @@
     pub limits: BTreeMap<String, Level>,
     /// requests begun, by window and workspace
     pub windows: BTreeMap<u64, Counts>,
+    /// quarantined parts of prompts
+    #[serde(default)]
+    pub marks: Vec<Mark>,
 }
 
 impl Record {
--- a/crates/gateway/src/checkpoint/write.rs
+++ b/crates/gateway/src/checkpoint/write.rs
@@ -30,7 +30,8 @@
             continue;
         }
         let record = record(&shared, &peers);
-        if record.limits.is_empty() && record.windows.values().all(Counts::is_empty) {
+        let has_counts = !record.windows.values().all(Counts::is_empty);
+        if record.limits.is_empty() && record.marks.is_empty() && !has_counts {
             continue;
         }
         let spec = match serde_json::to_value(&record) {
@@ -63,6 +64,7 @@
         at_ms: shared.wall_clock.now_ms(),
         generation: shared.generation.current(),
         daemons: shared.daemons.get(),
+        marks: shared.quarantine.parts.borrow().marks(),
         ..Record::default()
     };
     for window in (newest + 1).saturating_sub(MAX_WINDOWS)..=newest {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod model;
 pub mod peers;
 pub mod pool;
+pub mod quarantine;
 pub mod relay;
 pub mod serve;
 mod settings;
--- a/crates/gateway/src/model/call.rs
+++ b/crates/gateway/src/model/call.rs
@@ -30,6 +30,24 @@
 }
 
 impl Call {
+    /// ids and token counts of the prompt's parts
+    pub fn part_sizes(&self) -> Vec<(u64, u32)> {
+        let parts = self.parts.iter();
+        parts.map(|part| (part.id, part.tokens)).collect()
+    }
+
+    /// ids of the prompt's parts but the last one, which no other request shares
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.id)
+    }
+
+    /// [`Call::shared_parts`] in hexadecimal, for logs
+    pub fn shared_parts_text(&self) -> String {
+        let ids: Vec<String> = self.shared_parts().map(|id| format!("{id:x}")).collect();
+        ids.join(",")
+    }
+
     /// number of prompt tokens, 0 if unknown
     pub fn prompt_tokens(&self) -> u32 {
         self.tokens.map_or(0, |(prompt, _)| prompt)
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -11,6 +11,7 @@
 use super::state::Peers;
 use crate::adapter::{Dialect, Objects};
 use crate::limits::{refund_peer, restore_ledger, rule_for_peer};
+use crate::quarantine::{apply_evidence, evaluate_crashes};
 use crate::relay::{Known, Reply};
 use crate::shared::Shared;
 
@@ -42,6 +43,8 @@
         receiving,
         reporter.run(),
         reporter.run_updates(),
+        reporter.run_evidence(),
+        evaluate_crashes(Rc::clone(&shared)),
         following,
         rewriting
     );
@@ -80,6 +83,8 @@
                         tracing::info!(event = "vm_draining", vm = id, cause = "a peer states it");
                     }
                 }
+                let is_forwarded = peers.topology().is_delegate();
+                apply_evidence(shared, &update.evidence, is_forwarded);
             }
             Message::Refund(charge) => refund_peer(shared, &charge),
             Message::Ledger(copy) => restore_ledger(shared, &copy),
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -2,6 +2,7 @@
 
 use macro_rules_attribute::apply;
 use route::placement::{Load, Prefill, Rate};
+use route::quarantine::{Evidence, Mark};
 use schema::message;
 
 use crate::freshness::Confirmation;
@@ -57,6 +58,9 @@
 pub struct Update {
     /// ids and start times of VMs that stated that they drain
     pub draining: Vec<(String, u64)>,
+    /// crashes and quarantined parts
+    #[serde(default, skip_serializing_if = "Evidence::is_empty")]
+    pub evidence: Evidence,
 }
 
 /// answer to a report
@@ -100,6 +104,9 @@
     /// whether the receiver is to answer with the reports of all other daemons
     #[serde(default)]
     pub wants_others: bool,
+    /// quarantined parts of prompts
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub marks: Vec<Mark>,
     /// times of day at other daemons of the zone, for a process that has just started
     #[serde(default)]
     pub times_ms: HashMap<String, u64>,
--- a/crates/gateway/src/peers/reporter.rs
+++ b/crates/gateway/src/peers/reporter.rs
@@ -21,6 +21,10 @@
 /// time for which drain notices are batched before they are sent: VMs stop in groups
 const UPDATE_BATCH_TIME: Duration = Duration::from_millis(10);
 
+/// time for which evidence of crashes is batched: the requests of a VM break at the same time, and
+/// delegates pass on what many daemons send
+const EVIDENCE_BATCH_TIME: Duration = Duration::from_millis(50);
+
 /// usage windows in a full report: the current one and those not yet reported
 const FULL_REPORT_WINDOWS: usize = 3;
 
@@ -107,30 +111,43 @@
         loop {
             self.shared.drain_notices_ready.notified().await;
             sleep(UPDATE_BATCH_TIME).await;
-            let draining = self.shared.drain_notices.take();
-            let recipients = self
-                .peers
-                .reports
-                .borrow()
-                .topology()
-                .group_peers()
-                .to_vec();
-            let update = Update { draining };
-            let members = self.node.members();
-            for member in members
-                .iter()
-                .filter(|member| recipients.contains(&member.vm))
-            {
-                let (node, member, update) = (self.node.clone(), member.clone(), update.clone());
-                tokio::spawn(async move {
-                    let result = node
-                        .call::<Update, ()>(&member, UPDATE_METHOD, &update, CALL_TIMEOUT)
-                        .await;
-                    if let Err(error) = result {
-                        tracing::debug!(event = "peer_not_told", peer = member.vm, %error);
-                    }
-                });
-            }
+            let update = Update {
+                draining: self.shared.drain_notices.take(),
+                ..Update::default()
+            };
+            self.send_update(&update, self.peers.topology().group_peers());
+        }
+    }
+
+    /// sends evidence of crashes as soon as there is some
+    pub async fn run_evidence(&self) {
+        loop {
+            self.shared.quarantine.evidence_ready.notified().await;
+            sleep(EVIDENCE_BATCH_TIME).await;
+            let update = Update {
+                evidence: self.shared.quarantine.evidence.take(),
+                ..Update::default()
+            };
+            self.send_update(&update, &self.peers.topology().evidence_peers());
+        }
+    }
+
+    /// sends an update to some peers without waiting for their answers
+    fn send_update(&self, update: &Update, recipients: &[String]) {
+        let members = self.node.members();
+        for member in members
+            .iter()
+            .filter(|member| recipients.contains(&member.vm))
+        {
+            let (node, member, update) = (self.node.clone(), member.clone(), update.clone());
+            tokio::spawn(async move {
+                let result = node
+                    .call::<Update, ()>(&member, UPDATE_METHOD, &update, CALL_TIMEOUT)
+                    .await;
+                if let Err(error) = result {
+                    tracing::debug!(event = "peer_not_told", peer = member.vm, %error);
+                }
+            });
         }
     }
 
@@ -251,6 +268,7 @@
             prefills,
             rates,
             counts: Snapshot { windows },
+            marks: shared.quarantine.parts.borrow().marks(),
             ..Report::default()
         }
     }
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -11,6 +11,7 @@
 use super::reports::Reports;
 use super::topology::{Peer, Topology};
 use crate::adapter::Dialect;
+use crate::quarantine;
 use crate::shared::Shared;
 use crate::usage::Counts;
 
@@ -98,6 +99,7 @@
             }
             shared.wall_clock.add_peer(&report.from, report.time_ms);
         }
+        quarantine::restore(shared, &report.marks);
         let mut reports = self.reports.borrow_mut();
         let mut placement = shared.placement.borrow_mut();
         if let Some(report) = reports.receive(report, now) {
--- a/crates/gateway/src/peers/topology.rs
+++ b/crates/gateway/src/peers/topology.rs
@@ -119,6 +119,14 @@
         &self.group_peers[..count.min(self.group_peers.len())]
     }
 
+    /// peers that receive evidence of crashes; delegates pass on to theirs what is new to them
+    pub fn evidence_peers(&self) -> Vec<String> {
+        if self.is_single_group || self.is_delegate() {
+            return [&self.group_peers[..], &self.remote_delegates].concat();
+        }
+        self.reported_peers().to_vec()
+    }
+
     /// daemons of remote zones that receive the sum of this daemon's zone
     pub fn remote_delegates(&self) -> &[String] {
         &self.remote_delegates
--- a/crates/gateway/src/pool/pool.rs
+++ b/crates/gateway/src/pool/pool.rs
@@ -1,5 +1,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -106,6 +107,12 @@
         result.map_err(|(error, _)| error)
     }
 
+    /// whether the process at an address has ended, so that its port refuses connections
+    pub async fn is_refused(&self, address: SocketAddr, limit: Duration) -> bool {
+        let connecting = timeout(limit, TcpStream::connect(address)).await;
+        matches!(connecting, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// removes idle connections that are past their idle time or closed
     pub fn prune(&self) {
         let now = Instant::now();
--- /dev/null
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -0,0 +1,13 @@
+//! Prompt parts that crash VMs: what this daemon observes, and what it exchanges with the others.
+//!
+//! The decisions are those of [`route::quarantine`]. A VM counts as crashed if a response breaks
+//! that it had just begun, or not begun, and its port then refuses connections; a reset connection
+//! or a cut link is no crash. Crashes and refutations are sent to the peers at once, and delegates
+//! pass on what is new to them; each report contains the quarantined parts, so that a daemon that
+//! has started or was cut off learns them with the first one.
+
+mod crash;
+mod state;
+
+pub use crash::{BEGIN_TIME, record_broken, record_success};
+pub use state::{State, apply_evidence, evaluate_crashes, refusal, restore};
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -20,6 +20,7 @@
 use crate::adapter::{Attempt, Dialect, Reply};
 use crate::model::Vm;
 use crate::pool::{Connection, Error, Exchange, Timeouts};
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// `Retry-After` when a VM refused the request: about the time a VM takes for a request
@@ -138,6 +139,9 @@
                 in_flight.set_outcome(Outcome::Broken);
                 shared.pool.close_idle(vm.address);
             }
+            if matches!(error, Error::Lost(_)) {
+                quarantine::record_broken(shared, request.call.shared_parts(), vm, None);
+            }
             return Err(record_connection_error(shared, request, vm, &error));
         }
     };
@@ -189,7 +193,10 @@
         },
         ..Timeouts::default()
     };
-    let is_wanted = || shared.accepts_requests(&request.service, &vm.id);
+    let is_wanted = || {
+        shared.accepts_requests(&request.service, &vm.id)
+            && quarantine::refusal(shared, request.call.shared_parts()).is_none()
+    };
     let sending = shared.pool.send(vm.address, message, timeouts, is_wanted);
     match timeout_at(request.deadline, sending).await {
         Ok(result) => result,
@@ -295,7 +302,7 @@
         address = %vm.address,
         outcome = reason.name(),
         cause,
-        parts = request.shared_parts_text(),
+        parts = request.call.shared_parts_text(),
         after_ms = request.arrived.elapsed().as_millis() as u64,
         left_ms = request.time_left().as_millis() as u64,
         left_out,
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -11,6 +11,7 @@
 use super::{Failure, Reason};
 use crate::adapter::Dialect;
 use crate::model::Vm;
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// `Retry-After` when a service has no VM: about the time a VM takes to register
@@ -28,6 +29,9 @@
     attempts: &mut Attempts,
     time_limit: TimeLimit,
 ) -> Result<(Rc<Vm>, Pick), Failure> {
+    if let Some(failure) = quarantine::refusal(shared, request.call.shared_parts()) {
+        return Err(failure);
+    }
     let placement_request = request.placement_request(&attempts.tried, time_limit);
     let now = Instant::now();
     let mut balancer = shared.placement.borrow_mut();
--- a/crates/gateway/src/serve/failure.rs
+++ b/crates/gateway/src/serve/failure.rs
@@ -33,6 +33,8 @@
     NoVm,
     /// no VM has capacity in time
     Full,
+    /// the prompt has a part that crashes VMs
+    Quarantined,
     /// a VM refused the request, and no further attempt may follow
     Refused,
     /// no connection to a VM could be established
@@ -62,6 +64,7 @@
             | Reason::ConfigBehind
             | Reason::NoVm
             | Reason::Full
+            | Reason::Quarantined
             | Reason::Refused
             | Reason::Unreachable
             | Reason::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -82,6 +85,7 @@
             Reason::BodyLost => "body_lost",
             Reason::NoVm => "no_vm",
             Reason::Full => "full",
+            Reason::Quarantined => "quarantined",
             Reason::Refused => "refused",
             Reason::Unreachable => "unreachable",
             Reason::Lost => "lost",
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -18,6 +18,7 @@
 use crate::adapter::Dialect;
 use crate::limits;
 use crate::model::{Call, Config, Limit, Route, Unit, Workspace};
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// `Retry-After` while the configuration is unknown or too old: about the time until it has been
@@ -106,6 +107,9 @@
     let body_deadline = arrived + call.time_limit.unwrap_or(BODY_TIMEOUT);
     let body = read_body(&head, body, config.bounds.body_bytes, body_deadline).await;
     let body = body.map_err(|reason| refuse(Failure::new(reason)))?;
+    if let Some(failure) = quarantine::refusal(shared, call.shared_parts()) {
+        return Err(refuse(failure));
+    }
     if let Some(workspace) = &workspace {
         let charged = charge(shared, workspace, &call).await;
         charged.map_err(|failure| Refused {
@@ -122,21 +126,16 @@
     let timeout = call
         .time_limit
         .map_or(route.timeout, |limit| limit.min(route.timeout));
-    let parts = call
-        .parts
-        .iter()
-        .map(|part| (part.id, part.tokens))
-        .collect();
     Ok(Request {
         kinds: config.kinds(&service),
         hash,
         head,
+        parts: call.part_sizes(),
         call,
         body,
         route,
         service,
         workspace,
-        parts,
         arrived,
         deadline: arrived + timeout,
     })
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -20,6 +20,7 @@
 use crate::adapter::Dialect;
 use crate::model::{Kind, Vm};
 use crate::pool::Connection;
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// responses up to this size are buffered, so that a truncated one can still be replaced
@@ -98,6 +99,7 @@
         Ok(Ok(read)) => read,
         Ok(Err(cause)) => {
             in_flight.set_outcome(Outcome::Broken);
+            quarantine::record_broken(shared, request.call.shared_parts(), vm, None);
             record_failed_attempt(shared, request, vm, Reason::Lost, &cause);
             return Err(lost_attempt());
         }
@@ -119,6 +121,7 @@
         Outcome::Answered
     });
     in_flight.set_latency(sent_at.elapsed());
+    quarantine::record_success(shared, request.call.shared_parts(), Instant::now());
     record_response(shared, request, vm, &head, sent_at.elapsed());
     count_usage(shared, request);
     let body = match read {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -11,6 +11,7 @@
 use super::{Chunk, Reason};
 use crate::adapter::Dialect;
 use crate::model::Vm;
+use crate::quarantine;
 
 /// time without an event that has data after which a stream is resumed at another VM; callers abandon a
 /// stream after two seconds or more
@@ -52,6 +53,7 @@
                 StreamEnd::Complete(rest) => {
                     vm_stream.log_end(&self.stream.shared, &self.stream.request, &rest);
                     vm_stream.in_flight.set_outcome(Outcome::Answered);
+                    vm_stream.record_success(&self.stream.shared, &self.stream.request);
                     vm_stream.connection.release();
                     self.finish(rest).await;
                     return;
@@ -71,6 +73,12 @@
                 StreamEnd::Failed(cause) => cause,
             };
             vm_stream.in_flight.set_outcome(Outcome::Broken);
+            quarantine::record_broken(
+                &self.stream.shared,
+                self.stream.request.call.shared_parts(),
+                &vm_stream.vm,
+                vm_stream.first_event,
+            );
             record_failed_attempt(
                 &self.stream.shared,
                 &self.stream.request,
@@ -117,6 +125,9 @@
                     if has_data {
                         idle_since = Instant::now();
                     }
+                    if vm_stream.is_past_begin() {
+                        vm_stream.record_success(&self.stream.shared, &self.stream.request);
+                    }
                 }
                 Ok(Ok(Next::End(rest))) => return StreamEnd::Complete(rest),
                 Ok(Err(cause)) => return StreamEnd::Failed(cause),
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -57,18 +57,6 @@
             .map_or(self.call.prompt_tokens(), |(_, tokens)| *tokens)
     }
 
-    /// ids of the prompt's parts but the last one, which no other request shares
-    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|(id, _)| *id)
-    }
-
-    /// [`Request::shared_parts`] in hexadecimal, for logs
-    pub fn shared_parts_text(&self) -> String {
-        let ids: Vec<String> = self.shared_parts().map(|id| format!("{id:x}")).collect();
-        ids.join(",")
-    }
-
     /// urgency sent to VMs: ordered by workspace priority, then by route priority
     pub fn urgency(&self) -> u8 {
         let base = self.priority().saturating_mul(ROUTE_PRIORITIES);
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -25,6 +25,7 @@
 use super::{Body, Failure, Reason};
 use crate::adapter::Dialect;
 use crate::model::Vm;
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// chunks of a stream that wait to be sent to the caller
@@ -36,7 +37,7 @@
 /// a response of which the first event or the end was received
 enum Opened<D: Dialect> {
     /// head, first events and the rest of the stream
-    Stream(Parts, Bytes, VmStream<D>),
+    Stream(Parts, Bytes, Box<VmStream<D>>),
     /// a complete response
     Buffered(Response<Body>),
 }
@@ -75,7 +76,7 @@
                 count_usage(shared, &stream.request);
                 let took = stream.request.arrived.elapsed();
                 record_response(shared, &stream.request, &vm, &head, took);
-                return Ok(stream.relay(&head, first, vm_stream));
+                return Ok(stream.relay(&head, first, *vm_stream));
             }
             Err(attempt_error) => attempt_error,
         };
@@ -123,7 +124,7 @@
         match next {
             Ok(Ok(Next::Events(first, _))) => {
                 vm_stream.in_flight.record_first_token();
-                Ok(Opened::Stream(head, first, vm_stream))
+                Ok(Opened::Stream(head, first, Box::new(vm_stream)))
             }
             Ok(Ok(Next::End(rest))) => {
                 vm_stream.log_end(shared, request, &rest);
@@ -138,6 +139,7 @@
             }
             Ok(Err(cause)) => {
                 vm_stream.in_flight.set_outcome(Outcome::Broken);
+                quarantine::record_broken(shared, request.call.shared_parts(), vm, None);
                 record_failed_attempt(shared, request, vm, Reason::Lost, &cause);
                 Err(lost_attempt())
             }
--- a/crates/gateway/src/serve/vm_stream.rs
+++ b/crates/gateway/src/serve/vm_stream.rs
@@ -6,6 +6,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use super::attempt::VmResponse;
 use super::events::EventBuffer;
@@ -14,14 +15,16 @@
 use crate::adapter::Dialect;
 use crate::model::Vm;
 use crate::pool::{Connection, Framing};
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// event stream from a VM
 pub(super) struct VmStream<D: Dialect> {
     pub vm: Rc<Vm>,
     pub framing: Framing,
-    /// whether an event with data has been received
-    has_data: bool,
+    /// time of the first event with data
+    pub first_event: Option<Instant>,
+    is_success_recorded: bool,
     /// whether the body consists of events, as far as its head says
     is_event_stream: bool,
     pub body: Incoming,
@@ -43,7 +46,8 @@
         let stream = VmStream {
             vm: Rc::clone(vm),
             framing: Framing::of(&response.head.headers),
-            has_data: false,
+            first_event: None,
+            is_success_recorded: false,
             is_event_stream: is_event_stream(&response.head.headers),
             body: response.body,
             connection: response.connection,
@@ -64,7 +68,9 @@
                 .push(&data)
                 .map_err(|_| "event exceeds 1 MiB".to_owned())?;
             if let Some(batch) = batch {
-                self.has_data |= batch.has_data;
+                if batch.has_data && self.first_event.is_none() {
+                    self.first_event = Some(Instant::now());
+                }
                 return Ok(Next::Events(batch.bytes, batch.has_data));
             }
         }
@@ -79,12 +85,27 @@
         if events.ends_inside_event() {
             return Err("the stream ended inside an event".to_owned());
         }
-        if self.framing == Framing::Close && !self.has_data {
+        if self.framing == Framing::Close && self.first_event.is_none() {
             return Err("the connection ended before the first event".to_owned());
         }
         Ok(())
     }
 
+    /// whether the VM has written for so long that its end would have another cause
+    pub fn is_past_begin(&self) -> bool {
+        self.first_event
+            .is_some_and(|at| at.elapsed() > quarantine::BEGIN_TIME)
+    }
+
+    /// records once that the VM writes the response without a failure
+    pub fn record_success(&mut self, shared: &Shared<D>, request: &Request) {
+        if let Some(first_event) = self.first_event
+            && !std::mem::replace(&mut self.is_success_recorded, true)
+        {
+            quarantine::record_success(shared, request.call.shared_parts(), first_event);
+        }
+    }
+
     /// logs the end of the stream, as its VM marked it
     pub fn log_end(&self, shared: &Shared<D>, request: &Request, rest: &Bytes) {
         let Some(left_out) = shared.permit_log("stream_ended") else {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::model::{Config, Health, Vm};
 use crate::pool::Pool;
+use crate::quarantine;
 use crate::relay::{Position, Relay};
 use crate::settings::Settings;
 use crate::stage::Stage;
@@ -101,6 +102,8 @@
     pub stage: watch::Sender<Stage>,
     /// counters and latencies
     pub metrics: Metrics,
+    /// prompt parts that crash VMs
+    pub quarantine: quarantine::State,
     /// rate limits for log lines
     pub sampler: RefCell<Sampler>,
 }
@@ -145,6 +148,7 @@
             tally: RefCell::new(tally),
             stage: watch::Sender::new(Stage::Serving),
             metrics: Metrics::new(),
+            quarantine: quarantine::State::default(),
             sampler: RefCell::new(Sampler::new(Instant::now())),
         })
     }
--- a/crates/gateway/tests/checkpoint.rs
+++ b/crates/gateway/tests/checkpoint.rs
@@ -12,7 +12,8 @@
 use gateway::model::{Config, Limit, Unit, Workspace};
 use gateway::peers::Peers;
 use gateway::pool::Pool;
-use gateway::usage;
+use gateway::{quarantine, usage};
+use route::quarantine::Mark;
 use route::quota;
 use serde_json::json;
 use support::{FakeStore, FakeVm, Harness, Script, TestDialect, config, run, settings};
@@ -160,3 +161,35 @@
         assert_eq!(peers.counts(&second, window), expected);
     });
 }
+
+#[test]
+fn quarantined_parts_outlive_the_daemons_that_quarantined_them() {
+    run(async {
+        let store = FakeStore::new();
+        let mut settings = settings();
+        let first = Shared::new(settings.clone(), TestDialect, Pool::new());
+        let mark = Mark {
+            part: 7,
+            quarantined_ms: first.wall_clock.now_ms(),
+            refuted_ms: 0,
+        };
+        quarantine::restore(&first, &[mark]);
+        let peers = Peers::new("a", "here");
+        let lease = Lease::new(&*first, &peers);
+        let duty = (Rc::clone(&lease), peers);
+        spawn_local(lease.run(Rc::new(store.clone())));
+        spawn_local(write_checkpoints(first, Rc::new(store.clone()), duty));
+        for _ in 0..500 {
+            if store.spec("checkpoints", "latest").is_some() {
+                break;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+
+        settings.is_first_start = false;
+        let second = Shared::new(settings, TestDialect, Pool::new());
+        assert!(quarantine::refusal(&second, [7].into_iter()).is_none());
+        restore(&second, &store).await;
+        assert!(quarantine::refusal(&second, [7].into_iter()).is_some());
+    });
+}
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -8,7 +8,7 @@
 
 use gateway::Settings;
 use gateway::peers::{Peers, exchange_reports};
-use support::{FakeStore, FakeVm, Harness, Response, Script, config, request, run, settings};
+use support::{FakeStore, FakeVm, Harness, Response, Script, Step, config, request, run, settings};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -117,40 +117,92 @@
     daemon.connect().await.call(&text).await
 }
 
+/// sends requests with the part until enough VMs have crashed; returns the number of requests
+async fn crash_vms(daemons: &[Harness], vms: &mut Vms) -> usize {
+    let mut number = 0;
+    while vms.crashed < KNOWN_AFTER {
+        let daemon = &daemons[number % daemons.len()];
+        assert_eq!(call(daemon, SOUND, number).await.status, 200);
+        call(daemon, CRASHING, number).await;
+        number += 1;
+        if number == 20 {
+            break;
+        }
+        vms.replace().await;
+    }
+    number
+}
+
+/// asserts that requests with the part no longer reach VMs, and that sound ones are served
+async fn assert_refused(daemons: &[Harness], vms: &mut Vms, number: usize) {
+    let before = vms.crashed;
+    for later in 0..12 {
+        let daemon = &daemons[later % daemons.len()];
+        let response = call(daemon, CRASHING, number + later).await;
+        assert!(response.is_complete, "{response:?}");
+        let sound = call(daemon, SOUND, number + later).await;
+        assert_eq!(sound.status, 200, "daemon {}", later % daemons.len());
+        vms.replace().await;
+    }
+    let later = vms.crashed - before;
+    assert!(later <= MAX_LATER, "{later} VMs crashed later");
+}
+
 #[test]
 fn requests_with_a_part_that_crashes_vms_stop_reaching_them() {
     run(async {
         let store = FakeStore::new();
         store.configure(|| config(1));
-        let mut daemons: Vec<Harness> = (0..3)
-            .map(|number| start_daemon(number, "here", &store))
-            .collect();
+        let start = |number| start_daemon(number, "here", &store);
+        let mut daemons: Vec<Harness> = (0..3).map(start).collect();
         let mut vms = Vms::start(&store).await;
         wait_until_ready(&daemons, &vms).await;
-        let mut number = 0;
-        while vms.crashed < KNOWN_AFTER {
-            let daemon = &daemons[number % daemons.len()];
-            assert_eq!(call(daemon, SOUND, number).await.status, 200);
-            call(daemon, CRASHING, number).await;
-            number += 1;
-            assert!(number < 20, "{} VMs have crashed", vms.crashed);
-            vms.replace().await;
-        }
+        let number = crash_vms(&daemons, &mut vms).await;
         sleep(SPREAD_TIME).await;
-        let before = vms.crashed;
         // a daemon that starts afterwards learns it from the others
-        daemons.push(start_daemon(3, "here", &store));
+        daemons.push(start(3));
         sleep(SPREAD_TIME).await;
         wait_until_ready(&daemons, &vms).await;
-        for later in 0..12 {
-            let daemon = &daemons[later % daemons.len()];
-            let response = call(daemon, CRASHING, number + later).await;
-            assert!(response.is_complete, "{response:?}");
-            let sound = call(daemon, SOUND, number + later).await;
-            assert_eq!(sound.status, 200, "daemon {}", later % daemons.len());
-            vms.replace().await;
+        assert_refused(&daemons, &mut vms, number).await;
+        let response = call(&daemons[0], CRASHING, 99).await;
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.header("retry-after").is_some(), "{response:?}");
+    });
+}
+
+#[test]
+fn part_that_crashes_vms_becomes_known_in_all_zones() {
+    run(async {
+        let store = FakeStore::new();
+        store.configure(|| config(1));
+        let start = |number| start_daemon(number, &format!("zone-{}", number / 7), &store);
+        let daemons: Vec<Harness> = (10..24).map(|number| start(number)).collect();
+        let mut vms = Vms::start(&store).await;
+        wait_until_ready(&daemons, &vms).await;
+        sleep(SPREAD_TIME).await;
+        let number = crash_vms(&daemons, &mut vms).await;
+        sleep(SPREAD_TIME).await;
+        assert_refused(&daemons, &mut vms, number).await;
+        for daemon in &daemons {
+            assert_eq!(call(daemon, CRASHING, 99).await.status, 503);
+        }
+    });
+}
+
+#[test]
+fn broken_connections_to_running_vms_quarantine_no_part() {
+    run(async {
+        let harness = Harness::start().await;
+        let script = Script::unframed_events(1, 1).then(Step::Reset);
+        let vm = FakeVm::start("vm-1", "desk", script).await;
+        harness.register(&[&vm]).await;
+        for number in 0..8 {
+            call(&harness, CRASHING, number).await;
+            sleep(Duration::from_millis(100)).await;
         }
-        let later = vms.crashed - before;
-        assert!(later <= MAX_LATER, "{later} VMs crashed later");
+        sleep(Duration::from_secs(1)).await;
+        let requests = vm.requests().len();
+        call(&harness, CRASHING, 9).await;
+        assert!(vm.requests().len() > requests, "the part is refused");
     });
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod overload;
 pub mod placement;
 pub mod prefix;
+pub mod quarantine;
 pub mod quota;
 mod refusal;
 pub mod resume;
--- /dev/null
+++ b/crates/route/src/quarantine/quarantine.rs
@@ -0,0 +1,345 @@
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use macro_rules_attribute::apply;
+use schema::value;
+
+use super::evidence::{Crash, Evidence, MAX_PARTS, Mark};
+
+/// crashes after which a part is quarantined: requests that only shared a VM with the cause are
+/// sent to two VMs, and once more by their callers
+const MIN_CRASHES: usize = 4;
+
+/// time for which a part stays quarantined, and for which crashes and successes are remembered
+pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+
+/// time after the last necessary crash until the decision, in which the successes and the parts of
+/// the other daemons arrive
+pub const SETTLE_TIME: Duration = Duration::from_millis(600);
+
+/// time after the begin of a successful response for which crashes do not count for its parts:
+/// while all VMs are down, a part that is in most requests has no success either
+const IMMUNITY_MS: u64 = 3000;
+
+/// number of these crashes that have to be apart: VMs that end at the same time have another cause,
+/// such as the loss of their hosts, but a request may end two VMs in a moment
+const MIN_SEPARATE_CRASHES: usize = 3;
+
+/// time from one crash to the next from which they are apart; the daemons' times differ by less
+const MIN_GAP_MS: u64 = 50;
+
+/// largest number of remembered crashes
+const MAX_CRASHES: usize = 128;
+
+/// largest number of remembered marks
+const MAX_MARKS: usize = 256;
+
+/// number of remembered successes above which the older half is dropped
+const MAX_SUCCESSES: usize = 4096;
+
+/// change of a part's state
+#[apply(value!)]
+pub enum Change {
+    /// requests with the part are refused from now on
+    Quarantined {
+        /// id of the part
+        part: u64,
+        /// crashes known here that it explains; 0 if another daemon decided
+        crashes: usize,
+    },
+    /// requests with the part are accepted again
+    Released {
+        /// id of the part
+        part: u64,
+    },
+}
+
+/// crashes, successes and quarantined parts
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    crashes: Vec<Crash>,
+    /// begin of the latest response by part, of this daemon's requests
+    successes: HashMap<u64, u64>,
+    marks: HashMap<u64, Mark>,
+    changes: Vec<Change>,
+}
+
+impl Quarantine {
+    /// returns a state without crashes
+    pub fn new() -> Quarantine {
+        Quarantine::default()
+    }
+
+    /// time until a prompt with these parts is accepted again; none if it is accepted now
+    pub fn refused_for(
+        &self,
+        parts: impl IntoIterator<Item = u64>,
+        now_ms: u64,
+    ) -> Option<Duration> {
+        if self.marks.is_empty() {
+            return None;
+        }
+        let ends = parts.into_iter().filter_map(|part| {
+            let mark = self.marks.get(&part).filter(|mark| mark.is_active())?;
+            Some(mark.quarantined_ms + quarantine_ms())
+        });
+        let end = ends.max().filter(|end| now_ms < *end)?;
+        Some(Duration::from_millis(end - now_ms))
+    }
+
+    /// records a crash that this daemon observed; returns what the other daemons have to receive
+    pub fn record_crash(&mut self, crash: Crash, now_ms: u64) -> Evidence {
+        let mut crash = crash;
+        let immune_from = crash.at_ms.saturating_sub(IMMUNITY_MS);
+        crash
+            .parts
+            .retain(|part| self.successes.get(part).is_none_or(|at| *at < immune_from));
+        let crashes: Vec<Crash> = self.add_crash(&crash, now_ms).into_iter().collect();
+        let mut evidence = self.refutations();
+        evidence.crashes = crashes;
+        evidence
+    }
+
+    /// records a response that was begun with these parts and did not break; returns what the other
+    /// daemons have to receive
+    pub fn record_success(
+        &mut self,
+        parts: impl IntoIterator<Item = u64>,
+        began_ms: u64,
+    ) -> Evidence {
+        for part in parts {
+            let latest = self.successes.entry(part).or_default();
+            *latest = began_ms.max(*latest);
+        }
+        if self.successes.len() > MAX_SUCCESSES {
+            self.drop_old_successes();
+        }
+        self.refutations()
+    }
+
+    /// merges the evidence of another daemon; returns what was new in it, and what this daemon has
+    /// to say about it
+    pub fn merge(&mut self, evidence: &Evidence, now_ms: u64) -> (Evidence, Evidence) {
+        let mut news = Evidence::default();
+        for crash in evidence.crashes.iter().take(MAX_CRASHES) {
+            news.crashes.extend(self.add_crash(crash, now_ms));
+        }
+        for mark in evidence.marks.iter().take(MAX_MARKS) {
+            news.marks.extend(self.add_mark(*mark, now_ms));
+        }
+        (news, self.refutations())
+    }
+
+    /// quarantines the parts that explain enough crashes; returns what the other daemons have to
+    /// receive
+    pub fn evaluate(&mut self, now_ms: u64) -> Evidence {
+        self.forget(now_ms);
+        let mut evidence = Evidence::default();
+        let mut unexplained: Vec<Crash> = self.crashes.clone();
+        for mark in self.marks.values().filter(|mark| mark.is_active()) {
+            unexplained.retain(|crash| !crash.parts.contains(&mark.part));
+        }
+        while let Some((part, crashes)) = self.best_explanation(&unexplained, now_ms) {
+            unexplained.retain(|crash| !crash.parts.contains(&part));
+            let mark = self.marks.entry(part).or_insert(Mark {
+                part,
+                ..Mark::default()
+            });
+            mark.quarantined_ms = now_ms.max(mark.refuted_ms + 1);
+            evidence.marks.push(*mark);
+            self.changes.push(Change::Quarantined { part, crashes });
+        }
+        evidence
+    }
+
+    /// whether a crash is so recent that a later evaluation may decide otherwise
+    pub fn is_unsettled(&self, now_ms: u64) -> bool {
+        let settled_ms = now_ms.saturating_sub(millis(SETTLE_TIME));
+        self.crashes.iter().any(|crash| crash.at_ms > settled_ms)
+    }
+
+    /// marks of the parts that are or were quarantined
+    pub fn marks(&self) -> Vec<Mark> {
+        let marks = self.marks.values();
+        marks
+            .filter(|mark| mark.quarantined_ms > 0)
+            .copied()
+            .collect()
+    }
+
+    /// number of quarantined parts
+    pub fn len(&self) -> usize {
+        self.marks.values().filter(|mark| mark.is_active()).count()
+    }
+
+    /// whether no part is quarantined
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// returns the changes since the last call
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// the part that explains most of the crashes, and their number, if there are enough and the
+    /// last necessary one has settled
+    ///
+    /// A part without any known success goes first, then one with more crashes.
+    fn best_explanation(&self, crashes: &[Crash], now_ms: u64) -> Option<(u64, usize)> {
+        let settled_ms = now_ms.saturating_sub(millis(SETTLE_TIME));
+        let mut times: HashMap<u64, Vec<u64>> = HashMap::new();
+        for crash in crashes {
+            for part in &crash.parts {
+                if crash.at_ms > self.refuted_ms(*part) {
+                    times.entry(*part).or_default().push(crash.at_ms);
+                }
+            }
+        }
+        let enough = times.into_iter().filter_map(|(part, mut times)| {
+            times.sort_unstable();
+            let settled = times.partition_point(|at| *at <= settled_ms);
+            let is_enough =
+                settled >= MIN_CRASHES && separate(&times[..settled]) >= MIN_SEPARATE_CRASHES;
+            is_enough.then_some((part, times.len()))
+        });
+        enough.max_by_key(|(part, crashes)| {
+            let refuted_ms = self.refuted_ms(*part);
+            (refuted_ms == 0, *crashes, u64::MAX - refuted_ms, *part)
+        })
+    }
+
+    /// time up to which crashes do not count for a part
+    fn refuted_ms(&self, part: u64) -> u64 {
+        let marked = self.marks.get(&part).map_or(0, |mark| mark.refuted_ms);
+        let succeeded = self.successes.get(&part);
+        marked.max(succeeded.map_or(0, |at| at.saturating_add(IMMUNITY_MS)))
+    }
+
+    /// turns this daemon's successes into marks, for parts that are suspected or quarantined
+    fn refutations(&mut self) -> Evidence {
+        let mut suspects: HashMap<u64, usize> = HashMap::new();
+        for part in self.crashes.iter().flat_map(|crash| &crash.parts) {
+            *suspects.entry(*part).or_default() += 1;
+        }
+        suspects.retain(|_, crashes| *crashes + 1 >= MIN_CRASHES);
+        let quarantined = self.marks.values().filter(|mark| mark.is_active());
+        let mut parts: HashSet<u64> = quarantined.map(|mark| mark.part).collect();
+        parts.extend(suspects.into_keys());
+        let mut evidence = Evidence::default();
+        for part in parts {
+            let refuted_ms = self.refuted_ms(part);
+            let mark = self.marks.entry(part).or_insert(Mark {
+                part,
+                ..Mark::default()
+            });
+            let is_news = refuted_ms > mark.refuted_ms;
+            if !is_news || (mark.is_active() && refuted_ms < mark.quarantined_ms) {
+                continue;
+            }
+            if mark.is_active() {
+                self.changes.push(Change::Released { part });
+            }
+            mark.refuted_ms = refuted_ms;
+            evidence.marks.push(*mark);
+        }
+        evidence
+    }
+
+    /// adds a crash, or parts to one that is known; returns what was new
+    fn add_crash(&mut self, crash: &Crash, now_ms: u64) -> Option<Crash> {
+        let mut news = crash.clone();
+        news.at_ms = crash.at_ms.min(now_ms);
+        news.parts.truncate(MAX_PARTS);
+        if now_ms - news.at_ms > quarantine_ms() {
+            return None;
+        }
+        let known = self
+            .crashes
+            .iter_mut()
+            .find(|known| known.vm == news.vm && known.started_at_ms == news.started_at_ms);
+        if let Some(known) = known {
+            news.parts.retain(|part| !known.parts.contains(part));
+            let room = MAX_PARTS.saturating_sub(known.parts.len());
+            news.parts.truncate(room);
+            known.parts.extend(&news.parts);
+        } else if !news.parts.is_empty() {
+            if self.crashes.len() >= MAX_CRASHES {
+                self.crashes.remove(0);
+            }
+            self.crashes.push(news.clone());
+        }
+        (!news.parts.is_empty()).then_some(news)
+    }
+
+    /// merges a mark; returns the result if it changed
+    fn add_mark(&mut self, mark: Mark, now_ms: u64) -> Option<Mark> {
+        let previous = self.marks.get(&mark.part).copied().unwrap_or(Mark {
+            part: mark.part,
+            ..Mark::default()
+        });
+        // a success counts for some time in advance
+        let limit = now_ms.saturating_add(IMMUNITY_MS);
+        let merged = Mark {
+            part: mark.part,
+            quarantined_ms: previous.quarantined_ms.max(mark.quarantined_ms.min(limit)),
+            refuted_ms: previous.refuted_ms.max(mark.refuted_ms.min(limit)),
+        };
+        let is_outdated = merged.changed_ms().saturating_add(quarantine_ms()) < now_ms;
+        let is_full = self.marks.len() >= MAX_MARKS && !self.marks.contains_key(&mark.part);
+        if merged == previous || is_outdated || is_full {
+            return None;
+        }
+        let part = mark.part;
+        match (previous.is_active(), merged.is_active()) {
+            (false, true) => self.changes.push(Change::Quarantined { part, crashes: 0 }),
+            (true, false) => self.changes.push(Change::Released { part }),
+            _ => {}
+        }
+        self.marks.insert(part, merged);
+        Some(merged)
+    }
+
+    /// drops what is older than the quarantine
+    fn forget(&mut self, now_ms: u64) {
+        let is_recent = |at_ms: u64| at_ms.saturating_add(quarantine_ms()) >= now_ms;
+        self.crashes.retain(|crash| is_recent(crash.at_ms));
+        let changes = &mut self.changes;
+        self.marks.retain(|part, mark| {
+            let is_kept = is_recent(mark.changed_ms());
+            if !is_kept && mark.is_active() {
+                changes.push(Change::Released { part: *part });
+            }
+            is_kept
+        });
+    }
+
+    fn drop_old_successes(&mut self) {
+        let mut times: Vec<u64> = self.successes.values().copied().collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.successes.retain(|_, at| *at > median);
+    }
+}
+
+/// number of ascending times that are apart from the one before
+fn separate(times: &[u64]) -> usize {
+    let mut count = 0;
+    let mut last = None;
+    for at in times {
+        if last.is_none_or(|last| *at >= last + MIN_GAP_MS) {
+            count += 1;
+            last = Some(*at);
+        }
+    }
+    count
+}
+
+fn quarantine_ms() -> u64 {
+    millis(QUARANTINE_TIME)
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
