--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -176,7 +176,7 @@
         let store = FakeStore::new();
         store.configure(|| config(1));
         let start = |number| start_daemon(number, &format!("zone-{}", number / 7), &store);
-        let daemons: Vec<Harness> = (10..24).map(|number| start(number)).collect();
+        let daemons: Vec<Harness> = (10..24).map(start).collect();
         let mut vms = Vms::start(&store).await;
         wait_until_ready(&daemons, &vms).await;
         sleep(SPREAD_TIME).await;
