End calls to upstreams that send bytes without end

What could happen: an upstream of the product's own interface that sends header lines, a line without its end, comments or a body without end held a thread for good, and the body of a control call or of an error grew in memory without bound. Only the time without data was limited. Cause: the time limit of each read was taken for one of the call; json_utf8 and text_utf8 read whatever comes. Fix: each call has a limit on its total time, for streams and plain calls the time left until the request's deadline; bodies are read up to a maximum by one function that also compares them with the stated length.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -1,5 +1,6 @@
 //! Client of model engines.
 
+use std::io::Read;
 use std::time::Duration;
 
 use attohttpc::header::HeaderValue;
@@ -9,15 +10,24 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::body::{read_body, stated_length};
 use crate::failure::{Failure, FailureKind};
 use crate::stream::Stream;
 
 /// response header of an engine that rejected a request without running any of it
 const NOT_RUN: &str = "x-not-run";
-/// time-out of the response to a control call
-const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
-/// time-out of a KV cache transfer between two engines
-const IMPORT_TIMEOUT: Duration = Duration::from_secs(5);
+/// time without any data, and time in total, until a call fails
+type Limits = (Duration, Duration);
+
+/// largest response to a control call, bytes
+const MAX_CONTROL_BYTES: u64 = 16 * 1024 * 1024;
+/// largest part of an error's text that is read, bytes
+const MAX_ERROR_BYTES: u64 = 4096;
+
+/// limits of a control call
+const CONTROL: Limits = (Duration::from_secs(2), Duration::from_secs(2));
+/// limits of a KV cache transfer between two engines
+const IMPORT: Limits = (Duration::from_secs(5), Duration::from_secs(5));
 
 /// time-outs of calls to upstreams
 #[derive(Debug, Clone, Copy)]
@@ -42,7 +52,8 @@
         Client { timeouts }
     }
 
-    /// starts a stream on the engine at `address`; `trace` is a W3C trace parent
+    /// starts a stream on the engine at `address`; `trace` is a W3C trace parent, `limit` the longest
+    /// time until its end
     ///
     /// # Errors
     /// [`FailureKind::Refused`] when the engine rejected the request without running any of it.
@@ -51,23 +62,32 @@
         address: &str,
         completion: &Completion,
         trace: &str,
+        limit: Duration,
     ) -> Result<Stream, Failure> {
         let body = encode(completion)?;
-        let mut request =
-            self.request(Method::POST, address, "/v1/completions", self.timeouts.idle);
+        let idle = self.timeouts.idle;
+        let mut request = self.request(Method::POST, address, "/v1/completions", (idle, limit));
         if let Ok(trace) = HeaderValue::from_str(trace) {
             request = request.header("traceparent", trace);
         }
         Stream::new(send(request, &body, 0)?)
     }
 
-    /// attaches to a stream that is already running on the engine, from token `from`
+    /// attaches to a stream that is already running on the engine, from token `from`; `limit` as for
+    /// [`Client::open`]
     ///
     /// # Errors
     /// [`FailureKind::Unknown`] when the engine has no such stream.
-    pub fn attach(&self, address: &str, name: &str, from: u32) -> Result<Stream, Failure> {
+    pub fn attach(
+        &self,
+        address: &str,
+        name: &str,
+        from: u32,
+        limit: Duration,
+    ) -> Result<Stream, Failure> {
         let path = format!("/v1/streams/{name}?from={from}");
-        let request = self.request(Method::GET, address, &path, self.timeouts.idle);
+        let idle = self.timeouts.idle;
+        let request = self.request(Method::GET, address, &path, (idle, limit));
         Stream::new(send(request, &[], 0)?)
     }
 
@@ -77,7 +97,7 @@
     /// When the engine can't be reached or has no such stream.
     pub fn cancel(&self, address: &str, name: &str) -> Result<(), Failure> {
         let path = format!("/v1/streams/{name}");
-        let request = self.request(Method::DELETE, address, &path, CONTROL_TIMEOUT);
+        let request = self.request(Method::DELETE, address, &path, CONTROL);
         send(request, &[], 0).map(drop)
     }
 
@@ -87,7 +107,7 @@
     /// When either engine can't be reached or the stream is unknown.
     pub fn import_kv_cache(&self, address: &str, import: &Import) -> Result<Imported, Failure> {
         let body = encode(import)?;
-        let request = self.request(Method::POST, address, "/v1/kv/import", IMPORT_TIMEOUT);
+        let request = self.request(Method::POST, address, "/v1/kv/import", IMPORT);
         decode(send(request, &body, 0)?)
     }
 
@@ -121,12 +141,12 @@
     /// `Status(409)` when the engine has accepted a higher fencing token.
     pub fn order(&self, address: &str, order: &Order) -> Result<(), Failure> {
         let body = encode(order)?;
-        let request = self.request(Method::PUT, address, "/v1/orders", CONTROL_TIMEOUT);
+        let request = self.request(Method::PUT, address, "/v1/orders", CONTROL);
         send(request, &body, 0).map(drop)
     }
 
     fn read<T: DeserializeOwned>(&self, address: &str, path: &str) -> Result<T, Failure> {
-        let request = self.request(Method::GET, address, path, CONTROL_TIMEOUT);
+        let request = self.request(Method::GET, address, path, CONTROL);
         decode(send(request, &[], 0)?)
     }
 
@@ -135,13 +155,14 @@
         method: Method,
         address: &str,
         path: &str,
-        idle: Duration,
+        (idle, total): Limits,
     ) -> RequestBuilder {
         RequestBuilder::new(method, format!("http://{address}{path}"))
             .proxy_settings(attohttpc::ProxySettings::builder().build())
             .follow_redirects(false)
             .connect_timeout(self.timeouts.connect)
             .read_timeout(idle)
+            .timeout(total)
     }
 }
 
@@ -160,7 +181,11 @@
 fn status_failure(response: Response) -> Failure {
     let status = response.status().as_u16();
     let not_run = response.headers().contains_key(NOT_RUN);
-    let detail = response.text_utf8().unwrap_or_default();
+    let (_, _, reader) = response.split();
+    let mut detail = Vec::new();
+    // the status is known also if the text of the error is incomplete
+    let _ = reader.take(MAX_ERROR_BYTES).read_to_end(&mut detail);
+    let detail = String::from_utf8_lossy(&detail);
     match status {
         404 => Failure::new(FailureKind::Unknown, Verdict::NotRun, detail),
         _ if not_run => Failure::new(FailureKind::Refused, Verdict::NotRun, detail),
@@ -175,7 +200,8 @@
 }
 
 fn decode<T: DeserializeOwned>(response: Response) -> Result<T, Failure> {
-    response
-        .json_utf8()
-        .map_err(|error| Failure::from_http(&error, true))
+    let (_, headers, reader) = response.split();
+    let body = read_body(reader, stated_length(&headers), MAX_CONTROL_BYTES)?;
+    serde_json::from_slice(&body)
+        .map_err(|error| Failure::new(FailureKind::Garbled, Verdict::MayHaveRun, error.to_string()))
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -3,11 +3,13 @@
 //! Calls block the thread that makes them. Every failure carries a
 //! [`schema::failure::Verdict`] that says whether the request may have run.
 
+mod body;
 mod client;
 mod failure;
 mod plain;
 mod stream;
 
+pub use body::{read_body, stated_length};
 pub use client::{Client, Timeouts};
 pub use failure::{Failure, FailureKind};
 pub use plain::{Header, Request, Response};
--- a/crates/engine/src/plain.rs
+++ b/crates/engine/src/plain.rs
@@ -1,6 +1,6 @@
 //! Calls to plain services.
 
-use std::io::Read;
+use std::time::Duration;
 
 use attohttpc::Method;
 use attohttpc::header::{HeaderName, HeaderValue};
@@ -8,6 +8,7 @@
 use schema::data;
 use schema::failure::Verdict;
 
+use crate::body::{read_body, stated_length};
 use crate::client::Client;
 use crate::failure::{Failure, FailureKind};
 
@@ -68,16 +69,21 @@
 }
 
 impl Client {
-    /// forwards a request to the service at `address` and reads the complete response
+    /// forwards a request to the service at `address` and reads the complete response within `limit`
     ///
     /// # Errors
     /// The verdict is `NotRun` when the request was not sent completely, or when the
     /// service states in a header that it ran none of it.
-    pub fn call(&self, address: &str, request: &Request<'_>) -> Result<Response, Failure> {
+    pub fn call(
+        &self,
+        address: &str,
+        request: &Request<'_>,
+        limit: Duration,
+    ) -> Result<Response, Failure> {
         let method = Method::from_bytes(request.method.as_bytes()).map_err(|error| {
             Failure::new(FailureKind::Garbled, Verdict::NotRun, error.to_string())
         })?;
-        let mut builder = self.request(method, address, request.path, self.timeouts.plain);
+        let mut builder = self.request(method, address, request.path, (self.timeouts.plain, limit));
         let mut header_bytes = 0;
         for header in request.headers {
             header_bytes += header.name.len() + header.value.len();
@@ -111,37 +117,12 @@
             "refused by the service",
         ));
     }
-    let mut body = Vec::new();
+    let length = stated_length(response.headers()).filter(|_| !is_head);
     let (_, _, reader) = response.split();
-    let read = reader.take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
-    read.map_err(|error| Failure::from_io(&error, true))?;
-    if body.len() as u64 > MAX_BODY_BYTES {
-        return Err(Failure::new(
-            FailureKind::Garbled,
-            Verdict::MayHaveRun,
-            "the answer is too large",
-        ));
-    }
-    let length = content_length(&headers).filter(|_| !is_head);
-    if length.is_some_and(|length| length != body.len() as u64) {
-        let detail = "the answer is cut off";
-        return Err(Failure::new(
-            FailureKind::Broken,
-            Verdict::MayHaveRun,
-            detail,
-        ));
-    }
+    let body = read_body(reader, length, MAX_BODY_BYTES)?;
     Ok(Response {
         status,
         headers,
         body,
     })
 }
-
-/// value of `content-length`; the HTTP library does not check it against the body
-fn content_length(headers: &[Header]) -> Option<u64> {
-    let header = headers
-        .iter()
-        .find(|header| header.name == "content-length")?;
-    header.value.parse().ok()
-}
--- a/crates/entry/src/call/admit.rs
+++ b/crates/entry/src/call/admit.rs
@@ -30,6 +30,13 @@
     pub(super) first_token: Duration,
 }
 
+impl Urgency {
+    /// time left until the deadline
+    pub(super) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
 /// an admitted request
 pub(super) struct Admitted {
     /// its reservation under the limits of the workspace
--- a/crates/entry/src/call/plain.rs
+++ b/crates/entry/src/call/plain.rs
@@ -200,7 +200,9 @@
 
     fn attempt(&self, pick: Pick, number: u32) -> Result<Response, Failure> {
         let start = Instant::now();
-        let result = self.context.engines.call(&pick.address, &self.request);
+        let limit = self.urgency.time_left();
+        let engines = &self.context.engines;
+        let result = engines.call(&pick.address, &self.request, limit);
         let outcome = match &result {
             Ok(_) => Outcome::Answered,
             Err(failure) => Outcome::Failed(drive::retry_failure(failure).kind),
@@ -229,10 +231,7 @@
             idempotent: self.repeatable,
             attempts,
             reconnects: attempts,
-            deadline_left: self
-                .urgency
-                .deadline
-                .saturating_duration_since(Instant::now()),
+            deadline_left: self.urgency.time_left(),
             breaker_open: false,
             draining: false,
             budget_wait: self.context.retry_wait(),
--- a/crates/entry/src/call/ticketed.rs
+++ b/crates/entry/src/call/ticketed.rs
@@ -94,7 +94,9 @@
         headers: &headers,
         body: invocation.request.body,
     };
-    let response = invocation.context.engines.call(&issuer.callers, &request);
+    let limit = invocation.urgency.time_left();
+    let engines = &invocation.context.engines;
+    let response = engines.call(&issuer.callers, &request, limit);
     response.map_err(|failure| issuer_lost(&failure.to_string()))
 }
 
--- a/crates/entry/src/drive/attempt.rs
+++ b/crates/entry/src/drive/attempt.rs
@@ -104,14 +104,20 @@
             .begin_attempt(driver, &assignment.stream)
             .map_err(|_| Stop::RequestEnded)?;
         let address = &assignment.stream.address;
+        let deadline = journal.origin.deadline;
+        let limit = deadline.saturating_duration_since(Instant::now());
         let opened = match assignment.is_open {
-            true => context
-                .engines
-                .attach(address, &assignment.stream.name, journal.token_count()),
+            true => context.engines.attach(
+                address,
+                &assignment.stream.name,
+                journal.token_count(),
+                limit,
+            ),
             false => context.engines.open(
                 address,
                 &completion(journal, assignment),
                 &journal.origin.trace,
+                limit,
             ),
         };
         let reader = opened.map_err(Stop::Failed)?;
