Refuse a cut off response of another daemon

What could happen: a caller that returned to another daemon for a complete response got the part that had arrived when the holding daemon was killed, under a new length, as a whole 200. Cause: the HTTP library does not compare a body with its stated length, and a body above the maximum was cut there. The check of the length was in the client of plain services only. Fix: the response is read by the same function as those of upstreams, which returns a complete body or an error (test response_that_is_cut_off_is_an_error of engine); the caller gets 503 daemon_lost and may return.

--- a/crates/entry/src/call/remote.rs
+++ b/crates/entry/src/call/remote.rs
@@ -1,10 +1,10 @@
 //! Forwarding of a call to the daemon that has the request.
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufRead, BufReader};
 use std::time::Duration;
 
 use attohttpc::{Method, RequestBuilder, Response, ResponseReader};
-use engine::Header;
+use engine::{Header, read_body, stated_length};
 use peer::Member;
 
 use super::reattach;
@@ -91,13 +91,12 @@
     let is_stream = headers
         .iter()
         .any(|header| header.value == "text/event-stream");
-    let (_, _, reader) = response.split();
+    let (_, head, reader) = response.split();
     if is_stream {
         return stream(exchange, id, reader);
     }
-    let mut body = Vec::new();
-    match reader.take(MAX_BODY_BYTES).read_to_end(&mut body) {
-        Ok(_) => exchange.respond(status, &headers, body),
+    match read_body(reader, stated_length(&head), MAX_BODY_BYTES) {
+        Ok(body) => exchange.respond(status, &headers, body),
         Err(error) => exchange.fail(&daemon_lost(&error.to_string())),
     }
 }
