Test the gateway against responses without end

Bytes without end in a head, a header, a chunk size, a body, comments, events and an error, at once and slowly: the request ends with its deadline, looks incomplete to its caller, and its connection is closed; a caller that does not read makes the gateway buffer less than 16 MiB. Passed on the code as it was.

--- a/crates/gateway/tests/malformed.rs
+++ b/crates/gateway/tests/malformed.rs
@@ -11,6 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use route::placement::{self, Balancer, Choice, Distance, Load, Member, Prefill, Rate, TimeLimit};
 use support::{Caller, FakeVm, Harness, Script, Step, request, run};
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 /// mutated requests, each on a connection of its own
@@ -128,6 +129,105 @@
     });
 }
 
+/// responses without end: what comes first, and what comes again and again
+fn endless_responses() -> Vec<(&'static str, &'static str, String)> {
+    let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: seal\r\n\r\n";
+    let chunked =
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n";
+    let error = "HTTP/1.1 500 Error\r\nx-id: {id}\r\nx-seal: seal\r\n\r\n";
+    vec![
+        ("bytes that are no head", "", "x".repeat(1000)),
+        ("a status line", "HTTP/1.1 200 ", "O".repeat(1000)),
+        ("headers", "HTTP/1.1 200 OK\r\n", "x-a: b\r\n".repeat(100)),
+        ("a header", "HTTP/1.1 200 OK\r\nx-a: ", "b".repeat(1000)),
+        ("a body", head, "x".repeat(10_000)),
+        ("a chunk size", chunked, "0".repeat(1000)),
+        (
+            "a chunk extension",
+            chunked,
+            format!("1;{}", "a".repeat(1000)),
+        ),
+        (
+            "chunks",
+            chunked,
+            "3e8\r\n".to_owned() + &"x".repeat(1000) + "\r\n",
+        ),
+        ("comments", head, ": on\n\n".repeat(100)),
+        ("events", head, "data: x\n\n".repeat(100)),
+        ("an error", error, "x".repeat(10_000)),
+    ]
+}
+
+/// time after the deadline of a request until its connections are closed
+const CLOSE_TIME: Duration = Duration::from_millis(500);
+
+/// time-out of the routes
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(3000);
+
+#[test]
+fn bytes_without_end_end_with_the_request_and_look_incomplete() {
+    for pause in [Duration::ZERO, Duration::from_millis(50)] {
+        run(async {
+            let mut tasks = Vec::new();
+            for (name, first, then) in endless_responses() {
+                for path in ["/once/", "/non-resumable/"] {
+                    let first = Step::Write(first.to_owned());
+                    let script = Script(vec![first, Step::Endless(then.clone(), pause)]);
+                    tasks.push(spawn_local(async move {
+                        let harness = Harness::start().await;
+                        let vm = FakeVm::start("vm-1", SERVICE, script).await;
+                        harness.register(&[&vm]).await;
+                        let start = std::time::Instant::now();
+                        let response = harness.call("POST", path, "id-1").await;
+                        let looks_whole = response.status == 200 && response.is_complete;
+                        assert!(!looks_whole, "{name} at {path}");
+                        let limit = ROUTE_TIMEOUT + CLOSE_TIME;
+                        assert!(
+                            start.elapsed() < limit,
+                            "{name} at {path}: {:?}",
+                            start.elapsed()
+                        );
+                        harness.wait_until(|_| vm.cancelled() == 1).await;
+                        assert!(
+                            start.elapsed() < limit,
+                            "{name} at {path}: {:?}",
+                            start.elapsed()
+                        );
+                    }));
+                }
+            }
+            for task in tasks {
+                task.await.expect("no failure");
+            }
+        });
+    }
+}
+
+/// most bytes that a VM may write while the caller does not read
+const MAX_UNREAD_BYTES: u64 = 16 * 1024 * 1024;
+
+#[test]
+fn endless_body_does_not_fill_the_memory_while_its_caller_does_not_read() {
+    run(async {
+        let harness = Harness::start().await;
+        let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: seal\r\n\r\n";
+        let script = Script(vec![
+            Step::Write(head.to_owned()),
+            Step::Endless("x".repeat(10_000), Duration::ZERO),
+        ]);
+        let vm = FakeVm::start("vm-1", SERVICE, script).await;
+        harness.register(&[&vm]).await;
+        let mut caller = harness.connect().await;
+        caller
+            .send(&request("POST", "/once/", HEADERS, "body"))
+            .await;
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        let written = vm.written();
+        assert!(written > 100_000, "{written}");
+        assert!(written < MAX_UNREAD_BYTES, "{written}");
+    });
+}
+
 fn any_count(rng: &mut ChaCha8Rng) -> u64 {
     match rng.random_range(0..3) {
         0 => u64::MAX,
--- a/crates/gateway/tests/support/vm.rs
+++ b/crates/gateway/tests/support/vm.rs
@@ -14,6 +14,8 @@
 pub enum Step {
     /// writes this text, with `{id}` replaced by the request id
     Write(String),
+    /// writes this text again and again, with this pause, until the connection is closed
+    Endless(String, Duration),
     /// waits for this time
     Wait(Duration),
     /// resets the connection
@@ -87,6 +89,7 @@
     script: Rc<RefCell<Script>>,
     crashing_part: Rc<Cell<Option<u64>>>,
     crashed: watch::Sender<bool>,
+    written: Rc<Cell<u64>>,
 }
 
 impl FakeVm {
@@ -101,6 +104,7 @@
             script: Rc::new(RefCell::new(script)),
             crashing_part: Rc::default(),
             crashed: watch::Sender::new(false),
+            written: Rc::default(),
         };
         let serving = fake.clone();
         tokio::task::spawn_local(async move {
@@ -153,6 +157,11 @@
         *self.cancelled.borrow()
     }
 
+    /// bytes written by [`Step::Endless`]
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
     /// replaces the script
     pub fn set_script(&self, script: Script) {
         *self.script.borrow_mut() = script;
@@ -181,6 +190,13 @@
                     Step::Write(text) => {
                         stream.write_all(text.replace("{id}", &id).as_bytes()).await
                     }
+                    Step::Endless(text, pause) => {
+                        while stream.write_all(text.as_bytes()).await.is_ok() {
+                            self.written.set(self.written.get() + text.len() as u64);
+                            sleep(*pause).await;
+                        }
+                        Err(std::io::ErrorKind::BrokenPipe.into())
+                    }
                     Step::Wait(time) => {
                         tokio::select! {
                             () = sleep(*time) => Ok(()),
