--- a/crates/bench/tests/answers.rs
+++ b/crates/bench/tests/answers.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,8 +11,8 @@
 
 use bench::client::{Client, Request};
 use bench::poll_until;
-use bench::world::{Workspace, World};
-use schema::config::{Fencing, Kind, Service, Upstream};
+use bench::world::Workspace;
+use support::fake_engine;
 use support::{
     MODEL, WAIT_TIMEOUT, assert_complete, running_engine, two_centres, wait_for_members,
     wait_served,
@@ -122,7 +122,7 @@
     thread::spawn(move || run_engine(&listener, &engine_calls));
     let world = two_centres().start().expect("world must start");
     wait_served(&world, &world.client());
-    declare_corrupting_service(&world, &address);
+    fake_engine::declare(&world, CORRUPTING, vec![address]);
     let client = world.client().timeout(WAIT_TIMEOUT);
     wait_declared(&client);
     for number in 0..CORRUPTIONS.len() * 3 {
@@ -135,35 +135,6 @@
     );
 }
 
-fn declare_corrupting_service(world: &World, address: &str) {
-    let mut declaration = world.declaration().clone();
-    declaration.services.push(Service {
-        name: CORRUPTING.to_owned(),
-        kind: Kind::Model,
-        first_token_ms: 5000,
-        between_tokens_ms: 100,
-        deadline_ms: 20_000,
-        repeatable: Vec::new(),
-    });
-    declaration.upstreams.push(Upstream {
-        name: CORRUPTING.to_owned(),
-        service: CORRUPTING.to_owned(),
-        data_centre: "kumamoto-a".to_owned(),
-        region: "kyushu-south".to_owned(),
-        class: String::new(),
-        slots: 16,
-        fencing: Fencing::Ignored,
-        addresses: vec![address.to_owned()],
-    });
-    for workspace in &mut declaration.workspaces {
-        workspace.services.clear();
-    }
-    world
-        .operator()
-        .apply(&declaration)
-        .expect("declaration must be accepted");
-}
-
 fn wait_declared(client: &Client) {
     for daemon in 0..3 {
         let request = Request::new(CORRUPTING, "settle", 1);
@@ -184,35 +155,14 @@
 }
 
 fn respond(mut connection: TcpStream, calls: &AtomicUsize) -> Option<()> {
-    let mut reader = BufReader::new(connection.try_clone().ok()?);
-    let mut head = String::new();
-    reader.read_line(&mut head).ok()?;
-    let mut length = 0;
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line).ok()?;
-        if line.trim().is_empty() {
-            break;
-        }
-        let value = line.to_ascii_lowercase();
-        if let Some(value) = value.strip_prefix("content-length:") {
-            length = value.trim().parse().ok()?;
-        }
-    }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    if !head.starts_with("POST /v1/completions") {
-        return connection
-            .write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
-            .ok();
-    }
-    let completion: schema::engine::Completion = serde_json::from_slice(&body).ok()?;
+    let completion = fake_engine::read_completion(&mut connection)?;
     let number = calls.fetch_add(1, Ordering::Relaxed);
     let corruption = (completion.prior.is_empty() && completion.max_tokens > 1)
         .then_some(CORRUPTIONS[number % CORRUPTIONS.len()]);
     let events = stream_events(&completion, corruption);
-    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
-    connection.write_all(head.as_bytes()).ok()?;
+    connection
+        .write_all(fake_engine::STREAM_HEAD.as_bytes())
+        .ok()?;
     connection.write_all(events.as_bytes()).ok()
 }
 
@@ -233,25 +183,13 @@
         Some(Corruption::EndedInsideEvent) | None => (),
         Some(Corruption::SkippedAhead) => indexes[half] += 100,
     }
-    let mut events = String::new();
-    for index in indexes {
-        let text = standin::engine::token(&completion.prompt, index);
-        let chunk = serde_json::json!({ "index": index, "text": text });
-        events.push_str(&format!("id: {index}\ndata: {chunk}\n\n"));
-    }
+    let mut events = fake_engine::token_events(&completion.prompt, &indexes);
     if matches!(corruption, Some(Corruption::EndedInsideEvent)) {
         events.truncate(events.len() * 2 / 3 - 2);
         return events;
     }
     if !matches!(corruption, Some(Corruption::Truncated)) {
-        let usage = serde_json::json!({
-            "prompt_tokens": 2,
-            "completion_tokens": completion.max_tokens,
-            "cached_tokens": 0,
-            "recomputed_tokens": 2,
-        });
-        let finish = serde_json::json!({ "finish_reason": "length", "usage": usage });
-        events.push_str(&format!("event: finish\ndata: {finish}\n\n"));
+        events.push_str(&fake_engine::finish_event(completion));
     }
     events
 }
--- /dev/null
+++ b/crates/bench/tests/crashes.rs
@@ -0,0 +1,149 @@
+//! Prompts with a part that ends every engine which begins a response to them.
+
+mod support;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use bench::client::{Client, Request};
+use bench::poll_until;
+use support::{
+    WAIT_TIMEOUT, assert_complete, fake_engine, two_centres, wait_for_members, wait_served,
+};
+
+/// model service whose engines end
+const FRAGILE: &str = "fragile-models";
+
+/// word of the prompts that end engines
+const CRASHING: &str = "crashing";
+
+/// number of engines
+const ENGINES: usize = 6;
+
+/// time from the request to the end of an engine
+const CRASH_TIME: Duration = Duration::from_millis(60);
+
+/// time until an engine that has ended listens again
+const RESTART_TIME: Duration = Duration::from_millis(1500);
+
+/// crashes after which the part has to be known
+const KNOWN_AFTER: usize = 5;
+
+/// time after them within which every daemon knows it
+const SPREAD_TIME: Duration = Duration::from_secs(4);
+
+/// engines that may still end later
+const MAX_LATER: usize = 3;
+
+/// runs an engine that ends at the crashing prompts and listens again later
+fn run_engine(listener: TcpListener, crashes: &Arc<AtomicUsize>) {
+    let address = listener.local_addr().expect("a bound address");
+    let mut listener = Some(listener);
+    loop {
+        let current = match listener.take() {
+            Some(listener) => listener,
+            None => TcpListener::bind(address).expect("the port is free again"),
+        };
+        let has_crashed = Arc::new(AtomicBool::new(false));
+        for connection in current.incoming().flatten() {
+            if has_crashed.load(Ordering::SeqCst) {
+                break;
+            }
+            let (crashes, has_crashed) = (Arc::clone(crashes), Arc::clone(&has_crashed));
+            thread::spawn(move || respond(connection, address, &crashes, &has_crashed));
+        }
+        drop(current);
+        thread::sleep(RESTART_TIME);
+    }
+}
+
+fn respond(
+    mut connection: TcpStream,
+    address: SocketAddr,
+    crashes: &AtomicUsize,
+    has_crashed: &AtomicBool,
+) -> Option<()> {
+    let completion = fake_engine::read_completion(&mut connection)?;
+    if completion.prompt.contains(CRASHING) {
+        thread::sleep(CRASH_TIME);
+        if !has_crashed.swap(true, Ordering::SeqCst) {
+            crashes.fetch_add(1, Ordering::SeqCst);
+        }
+        // wakes the listener, which then closes its port
+        drop(TcpStream::connect(address));
+        thread::sleep(Duration::from_millis(5));
+        return None;
+    }
+    let first = u32::try_from(completion.prior.len()).ok()?;
+    let indexes: Vec<u32> = (first..completion.max_tokens).collect();
+    let events = fake_engine::token_events(&completion.prompt, &indexes);
+    connection
+        .write_all(fake_engine::STREAM_HEAD.as_bytes())
+        .ok()?;
+    connection.write_all(events.as_bytes()).ok()?;
+    let finish = fake_engine::finish_event(&completion);
+    connection.write_all(finish.as_bytes()).ok()
+}
+
+/// a prompt whose first sixteen words are common, the next sixteen are this one, and the rest its own
+fn prompt(word: &str, number: usize) -> Request {
+    let common = "common ".repeat(16);
+    let part = format!("{word} ").repeat(16);
+    Request::new(FRAGILE, &format!("{common}{part}question {number}"), 4)
+}
+
+fn assert_served(client: &Client, daemon: usize, number: usize) {
+    let request = prompt("sound", number);
+    assert_complete(&request, &client.complete(daemon, &request));
+}
+
+#[test]
+fn prompts_with_a_part_that_ends_engines_stop_reaching_them() {
+    let crashes = Arc::new(AtomicUsize::new(0));
+    let mut addresses = Vec::new();
+    for _ in 0..ENGINES {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        addresses.push(address.to_string());
+        let crashes = Arc::clone(&crashes);
+        thread::spawn(move || run_engine(listener, &crashes));
+    }
+    let world = two_centres().start().expect("world must start");
+    wait_served(&world, &world.client());
+    wait_for_members(&world);
+    fake_engine::declare(&world, FRAGILE, addresses);
+    let client = world.client().timeout(WAIT_TIMEOUT);
+    for daemon in 0..3 {
+        let served = poll_until(WAIT_TIMEOUT, || {
+            client.complete(daemon, &prompt("sound", 0)).ok()
+        });
+        assert!(
+            served.is_some(),
+            "daemon {daemon} does not serve the service"
+        );
+    }
+    let impatient = world.client().timeout(Duration::from_secs(3));
+    let mut number = 1;
+    while crashes.load(Ordering::SeqCst) < KNOWN_AFTER && number < 20 {
+        assert_served(&client, number % 3, number);
+        let crashing = prompt(CRASHING, number).deadline(Duration::from_millis(1500));
+        // the response is an error in any case
+        drop(impatient.complete(number % 3, &crashing));
+        number += 1;
+    }
+    thread::sleep(SPREAD_TIME);
+    let before = crashes.load(Ordering::SeqCst);
+    for later in 0..6 {
+        let daemon = later % 3;
+        let crashing = prompt(CRASHING, number + later).deadline(Duration::from_millis(1500));
+        drop(impatient.complete(daemon, &crashing));
+        assert_served(&client, daemon, number + later);
+    }
+    let later = crashes.load(Ordering::SeqCst) - before;
+    assert!(later <= MAX_LATER, "{later} engines ended later");
+    assert!(before >= KNOWN_AFTER, "only {before} engines ended");
+}
--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Worlds and assertions shared by the tests.
 #![allow(dead_code)]
 
+pub mod fake_engine;
+
 use std::time::Duration;
 
 use bench::client::{Client, Completion, Error, Request};
