Quarantine the blocks of prompts that end engines, on the product's own interface

Callers saw (in the test): every prompt with the part ended up to three engines, on any daemon, again and again. Fix: route::quarantine with the hashes of the prompt's blocks as parts. The start of an engine's process is unknown here, so crashes of a VM within a second are one.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -7,7 +7,7 @@
 
 use crossbeam::channel::{Receiver, Sender, bounded};
 use engine::{Client, Timeouts};
-use entry::{Builder, Context, DriverPool, Job, Server, SizeLimits, handover};
+use entry::{Builder, Context, DriverPool, Job, Server, SizeLimits, handover, quarantine};
 use fleet::cloud::Cloud;
 use jsonrpsee::RpcModule;
 use peer::Node;
@@ -89,6 +89,7 @@
         tracing::error!(event = "context_set_twice");
     }
     let (stops, reasons) = bounded(STOP_QUEUE_CAPACITY);
+    quarantine::start(&context);
     let threads = || start_threads(settings, &context, &clients, &queue, &stops);
     let started = threads().map_err(Error::System)?;
     if components.set(started).is_err() {
@@ -121,6 +122,9 @@
     module
         .merge(handover::methods(context))
         .expect("method names are unique");
+    module
+        .merge(quarantine::methods(context))
+        .expect("method names are unique");
     module
         .merge(operator::methods(components))
         .expect("method names are unique");
--- a/crates/entry/src/call/admit.rs
+++ b/crates/entry/src/call/admit.rs
@@ -106,6 +106,9 @@
     workspace: &str,
     request: &Request<'_>,
 ) -> Result<Admitted, Fault> {
+    if let Some(fault) = context.quarantine.refusal(request.blocks) {
+        return Err(fault);
+    }
     let now = Instant::now();
     let expected = request.prompt_tokens.saturating_add(request.max_tokens);
     let permit = context
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -21,6 +21,7 @@
 use crate::lock;
 use crate::metrics::Metrics;
 use crate::migration;
+use crate::quarantine;
 use crate::snapshot::Snapshot;
 use crate::span;
 use crate::standby;
@@ -49,6 +50,8 @@
     pub tickets: ticket::Table,
     /// preemption notices of upstream VMs and estimates for KV cache transfers
     pub migration: migration::State,
+    /// parts of prompts that end upstream VMs
+    pub quarantine: quarantine::State,
     /// client of the upstreams
     pub engines: Client,
     /// this daemon as a member of the cluster
@@ -105,6 +108,7 @@
             standby: standby::Table::default(),
             tickets: ticket::Table::default(),
             migration: migration::State::default(),
+            quarantine: quarantine::State::default(),
             engines: self.engines,
             node: self.node,
             claims: self.claims,
--- a/crates/entry/src/drive/attempt.rs
+++ b/crates/entry/src/drive/attempt.rs
@@ -1,9 +1,11 @@
 //! One attempt: a stream on one upstream VM.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use engine::{Failure, Item, Stream};
 use macro_rules_attribute::apply;
+use route::quarantine::BEGIN_TIME;
 use route::table::{Permit, Pick};
 use schema::engine::Finish;
 use schema::journal as wire;
@@ -53,6 +55,9 @@
     driver: u32,
     number: u32,
     reader: Stream,
+    blocks: Arc<[u64]>,
+    first_token: Option<Instant>,
+    is_success_recorded: bool,
     last_token: Instant,
     step_time: Duration,
     steps: u32,
@@ -99,6 +104,7 @@
         journal: &'a Journal,
         driver: u32,
         assignment: &Assignment,
+        blocks: Arc<[u64]>,
     ) -> Result<Attempt<'a>, Stop> {
         let number = journal
             .begin_attempt(driver, &assignment.stream)
@@ -128,6 +134,9 @@
             driver,
             number,
             reader,
+            blocks,
+            first_token: None,
+            is_success_recorded: false,
             last_token,
             step_time: Duration::ZERO,
             steps: 0,
@@ -167,12 +176,24 @@
     fn handle(&mut self, item: Item) -> Option<Stop> {
         match item {
             Item::KeepAlive => None,
-            Item::Finish(finish) => Some(self.finish(finish)),
+            Item::Finish(finish) => {
+                let stop = self.finish(finish);
+                if matches!(stop, Stop::Finished(_)) {
+                    self.record_success();
+                }
+                Some(stop)
+            }
             Item::Token(chunk) => {
                 let previous_tokens = self.journal.token_count();
                 match self.journal.push(self.number, chunk.index, &chunk.text) {
                     Ok(()) => {
                         self.record_token(previous_tokens);
+                        if self
+                            .first_token()
+                            .is_some_and(|at| at.elapsed() > BEGIN_TIME)
+                        {
+                            self.record_success();
+                        }
                         None
                     }
                     Err(_) if !self.journal.is_driven_by(self.driver) => Some(Stop::RequestEnded),
@@ -197,6 +218,21 @@
         Stop::Finished(finish)
     }
 
+    /// records once that the VM generates the stream without a failure
+    fn record_success(&mut self) {
+        if let Some(first_token) = self.first_token
+            && !std::mem::replace(&mut self.is_success_recorded, true)
+        {
+            let quarantine = &self.context.quarantine;
+            quarantine.record_success(&self.blocks, first_token);
+        }
+    }
+
+    /// time of the first token of the attempt
+    pub(super) fn first_token(&self) -> Option<Instant> {
+        self.first_token
+    }
+
     /// number of the attempt
     pub(super) fn number(&self) -> u32 {
         self.number
@@ -209,6 +245,7 @@
 
     fn record_token(&mut self, previous_tokens: u32) {
         let now = Instant::now();
+        self.first_token.get_or_insert(now);
         let service = [self.journal.origin.service.as_str()];
         let metrics = &self.context.metrics;
         if previous_tokens == 0 {
--- a/crates/entry/src/drive/run.rs
+++ b/crates/entry/src/drive/run.rs
@@ -1,5 +1,6 @@
 //! All attempts of one request on this daemon.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use engine::Failure;
@@ -25,7 +26,7 @@
     pub(super) context: &'a Context,
     pub(super) job: Job,
     driver: u32,
-    blocks: Vec<u64>,
+    blocks: Arc<[u64]>,
     attempts: u32,
     reconnects: u32,
     tokens_at_reset: u32,
@@ -46,7 +47,7 @@
             context,
             job,
             driver,
-            blocks,
+            blocks: blocks.into(),
             attempts: 0,
             reconnects: 0,
             tokens_at_reset,
@@ -102,9 +103,11 @@
     fn run_attempt(&mut self, assignment: Assignment) -> Option<Assignment> {
         let start = Instant::now();
         self.attempts += 1;
-        let journal = std::sync::Arc::clone(&self.job.journal);
+        let journal = Arc::clone(&self.job.journal);
         let context = self.context;
-        let (stop, attempt) = match Attempt::open(context, &journal, self.driver, &assignment) {
+        let blocks = Arc::clone(&self.blocks);
+        let opened = Attempt::open(context, &journal, self.driver, &assignment, blocks);
+        let (stop, attempt) = match opened {
             Ok(mut attempt) => {
                 self.verdict = verdict::join(self.verdict, Verdict::MayHaveRun);
                 (
@@ -114,6 +117,14 @@
             }
             Err(stop) => (stop, None),
         };
+        if let Stop::Failed(failure) = &stop
+            && failure.verdict != Verdict::NotRun
+        {
+            let first_token = attempt.as_ref().and_then(Attempt::first_token);
+            let stream = &assignment.stream;
+            let quarantine = &context.quarantine;
+            quarantine.record_broken(&self.blocks, &stream.vm, &stream.address, first_token);
+        }
         let stop = match (stop, attempt) {
             (Stop::Draining, Some(attempt)) => {
                 self.record_attempt(&assignment, start, &Stop::Draining);
@@ -221,7 +232,7 @@
     /// tries to select an upstream VM until it succeeds or the request ends
     pub(super) fn wait_for_vm(&mut self) -> Option<Assignment> {
         loop {
-            if self.fail_if_expired() || !self.is_driven() {
+            if self.fail_if_expired() || !self.is_driven() || self.fail_if_quarantined() {
                 return None;
             }
             if let Some(pick) = self.select_vm() {
@@ -287,6 +298,16 @@
         true
     }
 
+    /// fails the request if its prompt ends VMs; returns whether it does
+    fn fail_if_quarantined(&self) -> bool {
+        let Some(fault) = self.context.quarantine.refusal(&self.blocks) else {
+            return false;
+        };
+        let fault = fault.with_verdict(self.verdict);
+        self.journal().end(End::Failed(fault), Instant::now());
+        true
+    }
+
     pub(super) fn cancel(&self, assignment: &Assignment) {
         if let Err(error) = self
             .context
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -69,7 +69,7 @@
     module
 }
 
-fn ready(slot: &Slot) -> Result<Arc<Context>, ErrorObjectOwned> {
+pub(crate) fn ready(slot: &Slot) -> Result<Arc<Context>, ErrorObjectOwned> {
     let not_ready = || ErrorObject::owned(NOT_READY, "The daemon is starting.", None::<()>);
     slot.get().cloned().ok_or_else(not_ready)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,7 +6,7 @@
 //! to a plain service runs on its worker.
 //!
 //! Lock order: see [`journal`] for requests in flight. The locks of [`span::Log`],
-//! [`standby::Table`] and the retry budget are never held together with another lock.
+//! [`standby::Table`], [`quarantine::State`] and the retry budget are never held together with another lock.
 
 mod call;
 mod context;
@@ -20,6 +20,7 @@
 mod metrics;
 pub mod migration;
 mod openai;
+pub mod quarantine;
 mod server;
 mod snapshot;
 pub mod span;
--- a/crates/gateway/src/quarantine/crash.rs
+++ b/crates/gateway/src/quarantine/crash.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use route::quarantine::Crash;
+use route::quarantine::{BEGIN_TIME, Crash};
 use tokio::time::{Instant, sleep};
 
 use super::state::publish;
@@ -10,9 +10,6 @@
 use crate::model::Vm;
 use crate::shared::Shared;
 
-/// time after the first event of a response within which its VM's end counts as caused by it
-pub const BEGIN_TIME: Duration = Duration::from_millis(1000);
-
 /// time in which the other responses of a VM that has ended break as well
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -9,5 +9,5 @@
 mod crash;
 mod state;
 
-pub use crash::{BEGIN_TIME, record_broken, record_success};
+pub use crash::{record_broken, record_success};
 pub use state::{State, apply_evidence, evaluate_crashes, refusal, restore};
--- a/crates/gateway/src/serve/vm_stream.rs
+++ b/crates/gateway/src/serve/vm_stream.rs
@@ -6,6 +6,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use route::quarantine::BEGIN_TIME;
 use tokio::time::Instant;
 
 use super::attempt::VmResponse;
@@ -93,8 +94,7 @@
 
     /// whether the VM has written for so long that its end would have another cause
     pub fn is_past_begin(&self) -> bool {
-        self.first_event
-            .is_some_and(|at| at.elapsed() > quarantine::BEGIN_TIME)
+        self.first_event.is_some_and(|at| at.elapsed() > BEGIN_TIME)
     }
 
     /// records once that the VM writes the response without a failure
--- a/crates/route/src/quarantine/evidence.rs
+++ b/crates/route/src/quarantine/evidence.rs
@@ -9,7 +9,7 @@
 pub struct Crash {
     /// the VM's instance id
     pub vm: String,
-    /// start of the process, milliseconds since the Unix epoch
+    /// start of the process, milliseconds since the Unix epoch; 0 if unknown
     pub started_at_ms: u64,
     /// end of the process
     pub at_ms: u64,
--- a/crates/route/src/quarantine/mod.rs
+++ b/crates/route/src/quarantine/mod.rs
@@ -18,4 +18,4 @@
 mod quarantine;
 
 pub use evidence::{Crash, Evidence, Mark};
-pub use quarantine::{Change, QUARANTINE_TIME, Quarantine, SETTLE_TIME};
+pub use quarantine::{BEGIN_TIME, Change, QUARANTINE_TIME, Quarantine, SETTLE_TIME};
--- a/crates/route/src/quarantine/quarantine.rs
+++ b/crates/route/src/quarantine/quarantine.rs
@@ -28,6 +28,12 @@
 /// time from one crash to the next from which they are apart; the daemons' times differ by less
 const MIN_GAP_MS: u64 = 50;
 
+/// time after the begin of a response within which its VM's end counts as caused by it
+pub const BEGIN_TIME: Duration = Duration::from_millis(1000);
+
+/// time within which crashes of a VM are one if the start of its process is unknown
+const SAME_CRASH_MS: u64 = 1000;
+
 /// largest number of remembered crashes
 const MAX_CRASHES: usize = 128;
 
@@ -35,7 +41,7 @@
 const MAX_MARKS: usize = 256;
 
 /// number of remembered successes above which the older half is dropped
-const MAX_SUCCESSES: usize = 4096;
+const MAX_SUCCESSES: usize = 16_384;
 
 /// change of a part's state
 #[apply(value!)]
@@ -254,10 +260,12 @@
         if now_ms - news.at_ms > quarantine_ms() {
             return None;
         }
-        let known = self
-            .crashes
-            .iter_mut()
-            .find(|known| known.vm == news.vm && known.started_at_ms == news.started_at_ms);
+        let known = self.crashes.iter_mut().find(|known| {
+            let is_near = known.at_ms.abs_diff(news.at_ms) < SAME_CRASH_MS;
+            known.vm == news.vm
+                && known.started_at_ms == news.started_at_ms
+                && (is_near || news.started_at_ms != 0)
+        });
         if let Some(known) = known {
             news.parts.retain(|part| !known.parts.contains(part));
             let room = MAX_PARTS.saturating_sub(known.parts.len());
