Refuse a suspected part until it is decided whether it is quarantined

Cause: while the decision waited 0.6 s for the evidence of the other daemons, requests with the part went on to end VMs. Change: a part that 0.15 s after the last necessary crash explains enough crashes is refused until the decision; a sound response lifts that at once.

--- a/crates/gateway/src/quarantine/state.rs
+++ b/crates/gateway/src/quarantine/state.rs
@@ -12,7 +12,7 @@
 use crate::shared::Shared;
 
 /// interval at which crashes are evaluated until they have settled
-const EVALUATION_INTERVAL: Duration = Duration::from_millis(200);
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
 
 /// crashes and quarantined parts at this daemon
 #[derive(Default)]
--- a/crates/route/src/quarantine/quarantine.rs
+++ b/crates/route/src/quarantine/quarantine.rs
@@ -17,6 +17,10 @@
 /// the other daemons arrive
 pub const SETTLE_TIME: Duration = Duration::from_millis(600);
 
+/// time after the last necessary crash until the part is refused for the time being: most of the
+/// evidence of close daemons has arrived
+const SUSPICION_MS: u64 = 150;
+
 /// time after the begin of a successful response for which crashes do not count for its parts:
 /// while all VMs are down, a part that is in most requests has no success either
 const IMMUNITY_MS: u64 = 3000;
@@ -67,6 +71,8 @@
     /// begin of the latest response by part, of this daemon's requests
     successes: HashMap<u64, u64>,
     marks: HashMap<u64, Mark>,
+    /// parts that are refused until the decision, with the end of that time
+    suspects: HashMap<u64, u64>,
     changes: Vec<Change>,
 }
 
@@ -82,12 +88,13 @@
         parts: impl IntoIterator<Item = u64>,
         now_ms: u64,
     ) -> Option<Duration> {
-        if self.marks.is_empty() {
+        if self.marks.is_empty() && self.suspects.is_empty() {
             return None;
         }
         let ends = parts.into_iter().filter_map(|part| {
-            let mark = self.marks.get(&part).filter(|mark| mark.is_active())?;
-            Some(mark.quarantined_ms + quarantine_ms())
+            let mark = self.marks.get(&part).filter(|mark| mark.is_active());
+            let quarantine_end = mark.map(|mark| mark.quarantined_ms + quarantine_ms());
+            quarantine_end.max(self.suspects.get(&part).copied())
         });
         let end = ends.max().filter(|end| now_ms < *end)?;
         Some(Duration::from_millis(end - now_ms))
@@ -141,12 +148,7 @@
     pub fn evaluate(&mut self, now_ms: u64) -> Evidence {
         self.forget(now_ms);
         let mut evidence = Evidence::default();
-        let mut unexplained: Vec<Crash> = self.crashes.clone();
-        for mark in self.marks.values().filter(|mark| mark.is_active()) {
-            unexplained.retain(|crash| !crash.parts.contains(&mark.part));
-        }
-        while let Some((part, crashes)) = self.best_explanation(&unexplained, now_ms) {
-            unexplained.retain(|crash| !crash.parts.contains(&part));
+        for (part, crashes) in self.explanations(now_ms.saturating_sub(millis(SETTLE_TIME))) {
             let mark = self.marks.entry(part).or_insert(Mark {
                 part,
                 ..Mark::default()
@@ -155,6 +157,7 @@
             evidence.marks.push(*mark);
             self.changes.push(Change::Quarantined { part, crashes });
         }
+        self.suspect(now_ms);
         evidence
     }
 
@@ -188,12 +191,34 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// the part that explains most of the crashes, and their number, if there are enough and the
-    /// last necessary one has settled
+    /// refuses the parts that will be quarantined unless other evidence arrives, until that is decided
+    fn suspect(&mut self, now_ms: u64) {
+        let end_ms = now_ms.saturating_add(millis(SETTLE_TIME));
+        for (part, _) in self.explanations(now_ms.saturating_sub(SUSPICION_MS)) {
+            self.suspects.entry(part).or_insert(end_ms);
+        }
+    }
+
+    /// the parts that explain the crashes up to a time, with the number of crashes of each, apart
+    /// from those that are quarantined
+    fn explanations(&self, until_ms: u64) -> Vec<(u64, usize)> {
+        let mut unexplained: Vec<&Crash> = self.crashes.iter().collect();
+        for mark in self.marks.values().filter(|mark| mark.is_active()) {
+            unexplained.retain(|crash| !crash.parts.contains(&mark.part));
+        }
+        let mut explanations = Vec::new();
+        while let Some((part, crashes)) = self.best_explanation(&unexplained, until_ms) {
+            unexplained.retain(|crash| !crash.parts.contains(&part));
+            explanations.push((part, crashes));
+        }
+        explanations
+    }
+
+    /// the part that explains most of the crashes, and their number, if there are enough of them up to
+    /// a time
     ///
     /// A part without any known success goes first, then one with more crashes.
-    fn best_explanation(&self, crashes: &[Crash], now_ms: u64) -> Option<(u64, usize)> {
-        let settled_ms = now_ms.saturating_sub(millis(SETTLE_TIME));
+    fn best_explanation(&self, crashes: &[&Crash], until_ms: u64) -> Option<(u64, usize)> {
         let mut times: HashMap<u64, Vec<u64>> = HashMap::new();
         for crash in crashes {
             for part in &crash.parts {
@@ -204,7 +229,7 @@
         }
         let enough = times.into_iter().filter_map(|(part, mut times)| {
             times.sort_unstable();
-            let settled = times.partition_point(|at| *at <= settled_ms);
+            let settled = times.partition_point(|at| *at <= until_ms);
             let is_enough =
                 settled >= MIN_CRASHES && separate(&times[..settled]) >= MIN_SEPARATE_CRASHES;
             is_enough.then_some((part, times.len()))
@@ -240,6 +265,9 @@
                 ..Mark::default()
             });
             let is_news = refuted_ms > mark.refuted_ms;
+            if is_news {
+                self.suspects.remove(&part);
+            }
             if !is_news || (mark.is_active() && refuted_ms < mark.quarantined_ms) {
                 continue;
             }
@@ -304,6 +332,9 @@
             (true, false) => self.changes.push(Change::Released { part }),
             _ => {}
         }
+        if merged.refuted_ms > previous.refuted_ms {
+            self.suspects.remove(&part);
+        }
         self.marks.insert(part, merged);
         Some(merged)
     }
@@ -312,6 +343,7 @@
     fn forget(&mut self, now_ms: u64) {
         let is_recent = |at_ms: u64| at_ms.saturating_add(quarantine_ms()) >= now_ms;
         self.crashes.retain(|crash| is_recent(crash.at_ms));
+        self.suspects.retain(|_, end_ms| now_ms < *end_ms);
         let changes = &mut self.changes;
         self.marks.retain(|part, mark| {
             let is_kept = is_recent(mark.changed_ms());
--- a/crates/route/tests/quarantine/fleet.rs
+++ b/crates/route/tests/quarantine/fleet.rs
@@ -126,7 +126,7 @@
             for vm in 0..self.vms.len() {
                 self.serve(vm);
             }
-            if self.now_ms.is_multiple_of(200) {
+            if self.now_ms.is_multiple_of(100) {
                 self.evaluate();
             }
         }
--- a/crates/route/tests/quarantine/main.rs
+++ b/crates/route/tests/quarantine/main.rs
@@ -229,6 +229,24 @@
     assert!(quarantine.marks().is_empty());
 }
 
+#[test]
+fn suspected_part_is_refused_until_the_decision() {
+    let fifth_ms = NOW_MS - 2000 + 4 * GAP_MS;
+    for sound in [false, true] {
+        let mut quarantine = crashed(5, &[7]);
+        assert!(quarantine.evaluate(fifth_ms + 100).is_empty());
+        let refused_for = quarantine.refused_for([7], fifth_ms + 100);
+        assert_eq!(refused_for, Some(SETTLE_TIME));
+        if sound {
+            quarantine.record_success([7], fifth_ms);
+            assert_eq!(quarantine.refused_for([7], fifth_ms + 100), None);
+        }
+        let decided_ms = fifth_ms + SETTLE_TIME.as_millis() as u64;
+        quarantine.evaluate(decided_ms);
+        assert_eq!(quarantine.refused_for([7], decided_ms).is_some(), !sound);
+    }
+}
+
 #[test]
 fn decision_waits_for_the_evidence_of_other_daemons() {
     let mut quarantine = crashed(5, &[7]);
