Count a part once a crash; one form of the log line of quarantines; a gauge

A part that is twice in a crash's list, as a malformed or unusual prompt may have it, counted as two crashes (test part_that_is_twice_in_a_prompt_counts_once; 3 crashes sufficed). The change of a part's state is a struct that names its log event, so that gateway and entry log alike; agateloom_state has quarantined_parts.

--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -13,7 +13,7 @@
 use jsonrpsee::RpcModule;
 use peer::{Member, Node, State as Liveness};
 use rand::seq::IteratorRandom;
-use route::quarantine::{BEGIN_TIME, Change, Crash, Evidence, Quarantine};
+use route::quarantine::{BEGIN_TIME, Crash, Evidence, Quarantine};
 use tokio::time::{Instant, sleep};
 
 use crate::context::Context;
@@ -103,18 +103,11 @@
     /// queues evidence for the other daemons and logs what has changed
     fn publish(&self, evidence: Evidence) {
         for change in lock(&self.parts).take_changes() {
-            match change {
-                Change::Quarantined { part, crashes } => {
-                    tracing::warn!(
-                        event = "part_quarantined",
-                        part = format!("{part:x}"),
-                        crashes
-                    );
-                }
-                Change::Released { part } => {
-                    tracing::info!(event = "part_released", part = format!("{part:x}"));
-                }
-            }
+            tracing::warn!(
+                event = change.event(),
+                part = format!("{:x}", change.part),
+                crashes = change.crashes,
+            );
         }
         lock(&self.evidence).add(evidence);
     }
--- a/crates/gateway/src/listeners/admin.rs
+++ b/crates/gateway/src/listeners/admin.rs
@@ -48,6 +48,8 @@
             "config_age_ms",
             age.map_or(u64::MAX, |age| age.as_millis() as u64),
         );
+        let quarantined = shared.quarantine.parts.borrow().len();
+        set_gauge("quarantined_parts", quarantined as u64);
         set_gauge("vms", shared.vms.borrow().len() as u64);
         set_gauge("daemons", shared.daemons.get() as u64);
         set_gauge("connections_opened", shared.pool.opened());
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -99,7 +99,7 @@
             }
             shared.wall_clock.add_peer(&report.from, report.time_ms);
         }
-        quarantine::restore(shared, &report.marks);
+        quarantine::apply_marks(shared, &report.marks);
         let mut reports = self.reports.borrow_mut();
         let mut placement = shared.placement.borrow_mut();
         if let Some(report) = reports.receive(report, now) {
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -10,4 +10,4 @@
 mod state;
 
 pub use crash::{record_broken, record_success};
-pub use state::{State, apply_evidence, evaluate_crashes, refusal, restore};
+pub use state::{State, apply_evidence, apply_marks, evaluate_crashes, refusal};
--- a/crates/gateway/src/quarantine/state.rs
+++ b/crates/gateway/src/quarantine/state.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use route::quarantine::{Change, Evidence, Mark, Quarantine};
+use route::quarantine::{Evidence, Mark, Quarantine};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -62,8 +62,8 @@
     publish(shared, reply);
 }
 
-/// restores the quarantined parts of a checkpoint
-pub fn restore<D: Dialect>(shared: &Shared<D>, marks: &[Mark]) {
+/// applies the quarantined parts in a report or a checkpoint
+pub fn apply_marks<D: Dialect>(shared: &Shared<D>, marks: &[Mark]) {
     let evidence = Evidence {
         marks: marks.to_vec(),
         ..Evidence::default()
@@ -93,18 +93,11 @@
 /// queues evidence for the peers and logs what has changed
 pub(super) fn publish<D: Dialect>(shared: &Shared<D>, evidence: Evidence) {
     for change in shared.quarantine.parts.borrow_mut().take_changes() {
-        match change {
-            Change::Quarantined { part, crashes } => {
-                tracing::warn!(
-                    event = "part_quarantined",
-                    part = format!("{part:x}"),
-                    crashes
-                );
-            }
-            Change::Released { part } => {
-                tracing::info!(event = "part_released", part = format!("{part:x}"));
-            }
-        }
+        tracing::warn!(
+            event = change.event(),
+            part = format!("{:x}", change.part),
+            crashes = change.crashes,
+        );
     }
     if !evidence.is_empty() {
         shared.quarantine.evidence.borrow_mut().add(evidence);
--- a/crates/route/src/quarantine/quarantine.rs
+++ b/crates/route/src/quarantine/quarantine.rs
@@ -49,19 +49,13 @@
 
 /// change of a part's state
 #[apply(value!)]
-pub enum Change {
-    /// requests with the part are refused from now on
-    Quarantined {
-        /// id of the part
-        part: u64,
-        /// crashes known here that it explains; 0 if another daemon decided
-        crashes: usize,
-    },
-    /// requests with the part are accepted again
-    Released {
-        /// id of the part
-        part: u64,
-    },
+pub struct Change {
+    /// id of the part
+    pub part: u64,
+    /// whether requests with the part are refused from now on
+    pub is_quarantined: bool,
+    /// crashes known here that the part explains; 0 if another daemon decided
+    pub crashes: usize,
 }
 
 /// crashes, successes and quarantined parts
@@ -76,6 +70,33 @@
     changes: Vec<Change>,
 }
 
+impl Change {
+    fn quarantined(part: u64, crashes: usize) -> Change {
+        Change {
+            part,
+            is_quarantined: true,
+            crashes,
+        }
+    }
+
+    fn released(part: u64) -> Change {
+        Change {
+            part,
+            is_quarantined: false,
+            crashes: 0,
+        }
+    }
+
+    /// name of the change in logs
+    pub fn event(&self) -> &'static str {
+        if self.is_quarantined {
+            "part_quarantined"
+        } else {
+            "part_released"
+        }
+    }
+}
+
 impl Quarantine {
     /// returns a state without crashes
     pub fn new() -> Quarantine {
@@ -155,7 +176,7 @@
             });
             mark.quarantined_ms = now_ms.max(mark.refuted_ms + 1);
             evidence.marks.push(*mark);
-            self.changes.push(Change::Quarantined { part, crashes });
+            self.changes.push(Change::quarantined(part, crashes));
         }
         self.suspect(now_ms);
         evidence
@@ -272,7 +293,7 @@
                 continue;
             }
             if mark.is_active() {
-                self.changes.push(Change::Released { part });
+                self.changes.push(Change::released(part));
             }
             mark.refuted_ms = refuted_ms;
             evidence.marks.push(*mark);
@@ -285,6 +306,8 @@
         let mut news = crash.clone();
         news.at_ms = crash.at_ms.min(now_ms);
         news.parts.truncate(MAX_PARTS);
+        news.parts.sort_unstable();
+        news.parts.dedup();
         if now_ms - news.at_ms > quarantine_ms() {
             return None;
         }
@@ -328,8 +351,8 @@
         }
         let part = mark.part;
         match (previous.is_active(), merged.is_active()) {
-            (false, true) => self.changes.push(Change::Quarantined { part, crashes: 0 }),
-            (true, false) => self.changes.push(Change::Released { part }),
+            (false, true) => self.changes.push(Change::quarantined(part, 0)),
+            (true, false) => self.changes.push(Change::released(part)),
             _ => {}
         }
         if merged.refuted_ms > previous.refuted_ms {
@@ -348,7 +371,7 @@
         self.marks.retain(|part, mark| {
             let is_kept = is_recent(mark.changed_ms());
             if !is_kept && mark.is_active() {
-                changes.push(Change::Released { part: *part });
+                changes.push(Change::released(*part));
             }
             is_kept
         });
--- a/crates/route/tests/quarantine/fleet.rs
+++ b/crates/route/tests/quarantine/fleet.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use route::quarantine::{Change, Crash, Evidence, Quarantine};
+use route::quarantine::{Crash, Evidence, Quarantine};
 
 /// part that crashes VMs
 pub const CRASHING: u64 = 1_000_000;
@@ -286,8 +286,8 @@
         for daemon in 0..self.daemons.len() {
             let evidence = self.daemons[daemon].evaluate(self.now_ms);
             for change in self.daemons[daemon].take_changes() {
-                if let Change::Quarantined { part, .. } = change {
-                    self.quarantined.insert(part);
+                if change.is_quarantined {
+                    self.quarantined.insert(change.part);
                 }
             }
             self.broadcast(daemon, evidence);
--- a/crates/route/tests/quarantine/main.rs
+++ b/crates/route/tests/quarantine/main.rs
@@ -32,6 +32,15 @@
     delay_ms: 300,
 };
 
+/// a small fleet without requests that crash VMs
+fn calm(seed: u64) -> Fleet {
+    let shape = Shape {
+        crashing_per_s: 0.0,
+        ..SMALL
+    };
+    Fleet::new(shape, seed)
+}
+
 fn crash(number: u64, at_ms: u64, parts: &[u64]) -> Crash {
     Crash {
         vm: format!("vm-{number}"),
@@ -77,13 +86,7 @@
 fn crashing_part_is_quarantined_at_all_daemons_and_no_sound_one() {
     for seed in 0..40 {
         for crashing_per_s in [1.0, 6.0, 20.0] {
-            let mut fleet = Fleet::new(
-                Shape {
-                    crashing_per_s: 0.0,
-                    ..SMALL
-                },
-                seed,
-            );
+            let mut fleet = calm(seed);
             fleet.run(10.0);
             fleet.set_crashing_per_s(crashing_per_s);
             fleet.run(20.0);
@@ -114,13 +117,7 @@
 #[test]
 fn crashes_of_many_vms_at_once_quarantine_no_part() {
     for seed in 0..40 {
-        let mut fleet = Fleet::new(
-            Shape {
-                crashing_per_s: 0.0,
-                ..SMALL
-            },
-            seed,
-        );
+        let mut fleet = calm(seed);
         for fraction in [0.3, 1.0, 0.3, 0.6] {
             fleet.run(5.0);
             fleet.crash_vms(fraction);
@@ -137,13 +134,7 @@
 #[test]
 fn vms_that_end_and_start_by_turns_quarantine_no_popular_part() {
     for seed in 0..40 {
-        let mut fleet = Fleet::new(
-            Shape {
-                crashing_per_s: 0.0,
-                ..SMALL
-            },
-            seed,
-        );
+        let mut fleet = calm(seed);
         fleet.run(5.0);
         for _ in 0..20 {
             fleet.crash_vms(0.2);
@@ -160,6 +151,12 @@
     }
 }
 
+#[test]
+fn part_that_is_twice_in_a_prompt_counts_once() {
+    let mut quarantine = crashed(3, &[7, 8, 7]);
+    assert!(quarantine.evaluate(NOW_MS).is_empty());
+}
+
 #[test]
 fn too_few_crashes_quarantine_nothing() {
     let mut quarantine = crashed(3, &[7]);
