Bound the messages and marks of quarantines when many VMs crash

Found by reading, shown by three tests that failed before: after many crashes, parts that merely were in them filled the table of marks, so that a quarantine of a peer was dropped (parts_of_many_crashes_do_not_displace_a_quarantine), a success was sent for parts of VMs that ended at the same moment (crashes_at_the_same_time_cause_no_messages_of_successes), and every success again for those that found no place, 513 marks a request (successes_are_sent_once_however_many_parts_are_suspected). Successes are sent only for parts that one more crash may make suspects; a full table takes quarantines only. A success looks at its own parts instead of all crashes.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,7 +6,8 @@
 //! to a plain service runs on its worker.
 //!
 //! Lock order: see [`journal`] for requests in flight. The locks of [`span::Log`],
-//! [`standby::Table`], [`quarantine::State`] and the retry budget are never held together with another lock.
+//! [`standby::Table`], [`quarantine::State`] and the retry budget are never held together with
+//! another lock.
 
 mod call;
 mod context;
--- a/crates/route/src/quarantine/mod.rs
+++ b/crates/route/src/quarantine/mod.rs
@@ -13,9 +13,12 @@
 //! Crashes, successes and quarantines are merged from all daemons in any order with the same
 //! result. Times are milliseconds since the Unix epoch, by the daemons' common estimate.
 
+mod change;
 mod evidence;
 #[allow(clippy::module_inception)]
 mod quarantine;
+mod times;
 
+pub use change::Change;
 pub use evidence::{Crash, Evidence, Mark};
-pub use quarantine::{BEGIN_TIME, Change, QUARANTINE_TIME, Quarantine, SETTLE_TIME};
+pub use quarantine::{BEGIN_TIME, QUARANTINE_TIME, Quarantine, SETTLE_TIME};
--- a/crates/route/src/quarantine/quarantine.rs
+++ b/crates/route/src/quarantine/quarantine.rs
@@ -1,14 +1,9 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use macro_rules_attribute::apply;
-use schema::value;
-
+use super::change::Change;
 use super::evidence::{Crash, Evidence, MAX_PARTS, Mark};
-
-/// crashes after which a part is quarantined: requests that only shared a VM with the cause are
-/// sent to two VMs, and once more by their callers
-const MIN_CRASHES: usize = 4;
+use super::times::{crash_times, is_enough, is_near};
 
 /// time for which a part stays quarantined, and for which crashes and successes are remembered
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
@@ -25,13 +20,6 @@
 /// while all VMs are down, a part that is in most requests has no success either
 const IMMUNITY_MS: u64 = 3000;
 
-/// number of these crashes that have to be apart: VMs that end at the same time have another cause,
-/// such as the loss of their hosts, but a request may end two VMs in a moment
-const MIN_SEPARATE_CRASHES: usize = 3;
-
-/// time from one crash to the next from which they are apart; the daemons' times differ by less
-const MIN_GAP_MS: u64 = 50;
-
 /// time after the begin of a response within which its VM's end counts as caused by it
 pub const BEGIN_TIME: Duration = Duration::from_millis(1000);
 
@@ -47,17 +35,6 @@
 /// number of remembered successes above which the older half is dropped
 const MAX_SUCCESSES: usize = 16_384;
 
-/// change of a part's state
-#[apply(value!)]
-pub struct Change {
-    /// id of the part
-    pub part: u64,
-    /// whether requests with the part are refused from now on
-    pub is_quarantined: bool,
-    /// crashes known here that the part explains; 0 if another daemon decided
-    pub crashes: usize,
-}
-
 /// crashes, successes and quarantined parts
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
@@ -70,33 +47,6 @@
     changes: Vec<Change>,
 }
 
-impl Change {
-    fn quarantined(part: u64, crashes: usize) -> Change {
-        Change {
-            part,
-            is_quarantined: true,
-            crashes,
-        }
-    }
-
-    fn released(part: u64) -> Change {
-        Change {
-            part,
-            is_quarantined: false,
-            crashes: 0,
-        }
-    }
-
-    /// name of the change in logs
-    pub fn event(&self) -> &'static str {
-        if self.is_quarantined {
-            "part_quarantined"
-        } else {
-            "part_released"
-        }
-    }
-}
-
 impl Quarantine {
     /// returns a state without crashes
     pub fn new() -> Quarantine {
@@ -141,14 +91,18 @@
         parts: impl IntoIterator<Item = u64>,
         began_ms: u64,
     ) -> Evidence {
-        for part in parts {
-            let latest = self.successes.entry(part).or_default();
+        let parts: Vec<u64> = parts.into_iter().collect();
+        for part in &parts {
+            let latest = self.successes.entry(*part).or_default();
             *latest = began_ms.max(*latest);
         }
         if self.successes.len() > MAX_SUCCESSES {
             self.drop_old_successes();
         }
-        self.refutations()
+        let is_concerned =
+            |part: &u64| self.mark(*part).is_active() || self.is_near_suspicion(*part);
+        let concerned = parts.into_iter().filter(is_concerned).collect();
+        self.refute(&concerned)
     }
 
     /// merges the evidence of another daemon; returns what was new in it, and what this daemon has
@@ -170,12 +124,10 @@
         self.forget(now_ms);
         let mut evidence = Evidence::default();
         for (part, crashes) in self.explanations(now_ms.saturating_sub(millis(SETTLE_TIME))) {
-            let mark = self.marks.entry(part).or_insert(Mark {
-                part,
-                ..Mark::default()
-            });
+            let mut mark = self.mark(part);
             mark.quarantined_ms = now_ms.max(mark.refuted_ms + 1);
-            evidence.marks.push(*mark);
+            self.store(mark);
+            evidence.marks.push(mark);
             self.changes.push(Change::quarantined(part, crashes));
         }
         self.suspect(now_ms);
@@ -240,20 +192,12 @@
     ///
     /// A part without any known success goes first, then one with more crashes.
     fn best_explanation(&self, crashes: &[&Crash], until_ms: u64) -> Option<(u64, usize)> {
-        let mut times: HashMap<u64, Vec<u64>> = HashMap::new();
-        for crash in crashes {
-            for part in &crash.parts {
-                if crash.at_ms > self.refuted_ms(*part) {
-                    times.entry(*part).or_default().push(crash.at_ms);
-                }
-            }
-        }
-        let enough = times.into_iter().filter_map(|(part, mut times)| {
-            times.sort_unstable();
+        let times = crash_times(crashes.iter().copied()).into_iter();
+        let enough = times.filter_map(|(part, times)| {
+            let refuted = times.partition_point(|at| *at <= self.refuted_ms(part));
+            let times = &times[refuted..];
             let settled = times.partition_point(|at| *at <= until_ms);
-            let is_enough =
-                settled >= MIN_CRASHES && separate(&times[..settled]) >= MIN_SEPARATE_CRASHES;
-            is_enough.then_some((part, times.len()))
+            is_enough(&times[..settled]).then_some((part, times.len()))
         });
         enough.max_by_key(|(part, crashes)| {
             let refuted_ms = self.refuted_ms(*part);
@@ -268,23 +212,24 @@
         marked.max(succeeded.map_or(0, |at| at.saturating_add(IMMUNITY_MS)))
     }
 
-    /// turns this daemon's successes into marks, for parts that are suspected or quarantined
+    /// turns this daemon's successes into marks, for all parts that are quarantined or may be soon
     fn refutations(&mut self) -> Evidence {
-        let mut suspects: HashMap<u64, usize> = HashMap::new();
-        for part in self.crashes.iter().flat_map(|crash| &crash.parts) {
-            *suspects.entry(*part).or_default() += 1;
-        }
-        suspects.retain(|_, crashes| *crashes + 1 >= MIN_CRASHES);
         let quarantined = self.marks.values().filter(|mark| mark.is_active());
         let mut parts: HashSet<u64> = quarantined.map(|mark| mark.part).collect();
-        parts.extend(suspects.into_keys());
+        let times = crash_times(&self.crashes).into_iter();
+        parts.extend(times.filter_map(|(part, times)| is_near(&times).then_some(part)));
+        self.refute(&parts)
+    }
+
+    /// turns this daemon's successes with these parts into marks
+    fn refute(&mut self, parts: &HashSet<u64>) -> Evidence {
         let mut evidence = Evidence::default();
-        for part in parts {
+        for part in parts.iter().copied() {
+            if self.is_full_for(part) {
+                continue;
+            }
             let refuted_ms = self.refuted_ms(part);
-            let mark = self.marks.entry(part).or_insert(Mark {
-                part,
-                ..Mark::default()
-            });
+            let mut mark = self.mark(part);
             let is_news = refuted_ms > mark.refuted_ms;
             if is_news {
                 self.suspects.remove(&part);
@@ -296,11 +241,21 @@
                 self.changes.push(Change::released(part));
             }
             mark.refuted_ms = refuted_ms;
-            evidence.marks.push(*mark);
+            self.store(mark);
+            evidence.marks.push(mark);
         }
         evidence
     }
 
+    /// whether one more crash may make a part a suspect
+    fn is_near_suspicion(&self, part: u64) -> bool {
+        let crashes = self.crashes.iter();
+        let with_part = crashes.filter(|crash| crash.parts.contains(&part));
+        let mut times: Vec<u64> = with_part.map(|crash| crash.at_ms).collect();
+        times.sort_unstable();
+        is_near(&times)
+    }
+
     /// adds a crash, or parts to one that is known; returns what was new
     fn add_crash(&mut self, crash: &Crash, now_ms: u64) -> Option<Crash> {
         let mut news = crash.clone();
@@ -333,10 +288,7 @@
 
     /// merges a mark; returns the result if it changed
     fn add_mark(&mut self, mark: Mark, now_ms: u64) -> Option<Mark> {
-        let previous = self.marks.get(&mark.part).copied().unwrap_or(Mark {
-            part: mark.part,
-            ..Mark::default()
-        });
+        let previous = self.mark(mark.part);
         // a success counts for some time in advance
         let limit = now_ms.saturating_add(IMMUNITY_MS);
         let merged = Mark {
@@ -345,8 +297,8 @@
             refuted_ms: previous.refuted_ms.max(mark.refuted_ms.min(limit)),
         };
         let is_outdated = merged.changed_ms().saturating_add(quarantine_ms()) < now_ms;
-        let is_full = self.marks.len() >= MAX_MARKS && !self.marks.contains_key(&mark.part);
-        if merged == previous || is_outdated || is_full {
+        let is_left_out = !merged.is_active() && self.is_full_for(mark.part);
+        if merged == previous || is_outdated || is_left_out {
             return None;
         }
         let part = mark.part;
@@ -358,10 +310,38 @@
         if merged.refuted_ms > previous.refuted_ms {
             self.suspects.remove(&part);
         }
-        self.marks.insert(part, merged);
+        self.store(merged);
         Some(merged)
     }
 
+    /// the mark of a part; an empty one if there is none
+    fn mark(&self, part: u64) -> Mark {
+        self.marks.get(&part).copied().unwrap_or(Mark {
+            part,
+            ..Mark::default()
+        })
+    }
+
+    /// whether a mark of a part can only be stored in place of another
+    fn is_full_for(&self, part: u64) -> bool {
+        self.marks.len() >= MAX_MARKS && !self.marks.contains_key(&part)
+    }
+
+    /// stores a mark; if there are too many, the oldest one without a quarantine is dropped, or else
+    /// the oldest one
+    fn store(&mut self, mark: Mark) {
+        if self.is_full_for(mark.part) {
+            let oldest = self
+                .marks
+                .values()
+                .min_by_key(|mark| (mark.is_active(), mark.changed_ms(), mark.part));
+            if let Some(part) = oldest.map(|mark| mark.part) {
+                self.marks.remove(&part);
+            }
+        }
+        self.marks.insert(mark.part, mark);
+    }
+
     /// drops what is older than the quarantine
     fn forget(&mut self, now_ms: u64) {
         let is_recent = |at_ms: u64| at_ms.saturating_add(quarantine_ms()) >= now_ms;
@@ -386,19 +366,6 @@
     }
 }
 
-/// number of ascending times that are apart from the one before
-fn separate(times: &[u64]) -> usize {
-    let mut count = 0;
-    let mut last = None;
-    for at in times {
-        if last.is_none_or(|last| *at >= last + MIN_GAP_MS) {
-            count += 1;
-            last = Some(*at);
-        }
-    }
-    count
-}
-
 fn quarantine_ms() -> u64 {
     millis(QUARANTINE_TIME)
 }
--- a/crates/route/tests/quarantine/main.rs
+++ b/crates/route/tests/quarantine/main.rs
@@ -151,6 +151,63 @@
     }
 }
 
+#[test]
+fn parts_of_many_crashes_do_not_displace_a_quarantine() {
+    let parts: Vec<u64> = (100..164).collect();
+    for sound in [false, true] {
+        let mut quarantine = Quarantine::new();
+        for number in 0..120 {
+            // each group of ten VMs has other parts
+            let parts: Vec<u64> = parts.iter().map(|part| part + 64 * (number / 10)).collect();
+            quarantine.record_crash(crash(number, NOW_MS - 2000, &parts), NOW_MS - 1000);
+            if sound {
+                quarantine.record_success(parts, NOW_MS - 1500);
+            }
+        }
+        let mark = Mark {
+            part: 7,
+            quarantined_ms: NOW_MS,
+            refuted_ms: 0,
+        };
+        let evidence = Evidence {
+            marks: vec![mark],
+            ..Evidence::default()
+        };
+        quarantine.merge(&evidence, NOW_MS);
+        assert!(quarantine.refused_for([7], NOW_MS).is_some(), "{sound}");
+        assert_eq!(quarantine.marks(), [mark]);
+    }
+}
+
+#[test]
+fn crashes_at_the_same_time_cause_no_messages_of_successes() {
+    let mut quarantine = Quarantine::new();
+    for number in 0..100 {
+        quarantine.record_crash(crash(number, NOW_MS, &[7, 8]), NOW_MS);
+    }
+    let evidence = quarantine.record_success([7, 8], NOW_MS + 10);
+    assert!(evidence.is_empty(), "{evidence:?}");
+}
+
+#[test]
+fn successes_are_sent_once_however_many_parts_are_suspected() {
+    let parts: Vec<u64> = (100..164).collect();
+    let mut quarantine = Quarantine::new();
+    for number in 0..120 {
+        let parts: Vec<u64> = parts.iter().map(|part| part + 64 * (number / 10)).collect();
+        let at_ms = NOW_MS - 9000 + number * GAP_MS / 2;
+        quarantine.record_crash(crash(number, at_ms, &parts), NOW_MS);
+    }
+    let all = 100..1000;
+    assert!(
+        !quarantine
+            .record_success(all.clone(), NOW_MS + 10)
+            .is_empty()
+    );
+    let again = quarantine.record_success(all, NOW_MS + 10);
+    assert!(again.is_empty(), "{} marks", again.marks.len());
+}
+
 #[test]
 fn part_that_is_twice_in_a_prompt_counts_once() {
     let mut quarantine = crashed(3, &[7, 8, 7]);
