Log the software version of VMs and the attempt that a caller resumes

No line names the version of a VM, and the header by which a caller names the attempt that began its stream is not decoded.

Change: Vm::version is decoded from its entry, Call::first_attempt from the request. vm_listed, vm_chosen, request_answered and stream_resumed have both where they apply. The hash of the list of VMs, by which daemons compare lists, contains the version. No decision uses them yet.

--- a/crates/gateway/src/follow/vms.rs
+++ b/crates/gateway/src/follow/vms.rs
@@ -271,7 +271,9 @@
 /// logs a VM that is new, has restarted or has changed its health
 fn log_listed(previous: Option<&Vm>, vm: &Vm) {
     if previous.is_some_and(|previous| {
-        previous.health == vm.health && previous.started_at_ms == vm.started_at_ms
+        previous.health == vm.health
+            && previous.started_at_ms == vm.started_at_ms
+            && previous.version == vm.version
     }) {
         return;
     }
@@ -279,6 +281,7 @@
         event = "vm_listed",
         vm = vm.id,
         service = vm.service,
+        version = vm.version,
         zone = vm.zone,
         address = %vm.address,
         health = ?vm.health,
--- a/crates/gateway/src/model/call.rs
+++ b/crates/gateway/src/model/call.rs
@@ -27,6 +27,8 @@
     pub parts: Vec<Part>,
     /// id of the last event that the caller has received
     pub resume_after: Option<String>,
+    /// id of the caller's attempt that brought the first event of the stream that it resumes
+    pub first_attempt: Option<String>,
 }
 
 impl Call {
--- a/crates/gateway/src/model/vm.rs
+++ b/crates/gateway/src/model/vm.rs
@@ -23,6 +23,9 @@
     pub started_at_ms: u64,
     /// its service
     pub service: String,
+    /// version of its software; empty if it states none
+    #[serde(default)]
+    pub version: String,
     /// address for requests
     pub address: SocketAddr,
     /// its zone
--- a/crates/gateway/src/relay/state.rs
+++ b/crates/gateway/src/relay/state.rs
@@ -303,6 +303,7 @@
             hash.update(id.as_bytes());
             hash.update(&vm.started_at_ms.to_le_bytes());
             hash.update(vm.service.as_bytes());
+            hash.update(vm.version.as_bytes());
             hash.update(vm.address.to_string().as_bytes());
             hash.update(&[u8::from(vm.health == Health::Ready)]);
         }
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -87,6 +87,8 @@
         workspace = request.workspace.as_ref().map(|workspace| &workspace.name),
         service = request.service,
         vm,
+        version = vm.and_then(|id| shared.vms.borrow().get(id).map(|vm| vm.version.clone())),
+        first_attempt = request.call.first_attempt,
         expected_ms = expected.as_millis() as u64,
         patience_ms = time_limit.total.as_millis() as u64,
         prompt_tokens = request.call.prompt_tokens(),
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -240,6 +240,8 @@
         request = request.call.id,
         route = request.route.name,
         vm = vm.id,
+        version = vm.version,
+        first_attempt = request.call.first_attempt,
         status = head.status.as_u16(),
         took_ms = took.as_millis() as u64,
         since_arrival_ms = request.arrived.elapsed().as_millis() as u64,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -202,6 +202,7 @@
             event,
             request = self.stream.request.call.id,
             vm = vm.id,
+            version = vm.version,
             cause,
             after_ms = self.stream.request.arrived.elapsed().as_millis() as u64,
             left_out,
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -47,6 +47,7 @@
         id: id.to_owned(),
         started_at_ms: 0,
         service: "desk".to_owned(),
+        version: "v1".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "here".to_owned(),
         slots: 8,
--- a/crates/gateway/tests/support/dialect.rs
+++ b/crates/gateway/tests/support/dialect.rs
@@ -35,6 +35,7 @@
             tokens: None,
             parts: text(headers, "x-parts").map(parts).unwrap_or_default(),
             resume_after: text(headers, "last-event-id").map(str::to_owned),
+            first_attempt: text(headers, "x-first-attempt").map(str::to_owned),
         })
     }
 
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -57,6 +57,8 @@
     pub fn register(&self, vm: &Vm) {
         let spec = json!({
             "service": vm.service,
+            "version": vm.version,
+            "started": vm.started_at_ms,
             "address": vm.address.to_string(),
             "draining": vm.health == Health::Draining,
         });
@@ -239,11 +241,12 @@
         let address = spec["address"].as_str().ok_or("address is missing")?;
         Ok(Vm {
             id: name.to_owned(),
-            started_at_ms: 0,
+            started_at_ms: spec["started"].as_u64().unwrap_or_default(),
             service: spec["service"]
                 .as_str()
                 .ok_or("service is missing")?
                 .to_owned(),
+            version: spec["version"].as_str().unwrap_or_default().to_owned(),
             address: address.parse().map_err(|_| "address is invalid")?,
             zone: "here".to_owned(),
             slots: 8,
--- a/crates/gateway/tests/support/vm.rs
+++ b/crates/gateway/tests/support/vm.rs
@@ -128,6 +128,12 @@
         fake
     }
 
+    /// sets the version of its software, to be called before it is registered
+    pub fn with_version(mut self, version: &str) -> FakeVm {
+        self.vm.version = version.to_owned();
+        self
+    }
+
     /// lets the process end when it begins a response to a prompt with this part
     pub fn set_crashing_part(&self, part: u64) {
         self.crashing_part.set(Some(part));
@@ -243,6 +249,7 @@
         id: id.to_owned(),
         started_at_ms: 0,
         service: service.to_owned(),
+        version: String::new(),
         address,
         zone: "here".to_owned(),
         slots: 8,
