--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -19,12 +19,25 @@
 
 /// starts a daemon that exchanges reports with the others
 pub fn start_daemon(number: usize, zone: &str, store: &FakeStore) -> Harness {
+    start_with(number, zone, store, settings())
+}
+
+/// starts a daemon again that was killed together with all others
+pub fn restart_daemon(number: usize, zone: &str, store: &FakeStore) -> Harness {
+    let settings = Settings {
+        is_first_start: false,
+        ..settings()
+    };
+    start_with(number, zone, store, settings)
+}
+
+fn start_with(number: usize, zone: &str, store: &FakeStore, settings: Settings) -> Harness {
     let settings = Settings {
         is_alone: false,
         name: format!("daemon-{number}"),
         zone: zone.to_owned(),
         peers: free_address(number),
-        ..settings()
+        ..settings
     };
     let harness = Harness::with(settings, store.clone());
     let settings = &harness.shared.settings;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -19,7 +19,7 @@
 pub use caller::{Caller, Response, request};
 pub use cloud::{Call, FakeCloud};
 pub use dialect::TestDialect;
-pub use fleet::{start_daemon, start_zones, wait_until_ready};
+pub use fleet::{restart_daemon, start_daemon, start_zones, wait_until_ready};
 pub use harness::{Harness, config, config_with, route, run, settings};
 pub use store::FakeStore;
 pub use vm::{FakeVm, Script, Step};
--- /dev/null
+++ b/crates/gateway/tests/versions.rs
@@ -0,0 +1,279 @@
+//! Event streams while VMs of two software versions serve: none goes on at another version than the
+//! one that sent its first event.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{
+    FakeStore, FakeVm, Harness, Response, Script, Step, config, request, restart_daemon, run,
+    start_daemon, wait_until_ready,
+};
+use tokio::time::sleep;
+
+/// pause between two events
+const GAP: Duration = Duration::from_millis(20);
+
+/// time after which the records of streams are in the store
+const RECORD_TIME: Duration = Duration::from_millis(1200);
+
+/// streams that callers resume after a kill of all daemons
+const STREAMS: usize = 12;
+
+/// a daemon that reaches no peer refuses what it does not know within this time
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
+/// events 1 to 3, after which the stream does not go on for a long time
+fn begun() -> Script {
+    Script::events(1, 3, GAP).then(Step::Wait(Duration::from_secs(20)))
+}
+
+/// the rest of such a stream
+fn rest() -> Script {
+    Script::events(4, 6, GAP).end()
+}
+
+fn headers(id: &str) -> String {
+    format!("x-id: {id}\r\nx-key: key-1\r\nx-time-limit-ms: 8000\r\n")
+}
+
+/// begins a stream and leaves after its third event
+async fn begin(daemon: &Harness, id: &str) {
+    let mut caller = daemon.connect().await;
+    let text = request("POST", "/stream/", &headers(id), "body");
+    caller.send(&text).await;
+    caller.read_until("piece 3\n\n").await;
+}
+
+/// resumes a stream after its third event
+async fn resume(daemon: &Harness, id: &str, first_attempt: &str) -> Response {
+    let more = format!("last-event-id: 3\r\nx-first-attempt: {first_attempt}\r\n");
+    let text = request("POST", "/stream/", &(headers(id) + &more), "body");
+    daemon.connect().await.call(&text).await
+}
+
+/// a store with the default configuration
+fn store() -> FakeStore {
+    let store = FakeStore::new();
+    store.configure(|| config(1));
+    store
+}
+
+/// starts a VM of a version and registers it
+async fn start_vm(store: &FakeStore, id: &str, version: &str, script: Script) -> FakeVm {
+    let vm = FakeVm::start(id, "desk", script)
+        .await
+        .with_version(version);
+    store.register(&vm.vm);
+    vm
+}
+
+/// number of the requests that a VM got for the rest of a stream
+fn resumed(vm: &FakeVm) -> usize {
+    let requests = vm.requests();
+    let resumed = requests
+        .iter()
+        .filter(|head| head.contains("last-event-id"));
+    resumed.count()
+}
+
+/// whether a response is a refusal that has not run
+fn is_refused(response: &Response) -> bool {
+    response.status == 503
+}
+
+#[test]
+fn broken_stream_is_not_resumed_at_another_version() {
+    run(async {
+        let harness = Harness::start().await;
+        let broken = Script::events(1, 3, GAP)
+            .then(Step::Wait(Duration::from_millis(300)))
+            .then(Step::Reset);
+        let first = start_vm(&harness.store, "vm-1", "v1", broken).await;
+        harness.register(&[&first]).await;
+        let mut caller = harness.connect().await;
+        let text = request("POST", "/stream/", &headers("id-1"), "body");
+        caller.send(&text).await;
+        let second = start_vm(&harness.store, "vm-2", "v2", rest()).await;
+        harness.register(&[&second]).await;
+        let response = caller.response().await;
+        assert!(!response.is_complete, "{response:?}");
+        assert_eq!(resumed(&second), 0);
+    });
+}
+
+#[test]
+fn broken_stream_is_resumed_at_its_version_beside_others() {
+    run(async {
+        let harness = Harness::start().await;
+        let broken = Script::events(1, 3, GAP)
+            .then(Step::Wait(Duration::from_millis(300)))
+            .then(Step::Reset);
+        let first = start_vm(&harness.store, "vm-1", "v1", broken).await;
+        harness.register(&[&first]).await;
+        let mut caller = harness.connect().await;
+        let text = request("POST", "/stream/", &headers("id-1"), "body");
+        caller.send(&text).await;
+        let mut others = Vec::new();
+        for number in 2..8 {
+            let id = format!("vm-{number}");
+            others.push(start_vm(&harness.store, &id, "v2", rest()).await);
+        }
+        let same = start_vm(&harness.store, "vm-8", "v1", rest()).await;
+        harness.register(&[&same]).await;
+        let response = caller.response().await;
+        assert!(response.is_complete, "{response:?}");
+        assert_eq!(resumed(&same), 1);
+        assert_eq!(others.iter().map(resumed).sum::<usize>(), 0);
+    });
+}
+
+#[test]
+fn stream_of_an_unknown_version_is_refused_at_once() {
+    run(async {
+        let harness = Harness::start().await;
+        let first = start_vm(&harness.store, "vm-1", "v1", rest()).await;
+        let second = start_vm(&harness.store, "vm-2", "v2", rest()).await;
+        harness.register(&[&first, &second]).await;
+        let started = tokio::time::Instant::now();
+        let response = resume(&harness, "id-2", "id-1").await;
+        assert!(is_refused(&response), "{response:?}");
+        assert!(started.elapsed() < REFUSAL_TIME);
+        assert_eq!(resumed(&first) + resumed(&second), 0);
+    });
+}
+
+#[test]
+fn stream_of_a_version_without_vms_does_not_go_on_at_another_daemon() {
+    run(async {
+        let store = store();
+        let daemons = [
+            start_daemon(1, "here", &store),
+            start_daemon(2, "here", &store),
+        ];
+        let first = start_vm(&store, "vm-1", "v1", begun()).await;
+        wait_until_ready(&daemons, [&first]).await;
+        begin(&daemons[0], "id-1").await;
+        let second = start_vm(&store, "vm-2", "v2", rest()).await;
+        store.delete("vms", "vm-1");
+        let is_replaced = |daemon: &Harness| {
+            let vms = daemon.shared.vms.borrow();
+            vms.contains_key("vm-2") && !vms.contains_key("vm-1")
+        };
+        for daemon in &daemons {
+            daemon.wait_until(is_replaced).await;
+            let response = resume(daemon, "id-2", "id-1").await;
+            assert!(is_refused(&response), "{response:?}");
+        }
+        assert_eq!(resumed(&second), 0);
+    });
+}
+
+#[test]
+fn streams_go_on_at_their_version_at_any_daemon() {
+    run(async {
+        let store = store();
+        let daemons: Vec<Harness> = (0..5).map(|n| start_daemon(n, "here", &store)).collect();
+        let first = start_vm(&store, "vm-1", "v1", begun()).await;
+        wait_until_ready(&daemons, [&first]).await;
+        sleep(RECORD_TIME).await;
+        for number in 0..STREAMS {
+            begin(&daemons[number % 5], &format!("id-{number}")).await;
+        }
+        first.set_script(rest());
+        let second = start_vm(&store, "vm-2", "v2", rest()).await;
+        wait_until_ready(&daemons, [&first, &second]).await;
+        for number in 0..STREAMS {
+            let daemon = &daemons[(number + 1) % 5];
+            let response =
+                resume(daemon, &format!("again-{number}"), &format!("id-{number}")).await;
+            assert_eq!(response.status, 200, "{response:?}");
+            assert!(response.is_complete, "{response:?}");
+        }
+        assert_eq!((resumed(&first), resumed(&second)), (STREAMS, 0));
+    });
+}
+
+/// the VM that is asked first sends no event; the one that sends the first event decides
+#[test]
+fn version_is_that_of_the_first_event_and_not_of_the_first_attempt() {
+    run(async {
+        let harness = Harness::start().await;
+        let no_event = Script(vec![Step::Wait(Duration::from_millis(300)), Step::Reset]);
+        let first = start_vm(&harness.store, "vm-1", "v1", no_event).await;
+        harness.register(&[&first]).await;
+        let mut caller = harness.connect().await;
+        let text = request("POST", "/stream/", &headers("id-1"), "body");
+        caller.send(&text).await;
+        harness.wait_until(|_| first.requests().len() == 1).await;
+        let second = start_vm(&harness.store, "vm-2", "v2", begun()).await;
+        harness.register(&[&second]).await;
+        caller.read_until("piece 3\n\n").await;
+        first.set_script(rest());
+        second.set_script(rest());
+        let response = resume(&harness, "id-2", "id-1").await;
+        assert_eq!(response.status, 200, "{response:?}");
+        assert_eq!((resumed(&first), resumed(&second)), (0, 1));
+    });
+}
+
+/// all daemons are killed while VMs of two versions serve; then as many VMs of each serve again
+fn resume_after_kill_of_all(daemons: usize, begin_at: &'static str) -> (usize, usize, usize) {
+    let store = store();
+    run({
+        let store = store.clone();
+        async move {
+            let daemons: Vec<Harness> = (0..daemons)
+                .map(|n| start_daemon(n, "here", &store))
+                .collect();
+            let vm = start_vm(&store, "vm-1", begin_at, begun()).await;
+            wait_until_ready(&daemons, [&vm]).await;
+            sleep(RECORD_TIME).await;
+            for number in 0..STREAMS {
+                let daemon = &daemons[number % daemons.len()];
+                begin(daemon, &format!("id-{number}")).await;
+            }
+            sleep(RECORD_TIME).await;
+            store.delete("vms", "vm-1");
+        }
+    });
+    // the runtime of all daemons has ended with their connections
+    let mut counts = (0, 0, 0);
+    run(async {
+        let first = start_vm(&store, "vm-2", "v1", rest()).await;
+        let second = start_vm(&store, "vm-3", "v2", rest()).await;
+        let daemons: Vec<Harness> = (0..daemons)
+            .map(|n| restart_daemon(n, "here", &store))
+            .collect();
+        wait_until_ready(&daemons, [&first, &second]).await;
+        for number in 0..STREAMS {
+            let daemon = &daemons[(number + 1) % daemons.len()];
+            let response =
+                resume(daemon, &format!("again-{number}"), &format!("id-{number}")).await;
+            counts.2 += usize::from(is_refused(&response));
+        }
+        counts.0 = resumed(&first);
+        counts.1 = resumed(&second);
+    });
+    counts
+}
+
+#[test]
+fn streams_do_not_go_on_at_another_version_after_a_kill_of_all_daemons() {
+    for daemons in [1, 4] {
+        for (version, other) in [("v1", "v2"), ("v2", "v1")] {
+            let (first, second, refused) = resume_after_kill_of_all(daemons, version);
+            let (same, joined) = if version < other {
+                (first, second)
+            } else {
+                (second, first)
+            };
+            assert_eq!(joined, 0, "{version}, {daemons} daemons: joined");
+            assert_eq!(same + refused, STREAMS, "{version}, {daemons} daemons");
+            assert!(
+                same >= STREAMS / 2,
+                "{version}, {daemons} daemons: {same} go on"
+            );
+        }
+    }
+}
