--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -3,12 +3,14 @@
 
 use rand::Rng;
 use serde_json::Value;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::AGE_CHECK_INTERVAL;
 use super::backoff::Backoff;
 use crate::adapter::{Dialect, ObjectError, Objects, Revision};
-use crate::checkpoint::restore;
+use crate::checkpoint;
+use crate::origin;
 use crate::relay::Encoded;
 use crate::shared::Shared;
 
@@ -23,8 +25,15 @@
 }
 
 /// keeps the configuration current for as long as the process runs
-pub async fn config<D: Dialect, S: Objects>(shared: Rc<Shared<D>>, store: Rc<S>) {
-    restore(&shared, &*store).await;
+pub async fn config<D: Dialect, S: Objects + 'static>(shared: Rc<Shared<D>>, store: Rc<S>) {
+    let ((), are_origins_read) = tokio::join!(
+        checkpoint::restore(&shared, &*store),
+        origin::restore(&shared, &*store)
+    );
+    if !are_origins_read {
+        let (shared, store) = (Rc::clone(&shared), Rc::clone(&store));
+        spawn_local(async move { origin::retry(&shared, &*store).await });
+    }
     let mut backoff = Backoff::default();
     let mut must_list = false;
     loop {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod metrics;
 pub mod model;
 pub mod notices;
+pub mod origin;
 pub mod peers;
 pub mod pool;
 pub mod quarantine;
--- a/crates/gateway/src/model/call.rs
+++ b/crates/gateway/src/model/call.rs
@@ -32,6 +32,11 @@
 }
 
 impl Call {
+    /// whether the caller resumes a stream of which it has received events
+    pub fn is_resumed(&self) -> bool {
+        self.resume_after.is_some() || self.first_attempt.is_some()
+    }
+
     /// ids and token counts of the prompt's parts
     pub fn part_sizes(&self) -> Vec<(u64, u32)> {
         let parts = self.parts.iter();
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -12,6 +12,7 @@
 use crate::adapter::{Dialect, Objects};
 use crate::limits::{refund_peer, restore_ledger, rule_for_peer};
 use crate::notices;
+use crate::origin;
 use crate::quarantine::{apply_evidence, evaluate_crashes};
 use crate::relay::{Known, Reply};
 use crate::shared::Shared;
@@ -47,6 +48,8 @@
         reporter.run_updates(),
         evaluate_crashes(Rc::clone(&shared)),
         following,
+        origin::send_records(&shared, &node),
+        origin::write_records(&shared, &*store),
         rewriting
     );
 }
@@ -84,6 +87,12 @@
                 apply_evidence(shared, &update.evidence, is_forwarded);
             }
             Message::Refund(charge) => refund_peer(shared, &charge),
+            Message::Records(batch) => shared.merge_origins(&batch),
+            Message::Origin(id, reply) => {
+                if reply.send(shared.known_origin(id)).is_err() {
+                    tracing::debug!(event = "question_given_up");
+                }
+            }
             Message::Ledger(copy) => restore_ledger(shared, &copy),
             Message::Charge(charge, reply) => {
                 if reply.send(rule_for_peer(shared, &charge)).is_err() {
--- a/crates/gateway/src/peers/join.rs
+++ b/crates/gateway/src/peers/join.rs
@@ -5,6 +5,7 @@
 use jsonrpsee::RpcModule;
 use peer::Node;
 use rand::Rng;
+use route::origin::{Batch, Origin};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
@@ -14,6 +15,7 @@
 use crate::adapter::{Dialect, ObjectError, Objects};
 use crate::freshness::Freshness;
 use crate::limits::{CHARGE_METHOD, COPY_METHOD, Charge, LedgerCopy, REFUND_METHOD, Ruling};
+use crate::origin::{ASK_METHOD, RECORDS_METHOD};
 use crate::relay::{Known, Relay, Reply};
 use crate::shared::Shared;
 
@@ -34,6 +36,8 @@
     Charge(Charge, oneshot::Sender<Ruling>),
     Refund(Charge),
     Ledger(LedgerCopy),
+    Records(Batch),
+    Origin(u64, oneshot::Sender<Option<Origin>>),
 }
 
 /// time for which a daemon that starts waits for the peers to write the keys
@@ -122,6 +126,7 @@
         Ok::<(), jsonrpsee::types::ErrorObjectOwned>(())
     });
     added.expect("the names are distinct");
+    add_origin_methods(&mut module, &sender);
     let update_sender = sender.clone();
     let added = module.register_async_method(REPORT_METHOD, move |params, _, _| {
         let (sender, freshness) = (sender.clone(), freshness.clone());
@@ -147,6 +152,30 @@
     module
 }
 
+/// adds the methods by which daemons exchange where streams began
+fn add_origin_methods(module: &mut RpcModule<()>, sender: &Sender<Message>) {
+    let records_sender = sender.clone();
+    let added = module.register_method(RECORDS_METHOD, move |params, (), _| {
+        let batch: Batch = params.one()?;
+        enqueue(&records_sender, Message::Records(batch));
+        Ok::<(), jsonrpsee::types::ErrorObjectOwned>(())
+    });
+    added.expect("the names are distinct");
+    let ask_sender = sender.clone();
+    let added = module.register_async_method(ASK_METHOD, move |params, _, _| {
+        let sender = ask_sender.clone();
+        async move {
+            let id: u64 = params.one()?;
+            let (reply, origin) = oneshot::channel();
+            enqueue(&sender, Message::Origin(id, reply));
+            // none if the message was dropped
+            let origin = origin.await.unwrap_or_default();
+            Ok::<Option<Origin>, jsonrpsee::types::ErrorObjectOwned>(origin)
+        }
+    });
+    added.expect("the names are distinct");
+}
+
 fn enqueue(sender: &Sender<Message>, message: Message) {
     if sender.try_send(message).is_err() {
         tracing::debug!(event = "peer_not_heard", cause = "message queue is full");
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -24,4 +24,4 @@
 pub use report::{Report, Scope, Spending};
 pub use reports::Reports;
 pub use state::Peers;
-pub use topology::{Peer, Topology};
+pub use topology::{Peer, SINGLE_GROUP, Topology};
--- a/crates/gateway/src/peers/reporter.rs
+++ b/crates/gateway/src/peers/reporter.rs
@@ -159,6 +159,7 @@
         }
         let mut reports = self.peers.reports.borrow_mut();
         reports.set_topology(topology.clone());
+        self.shared.origins.set_topology(&topology);
         let is_alone = topology.group_peers().is_empty() && self.registered > 1;
         if !is_alone {
             self.shared.is_joined.set(true);
--- a/crates/gateway/src/peers/topology.rs
+++ b/crates/gateway/src/peers/topology.rs
@@ -16,6 +16,9 @@
 /// object API, the second one continues if the first is lost
 const FOLLOWED: usize = 2;
 
+/// name of the group of a small deployment; a zone's group has the zone's name
+pub const SINGLE_GROUP: &str = "all";
+
 /// a daemon
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
@@ -36,6 +39,8 @@
     /// in the order of [`order`], so that the watcher and the standby come first
     group_peers: Vec<String>,
     remote_delegates: Vec<String>,
+    /// first daemon of each remote zone
+    remote_watchers: Vec<String>,
 }
 
 impl Topology {
@@ -51,9 +56,13 @@
         let mut group: Vec<&&Peer> = peers.iter().filter(is_in_group).collect();
         group.sort_by_key(|peer| order(&peer.name));
         let group_peers = group.iter().map(|peer| peer.name.clone()).collect();
+        let mut remote_watchers = Vec::new();
+        if !is_single_group {
+            remote_watchers = first_of_zones(&me, &peers, 1);
+        }
         let mut remote_delegates = Vec::new();
         if !is_single_group && zone_rank == 0 {
-            remote_delegates = delegates(&me, &peers);
+            remote_delegates = first_of_zones(&me, &peers, DELEGATES);
         }
         Topology {
             is_single_group,
@@ -62,6 +71,7 @@
             daemons,
             group_peers,
             remote_delegates,
+            remote_watchers,
             me,
         }
     }
@@ -93,6 +103,26 @@
         }
     }
 
+    /// the watcher and the standby of this daemon's group, without itself
+    pub fn watchers(&self) -> &[String] {
+        let count = self.followed_peers().min(self.group_peers.len());
+        &self.group_peers[..count]
+    }
+
+    /// the watchers of the other groups
+    pub fn remote_watchers(&self) -> &[String] {
+        &self.remote_watchers
+    }
+
+    /// name of this daemon's group
+    pub fn group(&self) -> &str {
+        if self.is_single_group {
+            SINGLE_GROUP
+        } else {
+            &self.me.zone
+        }
+    }
+
     /// number that spreads the followers of a group over its watchers
     pub fn draw(&self) -> u64 {
         order(&self.me.name)
@@ -167,8 +197,8 @@
     }
 }
 
-/// the daemons of each remote zone that receive sums
-fn delegates(me: &Peer, peers: &[&Peer]) -> Vec<String> {
+/// the first daemons of each remote zone
+fn first_of_zones(me: &Peer, peers: &[&Peer], count: usize) -> Vec<String> {
     let mut remote: Vec<&&Peer> = peers.iter().filter(|peer| peer.zone != me.zone).collect();
     remote.sort_by_key(|peer| (peer.zone.clone(), order(&peer.name)));
     let mut names = Vec::new();
@@ -176,7 +206,7 @@
     for (index, peer) in remote.iter().enumerate() {
         let is_same_zone = index > 0 && remote[index - 1].zone == peer.zone;
         position = if is_same_zone { position + 1 } else { 0 };
-        if position < DELEGATES {
+        if position < count {
             names.push(peer.name.clone());
         }
     }
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -57,6 +57,8 @@
             let wait = retry_after(request.priority(), full.available_in);
             Err(Failure::with_retry_after(Reason::Full, wait))
         }
+        // VMs of an earlier version do not return, so that the caller need not wait for one
+        Choice::NoVm if request.origin.is_some() => Err(Failure::new(Reason::NoVersion)),
         Choice::NoVm => Err(Failure::with_retry_after(Reason::NoVm, NO_VM_RETRY_AFTER)),
     }
 }
--- a/crates/gateway/src/serve/failure.rs
+++ b/crates/gateway/src/serve/failure.rs
@@ -31,6 +31,10 @@
     BodyLost,
     /// the service has no available VM
     NoVm,
+    /// the service has no available VM of the version at which the stream began
+    NoVersion,
+    /// no record says at which version the stream began
+    UnknownOrigin,
     /// no VM has capacity in time
     Full,
     /// the prompt has a part that crashes VMs
@@ -63,6 +67,8 @@
             | Reason::ConfigStale
             | Reason::ConfigBehind
             | Reason::NoVm
+            | Reason::NoVersion
+            | Reason::UnknownOrigin
             | Reason::Full
             | Reason::Quarantined
             | Reason::Refused
@@ -84,6 +90,8 @@
             Reason::BodyTooLong => "body_too_long",
             Reason::BodyLost => "body_lost",
             Reason::NoVm => "no_vm",
+            Reason::NoVersion => "no_version",
+            Reason::UnknownOrigin => "unknown_origin",
             Reason::Full => "full",
             Reason::Quarantined => "quarantined",
             Reason::Refused => "refused",
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -9,6 +9,7 @@
 use http::{Request as HttpRequest, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use route::origin::Origin;
 use route::placement::{self, TimeLimit};
 use route::trust::Trust;
 use tokio::time::{Instant, timeout_at};
@@ -19,6 +20,7 @@
 use crate::adapter::Dialect;
 use crate::limits;
 use crate::model::{Call, Config, Limit, Route, Unit, Workspace};
+use crate::origin;
 use crate::quarantine;
 use crate::shared::Shared;
 
@@ -26,6 +28,10 @@
 /// read from a store that is available again
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(1000);
 
+/// `Retry-After` while it is not known where a stream began: about the time until the record of a
+/// stream has reached the daemons that answer the others
+const ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// time-out for reading a request body if the caller states no time-out
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -97,11 +103,8 @@
     };
     let trust = shared.trust();
     let Some(route) = find_route(&config, &head) else {
-        return Err(Refused::new(
-            &call,
-            "",
-            not_configured(trust, Reason::NoRoute),
-        ));
+        let failure = not_configured(trust, Reason::NoRoute);
+        return Err(Refused::new(&call, "", failure));
     };
     let refuse = |failure| Refused::new(&call, &route.name, failure);
     let workspace = authenticate(&config, &route, &call, trust).map_err(refuse)?;
@@ -112,6 +115,7 @@
     if let Some(failure) = quarantine::refusal(shared, causes) {
         return Err(refuse(failure));
     }
+    let origin = find_origin(shared, &route, &call).await.map_err(refuse)?;
     if let Some(workspace) = &workspace {
         let charged = charge(shared, workspace, &call).await;
         charged.map_err(|failure| Refused {
@@ -120,7 +124,8 @@
         })?;
     }
     let hash = xxh3_64(call.id.as_bytes());
-    let Some(service) = route.service(hash) else {
+    let begun_at = origin.as_ref().map(|origin| origin.service.as_str());
+    let Some(service) = begun_at.or_else(|| route.service(hash)) else {
         return Err(refuse(not_configured(trust, Reason::NoRoute)));
     };
     let service = service.to_owned();
@@ -131,6 +136,7 @@
     Ok(Request {
         kinds: config.kinds(&service),
         hash,
+        origin,
         fingerprint,
         head,
         parts: call.part_sizes(),
@@ -248,6 +254,32 @@
     }
 }
 
+/// where the stream began that a caller resumes; none for a new stream
+async fn find_origin<D: Dialect>(
+    shared: &Shared<D>,
+    route: &Route,
+    call: &Call,
+) -> Result<Option<Origin>, Failure> {
+    if !route.kind.is_stream() || !call.is_resumed() {
+        return Ok(None);
+    }
+    let origin = match call.first_attempt.as_deref() {
+        Some(first_attempt) => origin::find(shared, first_attempt).await,
+        None => None,
+    };
+    let is_target = |origin: &Origin| {
+        let mut targets = route.targets.iter();
+        targets.any(|target| target.service == origin.service)
+    };
+    match origin.filter(is_target) {
+        Some(origin) => Ok(Some(origin)),
+        None => Err(Failure::with_retry_after(
+            Reason::UnknownOrigin,
+            ORIGIN_RETRY_AFTER,
+        )),
+    }
+}
+
 /// charges a request to the limit of its workspace
 async fn charge<D: Dialect>(
     shared: &Shared<D>,
@@ -353,6 +385,7 @@
             time_limit,
             draw: self.hash,
             avoid,
+            version: self.origin.as_ref().map(|origin| origin.version.as_str()),
         }
     }
 }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -47,6 +47,7 @@
             return;
         }
         let mut vm_stream = vm_stream;
+        vm_stream.is_passed_on = true;
         loop {
             let end = self.forward(&mut vm_stream).await;
             let cause = match end {
@@ -116,6 +117,14 @@
             };
             match next {
                 Ok(Ok(Next::Events(bytes, has_data))) => {
+                    if !self.stream.is_at_origin(&vm_stream.vm) && !vm_stream.is_passed_on {
+                        let cause = "the VM has restarted with another version";
+                        return StreamEnd::Failed(cause.to_owned());
+                    }
+                    vm_stream.is_passed_on = true;
+                    if has_data && self.stream.request.origin.is_none() {
+                        self.stream.record_origin(&vm_stream.vm);
+                    }
                     let sending = self.sender.send(Chunk::Bytes(bytes));
                     match timeout_at(self.stream.request.deadline, sending).await {
                         Ok(Ok(())) => {}
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
+use route::origin::Origin;
 use route::placement::Kind;
 use tokio::time::Instant;
 
@@ -34,6 +35,8 @@
     pub hash: u64,
     /// hash of host, path, caller and body, the same when the request is sent again
     pub fingerprint: u64,
+    /// where its stream began, once that is known; it goes on at this version only
+    pub origin: Option<Origin>,
     /// ids and token counts of the parts of the prompt
     pub parts: Vec<(u64, u32)>,
     /// when the head was received
@@ -72,6 +75,18 @@
         base.saturating_add(within).min(MAX_URGENCY)
     }
 
+    /// id of the caller's attempt that brought the first event of the stream: this one, unless it
+    /// resumes a stream
+    pub fn first_attempt(&self) -> &str {
+        self.call.first_attempt.as_deref().unwrap_or(&self.call.id)
+    }
+
+    /// time for which the caller may come back
+    pub fn caller_time_left(&self) -> Duration {
+        let limit = self.call.time_limit.unwrap_or(self.route.timeout);
+        limit.saturating_sub(self.arrived.elapsed())
+    }
+
     /// time left until the deadline
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -122,7 +122,16 @@
         let (head, mut vm_stream) = VmStream::new(vm, vm_response);
         let next = timeout_at(request.deadline, vm_stream.next(&mut self.events)).await;
         match next {
-            Ok(Ok(Next::Events(first, _))) => {
+            Ok(Ok(Next::Events(first, has_data))) => {
+                if !self.is_at_origin(vm) {
+                    vm_stream.in_flight.set_outcome(Outcome::Broken);
+                    let cause = "the VM has restarted with another version";
+                    record_failed_attempt(&self.shared, &self.request, vm, Reason::Lost, cause);
+                    return Err(lost_attempt());
+                }
+                if has_data {
+                    self.record_origin(vm);
+                }
                 vm_stream.in_flight.record_first_token();
                 Ok(Opened::Stream(head, first, Box::new(vm_stream)))
             }
@@ -156,6 +165,26 @@
         }
     }
 
+    /// whether a VM has the version at which the stream began, by the latest list
+    pub fn is_at_origin(&self, vm: &Vm) -> bool {
+        let Some(origin) = &self.request.origin else {
+            return true;
+        };
+        let vms = self.shared.vms.borrow();
+        let listed = vms.get(&vm.id);
+        listed.is_none_or(|vm| vm.version == origin.version)
+    }
+
+    /// records that the stream began at a VM, or goes on at its version
+    pub fn record_origin(&mut self, vm: &Vm) {
+        let request = &mut self.request;
+        let origin = request.origin.take().unwrap_or_else(|| vm.origin());
+        let left = request.caller_time_left();
+        let first_attempt = request.first_attempt();
+        self.shared.record_origin(first_attempt, &origin, left);
+        request.origin = Some(origin);
+    }
+
     /// spawns a task that passes the stream on
     fn relay(self, head: &Parts, first: Bytes, vm_stream: VmStream<D>) -> Response<Body> {
         let (sender, chunks) = mpsc::channel(CHANNEL_CAPACITY);
--- a/crates/gateway/src/serve/vm_stream.rs
+++ b/crates/gateway/src/serve/vm_stream.rs
@@ -25,6 +25,8 @@
     pub framing: Framing,
     /// time of the first event with data
     pub first_event: Option<Instant>,
+    /// whether some of it was passed on to the caller
+    pub is_passed_on: bool,
     is_success_recorded: bool,
     /// whether the body consists of events, as far as its head says
     is_event_stream: bool,
@@ -48,6 +50,7 @@
             vm: Rc::clone(vm),
             framing: Framing::of(&response.head.headers),
             first_event: None,
+            is_passed_on: false,
             is_success_recorded: false,
             is_event_stream: is_event_stream(&response.head.headers),
             body: response.body,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -29,6 +29,7 @@
 use crate::metrics::Metrics;
 use crate::model::{Config, Health, Vm};
 use crate::notices;
+use crate::origin;
 use crate::pool::Pool;
 use crate::quarantine;
 use crate::relay::{Position, Relay};
@@ -102,6 +103,8 @@
     pub metrics: Metrics,
     /// what VMs state about themselves
     pub notices: notices::State,
+    /// software versions at which streams began
+    pub origins: origin::State,
     /// prompt parts that crash VMs
     pub quarantine: quarantine::State,
     /// rate limits for log lines
@@ -148,6 +151,7 @@
             stage: watch::Sender::new(Stage::Serving),
             metrics: Metrics::new(),
             notices,
+            origins: origin::State::default(),
             quarantine: quarantine::State::default(),
             sampler: RefCell::new(Sampler::new(Instant::now())),
         })
@@ -279,6 +283,7 @@
             let member = Member {
                 id: vm.id.clone(),
                 started_at_ms: vm.started_at_ms,
+                version: vm.version.clone(),
                 distance: self.distance(&vm.zone),
                 slots: vm.slots,
                 cache_tokens: service.engine.map(|engine| engine.cache_tokens),
--- a/crates/gateway/tests/malformed.rs
+++ b/crates/gateway/tests/malformed.rs
@@ -277,6 +277,7 @@
     Member {
         id: "vm-1".to_owned(),
         started_at_ms: 0,
+        version: String::new(),
         distance: Distance::Zone,
         slots: 8,
         cache_tokens: Some(100_000),
@@ -293,6 +294,7 @@
         time_limit: TimeLimit::total(Duration::from_secs(2)),
         draw: 0,
         avoid: &[],
+        version: None,
     }
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod level;
 pub mod limit;
 pub mod notice;
+pub mod origin;
 pub mod overload;
 pub mod placement;
 pub mod prefix;
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -181,12 +181,17 @@
         let Some(state) = self.services.get(request.service) else {
             return Choice::NoVm;
         };
-        let ids = state.entries.keys().map(String::as_str);
+        let has_version = |entry: &&Entry| {
+            let version = request.version;
+            version.is_none_or(|version| version == entry.member.version)
+        };
+        let entries = || state.entries.values().filter(has_version);
+        let ids = entries().map(|entry| entry.member.id.as_str());
         let preferred = preferred_vm(ids, request);
         let mut best: Option<(bool, Duration, Pick)> = None;
         let mut at_limit = None;
         let mut opens_at: Option<(Instant, &str)> = None;
-        for entry in state.entries.values() {
+        for entry in entries() {
             if let Some(until) = entry.opens_at(now) {
                 let opening = (until, entry.member.id.as_str());
                 opens_at = Some(opens_at.map_or(opening, |first| first.min(opening)));
--- a/crates/route/src/placement/member.rs
+++ b/crates/route/src/placement/member.rs
@@ -7,6 +7,8 @@
     pub id: String,
     /// start time since the Unix epoch; differs after a restart under the same id
     pub started_at_ms: u64,
+    /// version of its software
+    pub version: String,
     /// network distance
     pub distance: Distance,
     /// requests that it runs concurrently
--- a/crates/route/src/placement/request.rs
+++ b/crates/route/src/placement/request.rs
@@ -48,6 +48,8 @@
     pub draw: u64,
     /// VMs that have failed this request
     pub avoid: &'a [String],
+    /// software version of the VM, if only one may serve the request
+    pub version: Option<&'a str>,
 }
 
 /// VM selected for a request
--- a/crates/route/tests/notice/fleet.rs
+++ b/crates/route/tests/notice/fleet.rs
@@ -306,6 +306,7 @@
     let member = Member {
         id: VM.to_owned(),
         started_at_ms: 1,
+        version: String::new(),
         distance: Distance::Zone,
         slots: 64,
         cache_tokens: None,
@@ -325,5 +326,6 @@
         time_limit: TimeLimit::total(Duration::from_secs(10)),
         draw: 1,
         avoid: &[],
+        version: None,
     }
 }
--- a/crates/route/tests/placement/main.rs
+++ b/crates/route/tests/placement/main.rs
@@ -19,6 +19,7 @@
     Member {
         id: id.to_owned(),
         started_at_ms: 0,
+        version: String::new(),
         distance,
         slots: 64,
         cache_tokens: Some(585_000),
@@ -30,6 +31,7 @@
     Member {
         id: id.to_owned(),
         started_at_ms: 0,
+        version: String::new(),
         distance,
         slots: 6,
         cache_tokens: None,
@@ -65,6 +67,7 @@
         time_limit: TimeLimit::total(MAX_EXPECTED),
         draw: parts.last().map_or(0, |(id, _)| *id),
         avoid,
+        version: None,
     }
 }
 
