Decode each entry of a list by itself

What callers saw, on systems of other operators: after another writer had left one odd entry among those of the VMs, daemons stopped following the list, so that they used VMs that were gone and none that were new.

Cause: a whole response was parsed at once, so one entry that is nested deeper than the parser allows, or holds a number out of range, made the list, the watch and the next list fail. Class: the unit of a failure is larger than what failed.

A port out of range cost only its entry already.

What can't be decoded has no content: a VM with such an entry is left out, and removed if it was listed. Both are logged.

Why it works: raw text is skipped without recursion and without reading numbers, so nothing in an entry reaches its neighbours. Left open: a lease, a checkpoint or the keys of the daemons with unreadable content are logged and not used; duties then wait until the object is repaired or deleted.

--- a/crates/fleet/src/cloud/client.rs
+++ b/crates/fleet/src/cloud/client.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use attohttpc::Method;
-use schema::cloud::{List, Notice, Notices, Price, Prices, Start, Vm};
+use schema::Entries;
+use schema::cloud::{Notice, Price, Start, Vm};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -17,6 +18,22 @@
 /// error code of a start that was refused for lack of machines
 const NO_CAPACITY: &str = "capacity";
 
+/// VMs, as far as they can be decoded
+#[derive(Debug, Deserialize)]
+struct List {
+    vms: Entries<Vm>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Notices {
+    notices: Entries<Notice>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Prices {
+    prices: Entries<Price>,
+}
+
 /// body of an error response
 #[derive(Debug, Deserialize)]
 struct ErrorBody {
@@ -74,7 +91,7 @@
             &self.timeouts,
         )?;
         let notices: Notices = read(&response)?;
-        Ok(notices.notices)
+        Ok(sound("notices", notices.notices))
     }
 
     fn vm_url(&self, name: &str) -> String {
@@ -98,7 +115,7 @@
     fn list(&self) -> Result<Vec<Vm>, Error> {
         let url = format!("{}/v1/vms", self.base);
         let list: List = read(&self.send(Method::GET, &url, Vec::new())?)?;
-        Ok(list.vms)
+        Ok(sound("vms", list.vms))
     }
 
     fn start(&self, name: &str, start: &Start) -> Result<Vm, Error> {
@@ -117,8 +134,16 @@
     fn prices(&self) -> Result<Vec<Price>, Error> {
         let url = format!("{}/v1/prices", self.base);
         let prices: Prices = read(&self.send(Method::GET, &url, Vec::new())?)?;
-        Ok(prices.prices)
+        Ok(sound("prices", prices.prices))
+    }
+}
+
+/// the entries that could be decoded; the others are logged
+fn sound<T>(list: &str, entries: Entries<T>) -> Vec<T> {
+    for cause in &entries.errors {
+        tracing::warn!(event = "entry_unreadable", list, cause);
     }
+    entries.readable
 }
 
 fn read<T: DeserializeOwned>(response: &Response) -> Result<T, Error> {
--- a/crates/fleet/tests/cloud.rs
+++ b/crates/fleet/tests/cloud.rs
@@ -1,6 +1,7 @@
 //! Tests of the cloud client and the autoscaler with the stand-in of the cloud API.
 
 use std::collections::BTreeMap;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -335,3 +336,40 @@
     assert_eq!(report.unknown, ["mill-7"]);
     assert!(report.drained.is_empty() && report.removed.is_empty());
 }
+
+/// starts a server that answers each call with this JSON body; returns its base URL
+fn serve(body: &str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let response = format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request).expect("a request");
+            stream
+                .write_all(response.as_bytes())
+                .expect("the response is written");
+        }
+    });
+    format!("http://{address}")
+}
+
+#[test]
+fn unreadable_entry_of_a_list_costs_only_itself() {
+    let deep = format!("{}1{}", "[".repeat(5000), "]".repeat(5000));
+    let sound = |name: &str| {
+        format!(
+            r#"{{"name":"{name}","upstream":"desk-a","zone":"a","class":"cpu","market":"reclaimable","state":"live"}}"#
+        )
+    };
+    for odd in [&deep, r#"{"name":1e999}"#, r#"{"name":"vm-2"}"#, "null"] {
+        let body = format!(r#"{{"vms":[{},{odd},{}]}}"#, sound("vm-1"), sound("vm-3"));
+        let vms = Client::new(&serve(&body)).list().expect("a list");
+        let names: Vec<&str> = vms.iter().map(|vm| vm.name.as_str()).collect();
+        assert_eq!(names, ["vm-1", "vm-3"]);
+    }
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -7,11 +7,13 @@
 
 pub mod check;
 mod derive;
+mod entries;
 #[rustfmt::skip]
 pub mod generated;
 pub mod method;
 pub mod yaml;
 
+pub use entries::Entries;
 pub use generated::client;
 pub use generated::cloud;
 pub use generated::config;
--- a/crates/store/src/client/calls.rs
+++ b/crates/store/src/client/calls.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use attohttpc::Method;
-use schema::objects::{Document, List as ListDocument, Status};
-use serde::Serialize;
+use schema::Entries;
+use schema::objects::{Document, ListMetadata, Status};
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use super::object::{List, Object, Spec, parse_version};
@@ -27,6 +28,13 @@
 /// maximum size of an object as sent
 pub(crate) const MAX_OBJECT_BYTES: usize = 1 << 20;
 
+/// objects of a kind, as far as they can be decoded
+#[derive(Deserialize)]
+struct ListDocument {
+    metadata: ListMetadata,
+    items: Entries<Document>,
+}
+
 /// client of the object API; clones share the retry budget
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -89,15 +97,24 @@
         }
     }
 
-    /// reads all objects of a kind
+    /// reads all objects of a kind, without those that can't be decoded
     ///
     /// # Errors
     /// When the call fails.
     pub fn list<T: Spec>(&self) -> Result<List<T>, Error> {
         let list: ListDocument = self.read(&self.kind_url::<T>(), JSON)?;
-        let mut items = Vec::with_capacity(list.items.len());
-        for document in list.items {
-            items.push(Object::from_document(document)?);
+        let mut items = Vec::with_capacity(list.items.readable.len());
+        for cause in &list.items.errors {
+            tracing::warn!(event = "entry_unreadable", list = T::PLURAL, cause);
+        }
+        for document in list.items.readable {
+            let name = document.metadata.name.clone();
+            match Object::from_document(document) {
+                Ok(object) => items.push(object),
+                Err(cause) => {
+                    tracing::warn!(event = "entry_unreadable", list = T::PLURAL, name, %cause);
+                }
+            }
         }
         Ok(List {
             version: parse_version(Some(&list.metadata.resource_version))?,
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::HashMap;
+use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -233,3 +234,40 @@
     let conflict = update_with_retry(&client, &late, deadline, own("3"));
     assert_eq!(conflict, Err(Error::Conflict));
 }
+
+#[test]
+fn unreadable_object_of_a_list_costs_only_itself() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let deep = format!("{}1{}", "[".repeat(5000), "]".repeat(5000));
+    let document = |name: &str, spec: &str| {
+        format!(
+            r#"{{"apiVersion":"v1","kind":"Lease","metadata":{{"name":"{name}","resourceVersion":"4"}},"spec":{spec}}}"#
+        )
+    };
+    let sound = r#"{"holder":"a","nonce":"n","fence":1,"ttl_ms":1000}"#;
+    let items = [
+        document("a", sound),
+        document("b", &deep),
+        document("c", r#"{"fence":1e999}"#),
+        document("d", r#"{"holder":5}"#),
+        document("e", sound),
+    ];
+    let items = items.join(",");
+    let body = format!(r#"{{"metadata":{{"resourceVersion":"9"}},"items":[{items}]}}"#);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request).expect("a request");
+            let length = body.len();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+            let written = stream.write_all(format!("{head}{body}").as_bytes());
+            written.expect("the response is written");
+        }
+    });
+    let list = Client::new(&format!("http://{address}"), "").list::<Lease>();
+    let list = list.expect("a list");
+    let names: Vec<&str> = list.items.iter().map(|item| item.name.as_str()).collect();
+    assert_eq!((list.version, &names[..]), (9, &["a", "e"][..]));
+}
