Believe a refusal only if it belongs to the request that was sent

What callers saw, on systems of other operators: "not run, try again" for requests that a server had run or was running, or such a request ran at a second server. The server had written an earlier refusal once more on a kept connection.

Cause: a refusal without an id was taken for the response to the request that waits, whatever had been sent on the connection before; one with the id was also believed at a VM that had refused the same request before. Class: an answer is matched to a question by its place in a sequence that the other side does not keep.

Evidence, before the change: earlier_refusal_on_a_kept_connection_does_not_prove_that_the_next_request_did_not_run got 503 where 502 is right, for a refusal without an id; request_is_sent_to_the_same_vm_again_over_a_new_connection found two sendings over kept connections.

Change: a refusal counts if it is the first response of its connection or states the id; a request goes to a VM for a second time over a new connection only. The stand-in dialect of the tests now rejects another id, as the platform's adapter does.

Why it works: on a new connection nothing earlier can be written, and on a kept one an id that the VM has not seen before can't be in an earlier refusal.

--- a/crates/gateway/src/adapter/dialect.rs
+++ b/crates/gateway/src/adapter/dialect.rs
@@ -65,6 +65,9 @@
     /// classifies the head of a VM's response
     fn classify_response(&self, call: &Call, head: &response::Parts) -> Reply;
 
+    /// whether a VM's response states the id of the request
+    fn states_id(&self, call: &Call, head: &response::Parts) -> bool;
+
     /// decodes what a VM states about itself
     fn notice(&self, head: &response::Parts) -> Notice;
 
--- a/crates/gateway/src/pool/pool.rs
+++ b/crates/gateway/src/pool/pool.rs
@@ -62,6 +62,8 @@
     pub response: Response<Incoming>,
     /// the connection to release after the body
     pub connection: Connection,
+    /// whether no earlier request was sent on the connection
+    pub is_first: bool,
 }
 
 impl Pool {
@@ -93,7 +95,7 @@
     ) -> Result<Exchange, Error> {
         let mut request = request;
         while let Some(sender) = self.checkout(address, timeouts.idle) {
-            match self.exchange(sender, address, request).await {
+            match self.exchange(sender, address, request, false).await {
                 Ok(exchange) => return Ok(exchange),
                 Err((_, Some(unsent))) => request = unsent,
                 Err((error, None)) => return Err(error),
@@ -103,7 +105,7 @@
         if !is_wanted() {
             return Err(Error::Withdrawn);
         }
-        let result = self.exchange(sender, address, request).await;
+        let result = self.exchange(sender, address, request, true).await;
         result.map_err(|(error, _)| error)
     }
 
@@ -168,6 +170,7 @@
         mut sender: Sender,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        is_first: bool,
     ) -> Result<Exchange, (Error, Option<Request<Full<Bytes>>>)> {
         match sender.try_send_request(request).await {
             Ok(response) => {
@@ -181,6 +184,7 @@
                 Ok(Exchange {
                     response,
                     connection,
+                    is_first,
                 })
             }
             Err(mut error) => match error.take_message() {
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -18,7 +18,7 @@
 use super::request::Request;
 use super::{Failure, Reason};
 use crate::adapter::{Attempt, Dialect, Notice, Reply};
-use crate::model::Vm;
+use crate::model::{Call, Vm};
 use crate::notices;
 use crate::pool::{Connection, Error, Exchange, Timeouts};
 use crate::quarantine;
@@ -39,6 +39,16 @@
     pub in_flight: InFlight<D>,
 }
 
+/// where an attempt goes
+pub(super) struct Sending<'a> {
+    pub vm: &'a Vm,
+    pub pick: &'a Pick,
+    /// id of the last event that the caller has
+    pub resume_after: Option<&'a str>,
+    /// whether the request was sent to this VM before
+    pub is_repeated: bool,
+}
+
 /// record of the failed attempts of one request
 pub(super) struct Attempts {
     /// ids of the VMs that were chosen; they are not chosen again
@@ -71,6 +81,12 @@
         self.sent
     }
 
+    /// whether a VM was chosen more than once
+    pub fn is_repeated(&self, vm: &Vm) -> bool {
+        let chosen = self.tried.iter().filter(|id| **id == vm.id);
+        chosen.count() > 1
+    }
+
     /// records a failed attempt and decides whether another may follow
     pub fn may_retry<D: Dialect>(
         &mut self,
@@ -127,13 +143,12 @@
 pub(super) async fn send<D: Dialect>(
     shared: &Rc<Shared<D>>,
     request: &Request,
-    vm: &Vm,
-    pick: &Pick,
-    resume_after: Option<&str>,
+    sending: &Sending<'_>,
 ) -> Result<VmResponse<D>, AttemptError> {
-    let mut in_flight = InFlight::begin(shared, request, &vm.id, pick.uncached);
-    let message = build_message(shared, request, vm, resume_after);
-    let exchange = match exchange(shared, request, vm, message).await {
+    let vm = sending.vm;
+    let mut in_flight = InFlight::begin(shared, request, &vm.id, sending.pick.uncached);
+    let message = build_message(shared, request, vm, sending.resume_after);
+    let exchange = match exchange(shared, request, sending, message).await {
         Ok(exchange) => exchange,
         Err(error) => {
             if !matches!(error, Error::Withdrawn | Error::TimedOut) {
@@ -149,7 +164,7 @@
     in_flight.record_activity();
     let (head, body) = exchange.response.into_parts();
     let mut connection = exchange.connection;
-    let reply = shared.dialect.classify_response(&request.call, &head);
+    let reply = classify(shared, &request.call, &head, exchange.is_first);
     // other responses are not of this VM
     if matches!(reply, Reply::Valid | Reply::NotRun) {
         let notice = shared.dialect.notice(&head);
@@ -186,16 +201,35 @@
     Err(AttemptError { progress, reason })
 }
 
+/// classifies a response; a refusal that may be one of an earlier request is invalid
+fn classify<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    head: &Parts,
+    is_first_on_connection: bool,
+) -> Reply {
+    let reply = shared.dialect.classify_response(call, head);
+    let is_refusal = matches!(reply, Reply::NotRun | Reply::OtherVm);
+    let states_id = shared.dialect.states_id(call, head);
+    if is_refusal && !verdict::proves_not_run(is_first_on_connection, states_id) {
+        return Reply::Invalid;
+    }
+    reply
+}
+
 /// sends a message to a VM and waits for the head of its response until the request's deadline
 async fn exchange<D: Dialect>(
     shared: &Shared<D>,
     request: &Request,
-    vm: &Vm,
+    sending: &Sending<'_>,
     message: HttpRequest<Full<bytes::Bytes>>,
 ) -> Result<Exchange, Error> {
-    let repeatable = request.route.kind.is_repeatable();
+    let vm = sending.vm;
     let timeouts = Timeouts {
-        idle: if repeatable {
+        idle: if sending.is_repeated {
+            // on a kept connection, a refusal of the first sending could not be told apart
+            Duration::ZERO
+        } else if request.route.kind.is_repeatable() {
             Timeouts::IDLE
         } else {
             Timeouts::IDLE_UNREPEATABLE
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{AttemptError, Attempts, VmResponse, record_failed_attempt, send};
+use super::attempt::{AttemptError, Attempts, Sending, VmResponse, record_failed_attempt, send};
 use super::choose::choose;
 use super::request::Request;
 use super::{Body, Chunk, Failure, Reason};
@@ -53,7 +53,13 @@
             }
         };
         let sent_at = Instant::now();
-        let attempt_error = match send(shared, &request, &vm, &pick, None).await {
+        let sending = Sending {
+            vm: &vm,
+            pick: &pick,
+            resume_after: None,
+            is_repeated: attempts.is_repeated(&vm),
+        };
+        let attempt_error = match send(shared, &request, &sending).await {
             Ok(vm_response) => {
                 match read_response(shared, &request, &vm, vm_response, sent_at).await {
                     Ok(response) if !is_replaceable(&request, &response) => return Ok(response),
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -5,7 +5,7 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{record_failed_attempt, send};
+use super::attempt::{Sending, record_failed_attempt, send};
 use super::stream::{Stream, lost_attempt};
 use super::vm_stream::{Next, VmStream};
 use super::{Chunk, Reason};
@@ -171,13 +171,13 @@
             }
             let last_id = self.stream.events.last_id().map(str::to_owned);
             let (vm, pick) = self.stream.choose().ok()?;
-            let sending = send(
-                &self.stream.shared,
-                &self.stream.request,
-                &vm,
-                &pick,
-                last_id.as_deref(),
-            );
+            let sending = Sending {
+                vm: &vm,
+                pick: &pick,
+                resume_after: last_id.as_deref(),
+                is_repeated: self.stream.attempts.is_repeated(&vm),
+            };
+            let sending = send(&self.stream.shared, &self.stream.request, &sending);
             let sent = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
-use super::attempt::{AttemptError, Attempts, VmResponse, record_failed_attempt, send};
+use super::attempt::{AttemptError, Attempts, Sending, VmResponse, record_failed_attempt, send};
 use super::choose::choose;
 use super::events::EventBuffer;
 use super::plain::{build_response, count_usage, record_response};
@@ -114,8 +114,13 @@
     /// sends the request and waits for its first event
     async fn open(&mut self, vm: &Rc<Vm>, pick: &Pick) -> Result<Opened<D>, AttemptError> {
         let (shared, request) = (&self.shared, &self.request);
-        let resume_after = request.call.resume_after.as_deref();
-        let vm_response = send(shared, request, vm, pick, resume_after).await?;
+        let sending = Sending {
+            vm,
+            pick,
+            resume_after: request.call.resume_after.as_deref(),
+            is_repeated: self.attempts.is_repeated(vm),
+        };
+        let vm_response = send(shared, request, &sending).await?;
         if !vm_response.head.status.is_success() {
             return pass_on_buffered(shared, request, vm, vm_response).await;
         }
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -246,3 +246,77 @@
         }
     });
 }
+
+/// a refusal of an earlier request, written again while the next one runs
+fn stale_refusals() -> Vec<(&'static str, &'static str)> {
+    vec![
+        (
+            "without an id",
+            "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+        ),
+        (
+            "with the id of the earlier request",
+            "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-id: earlier\r\ncontent-length: 0\r\n\r\n",
+        ),
+        (
+            "of another VM, without an id",
+            "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n",
+        ),
+    ]
+}
+
+#[test]
+fn earlier_refusal_on_a_kept_connection_does_not_prove_that_the_next_request_did_not_run() {
+    for (name, refusal) in stale_refusals() {
+        run(async {
+            let harness = Harness::start().await;
+            let vm = FakeVm::start("vm-1", "desk", Script::response(200, "first")).await;
+            harness.register(&[&vm]).await;
+            assert_eq!(harness.call("POST", "/once/", "earlier").await.status, 200);
+            let wait = Step::Wait(Duration::from_millis(500));
+            vm.set_script(Script(vec![Step::Write(refusal.to_owned()), wait]));
+            let response = harness.call("POST", "/once/", "id-1").await;
+            assert_eq!(response.status, 502, "{name}");
+            assert_eq!(vm.requests().len(), 2, "{name}: sent once");
+            assert_eq!(vm.connections(), 1, "{name}: the connection was kept");
+        });
+    }
+}
+
+#[test]
+fn refusal_with_the_id_of_the_request_is_believed_on_a_kept_connection() {
+    run(async {
+        let harness = Harness::start().await;
+        let vm = FakeVm::start("vm-1", "desk", Script::response(200, "first")).await;
+        harness.register(&[&vm]).await;
+        assert_eq!(harness.call("POST", "/once/", "earlier").await.status, 200);
+        let refusal =
+            "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-id: {id}\r\ncontent-length: 0\r\n\r\n";
+        vm.set_script(Script(vec![Step::Write(refusal.to_owned())]));
+        assert_eq!(harness.call("POST", "/once/", "id-1").await.status, 503);
+    });
+}
+
+/// a refusal of the first sending that is written again would have the id of the second one as well
+#[test]
+fn request_is_sent_to_the_same_vm_again_over_a_new_connection() {
+    run(async {
+        let harness = Harness::start().await;
+        let slow = Script(vec![Step::Wait(Duration::from_millis(200))]);
+        let answer = Script::response(200, "first").0.remove(0);
+        let vm = FakeVm::start("vm-1", "desk", slow.then(answer)).await;
+        harness.register(&[&vm]).await;
+        let calls = ["a", "b", "c"].map(|id| harness.call("POST", "/once/", id));
+        let [first, second, third] = calls;
+        tokio::join!(first, second, third);
+        assert_eq!(vm.connections(), 3);
+        let refusal =
+            "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-id: {id}\r\ncontent-length: 0\r\n\r\n";
+        vm.set_script(Script(vec![Step::Write(refusal.to_owned())]));
+        let response = harness.call("POST", "/once/", "id-1").await;
+        assert_eq!(response.status, 503);
+        let repeated = u32::try_from(vm.requests().len()).expect("few requests") - 4;
+        assert!(repeated > 0, "the request was sent again");
+        assert_eq!(vm.connections(), 3 + repeated);
+    });
+}
--- a/crates/gateway/tests/support/dialect.rs
+++ b/crates/gateway/tests/support/dialect.rs
@@ -71,6 +71,9 @@
     }
 
     fn classify_response(&self, call: &Call, head: &response::Parts) -> Reply {
+        if text(&head.headers, "x-id").is_some_and(|id| id != call.id) {
+            return Reply::Invalid;
+        }
         if head.headers.contains_key("x-not-run") {
             return Reply::NotRun;
         }
@@ -83,6 +86,10 @@
         Reply::Valid
     }
 
+    fn states_id(&self, call: &Call, head: &response::Parts) -> bool {
+        text(&head.headers, "x-id") == Some(&call.id)
+    }
+
     fn notice(&self, head: &response::Parts) -> Notice {
         let back_off_ms = text(&head.headers, "x-back-off-ms").and_then(|ms| ms.parse().ok());
         Notice {
--- a/crates/gateway/tests/support/vm.rs
+++ b/crates/gateway/tests/support/vm.rs
@@ -92,6 +92,7 @@
     crashing_body: Rc<RefCell<Option<String>>>,
     crashed: watch::Sender<bool>,
     written: Rc<Cell<u64>>,
+    connections: Rc<Cell<u32>>,
 }
 
 impl FakeVm {
@@ -109,6 +110,7 @@
             crashing_body: Rc::default(),
             crashed: watch::Sender::new(false),
             written: Rc::default(),
+            connections: Rc::default(),
         };
         let serving = fake.clone();
         tokio::task::spawn_local(async move {
@@ -117,6 +119,7 @@
                 tokio::select! {
                     accepted = listener.accept() => match accepted {
                         Ok((stream, _)) => {
+                            serving.connections.set(serving.connections.get() + 1);
                             tokio::task::spawn_local(serving.clone().serve_until_crash(stream));
                         }
                         Err(_) => return,
@@ -182,6 +185,11 @@
         self.written.get()
     }
 
+    /// number of connections that were opened to it
+    pub fn connections(&self) -> u32 {
+        self.connections.get()
+    }
+
     /// replaces the script
     pub fn set_script(&self, script: Script) {
         *self.script.borrow_mut() = script;
--- a/crates/route/src/verdict.rs
+++ b/crates/route/src/verdict.rs
@@ -18,6 +18,16 @@
     Answered,
 }
 
+/// returns whether a refusal belongs to the request that waits for a response
+///
+/// Load pattern: a faulty upstream writes an earlier refusal once more on a connection that is kept
+/// open, while it runs the next request. The refusal proves nothing unless nothing was sent on
+/// its connection before, or it states the id of the request. A request that is sent to an upstream
+/// again has the id of its first sending, so that it needs a new connection.
+pub fn proves_not_run(is_first_on_connection: bool, states_id: bool) -> bool {
+    is_first_on_connection || states_id
+}
+
 /// returns the verdict of one attempt
 pub fn attempt(progress: Progress) -> Verdict {
     match progress {
--- a/crates/route/tests/origin.rs
+++ b/crates/route/tests/origin.rs
@@ -14,7 +14,7 @@
     }
 }
 
-fn find<'a>(table: &'a Table, id: u64, now_s: u64) -> Option<&'a str> {
+fn find(table: &Table, id: u64, now_s: u64) -> Option<&str> {
     let origin = table.find(id, now_s);
     origin.map(|origin| origin.version.as_str())
 }
--- a/crates/route/tests/verdict.rs
+++ b/crates/route/tests/verdict.rs
@@ -52,3 +52,21 @@
     assert_eq!(failure.retry_after_ms, Some(2));
     assert_eq!(failure.code, "overload");
 }
+
+/// a faulty upstream writes the refusal of an earlier request again while the next one runs
+#[test]
+fn refusal_counts_only_if_it_belongs_to_the_request() {
+    let cases = [
+        ("first on its connection, without an id", true, false, true),
+        ("first on its connection, with the id", true, true, true),
+        ("on a kept connection, with the id", false, true, true),
+        ("on a kept connection, without an id", false, false, false),
+    ];
+    for (name, is_first, states_id, proves) in cases {
+        assert_eq!(
+            verdict::proves_not_run(is_first, states_id),
+            proves,
+            "{name}"
+        );
+    }
+}
