--- a/crates/gateway/src/follow/vms.rs
+++ b/crates/gateway/src/follow/vms.rs
@@ -100,6 +100,9 @@
         restoration.doubt_returned(&mut listed, &shared.departed.borrow(), now);
     }
     restoration.amend(&mut listed, previous);
+    for vm in listed.values() {
+        shared.doubt_origins(vm);
+    }
     tracing::info!(
         event = "vms_listed",
         vms = listed.len(),
@@ -232,6 +235,7 @@
             Health::Draining => departed.record_draining(&vm.id, vm.started_at_ms, now),
         }
         drop(departed);
+        self.doubt_origins(vm);
         let previous = self.vms.borrow_mut().insert(vm.id.clone(), Rc::clone(vm));
         log_listed(previous.as_deref(), vm);
     }
--- a/crates/gateway/src/origin/state.rs
+++ b/crates/gateway/src/origin/state.rs
@@ -1,4 +1,5 @@
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use route::origin::{Batch, Origin, Table, stream_id};
@@ -12,11 +13,26 @@
 /// time for which a record is kept beyond the caller's deadline: the error of the time of day
 const SLACK: Duration = Duration::from_secs(3);
 
+/// time before the stated start of a VM's process from which on its streams may have begun there: the
+/// error between its time of day and this daemon's
+const START_ERROR: Duration = Duration::from_secs(3);
+
+/// a stream that began, or went on, at a VM
+struct Begun {
+    id: u64,
+    vm: String,
+    version: String,
+    at_ms: u64,
+    until_ms: u64,
+}
+
 /// records of streams at this daemon
 #[derive(Default)]
 pub struct State {
     /// the records
     pub table: RefCell<Table>,
+    /// this daemon's own streams, oldest first
+    begun: RefCell<VecDeque<Begun>>,
     /// which daemons collect the records; none before this one has joined them
     pub(super) topology: RefCell<Option<Topology>>,
     /// notified when there are records to send
@@ -39,16 +55,55 @@
 }
 
 impl<D: Dialect> Shared<D> {
-    /// records that a stream began at a VM, or goes on at this daemon
+    /// records that a stream began at a VM, or goes on there
     ///
     /// `left` is the time for which its caller may come back.
-    pub fn record_origin(&self, first_attempt: &str, origin: &Origin, left: Duration) {
+    pub fn record_origin(&self, first_attempt: &str, origin: &Origin, vm: &Vm, left: Duration) {
         let now_ms = self.wall_clock.now_ms();
         let until_ms = now_ms.saturating_add(millis(left + SLACK));
         let mut table = self.origins.table.borrow_mut();
         let id = stream_id(first_attempt);
         table.record(id, origin, until_ms.div_ceil(1000), now_ms / 1000);
         drop(table);
+        let mut begun = self.origins.begun.borrow_mut();
+        while begun.front().is_some_and(|first| first.until_ms < now_ms) {
+            begun.pop_front();
+        }
+        begun.push_back(Begun {
+            id,
+            vm: vm.id.clone(),
+            version: vm.version.clone(),
+            at_ms: now_ms,
+            until_ms,
+        });
+        drop(begun);
+        self.origins.added.notify_one();
+    }
+
+    /// makes the origin of streams uncertain that began at a VM while this daemon had its entry from before
+    /// a restart with another version
+    pub fn doubt_origins(&self, vm: &Vm) {
+        let from_ms = vm.started_at_ms.saturating_sub(millis(START_ERROR));
+        let begun = self.origins.begun.borrow();
+        let doubted = begun.iter().filter(|begun| {
+            begun.at_ms >= from_ms && begun.vm == vm.id && begun.version != vm.version
+        });
+        let ids: Vec<u64> = doubted.map(|begun| begun.id).collect();
+        drop(begun);
+        if ids.is_empty() {
+            return;
+        }
+        tracing::info!(
+            event = "origins_doubted",
+            vm = vm.id,
+            version = vm.version,
+            streams = ids.len(),
+        );
+        let mut table = self.origins.table.borrow_mut();
+        for id in ids {
+            table.doubt(id);
+        }
+        drop(table);
         self.origins.added.notify_one();
     }
 
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -169,6 +169,9 @@
             if !attempts.may_retry(shared, request, &attempt_error) {
                 return None;
             }
+            if !shared.is_origin_certain(request) {
+                return None;
+            }
             let last_id = self.stream.events.last_id().map(str::to_owned);
             let (vm, pick) = self.stream.choose().ok()?;
             let sending = Sending {
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
+use route::origin::stream_id;
 use route::placement::{Kind, Outcome, Pick, TimeLimit, time_limit};
 use route::verdict::Progress;
 use tokio::sync::mpsc;
@@ -90,6 +91,17 @@
     }
 }
 
+impl<D: Dialect> Shared<D> {
+    /// whether a stream began at the version that was recorded for it, as far as is known now
+    pub(super) fn is_origin_certain(&self, request: &Request) -> bool {
+        let Some(origin) = &request.origin else {
+            return true;
+        };
+        let known = self.known_origin(stream_id(request.first_attempt()));
+        known.as_ref() == Some(origin)
+    }
+}
+
 impl<D: Dialect> Stream<D> {
     /// chooses a VM and excludes it from further choices for the request
     pub fn choose(&mut self) -> Result<(Rc<Vm>, Pick), Failure> {
@@ -186,7 +198,7 @@
         let origin = request.origin.take().unwrap_or_else(|| vm.origin());
         let left = request.caller_time_left();
         let first_attempt = request.first_attempt();
-        self.shared.record_origin(first_attempt, &origin, left);
+        self.shared.record_origin(first_attempt, &origin, vm, left);
         request.origin = Some(origin);
     }
 
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -20,6 +20,9 @@
 /// streams that callers resume after a kill of all daemons
 const STREAMS: usize = 12;
 
+/// part of the error between the times of day of a VM and a daemon
+const CLOCK_ERROR: Duration = Duration::from_millis(50);
+
 /// a daemon that reaches no peer refuses what it does not know within this time
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
@@ -277,3 +280,28 @@
         }
     }
 }
+
+/// the VM begins again under its id with another version, while the daemon still has its old entry
+#[test]
+fn version_is_uncertain_if_the_vm_had_restarted_with_another_one() {
+    run(async {
+        let harness = Harness::start().await;
+        let mut first = start_vm(&harness.store, "vm-1", "v1", begun()).await;
+        harness.register(&[&first]).await;
+        begin(&harness, "id-1").await;
+        harness.store.set_watches_silent(true);
+        let started_at_ms = harness.shared.wall_clock.now_ms();
+        first.vm.version = "v2".to_owned();
+        first.vm.started_at_ms = started_at_ms;
+        harness.store.register(&first.vm);
+        sleep(CLOCK_ERROR).await;
+        begin(&harness, "id-2").await;
+        harness.store.set_watches_silent(false);
+        let second = start_vm(&harness.store, "vm-2", "v1", rest()).await;
+        harness.register(&[&second]).await;
+        first.set_script(rest());
+        let response = resume(&harness, "again-2", "id-2").await;
+        assert!(is_refused(&response), "{response:?}");
+        assert_eq!(resumed(&first) + resumed(&second), 0);
+    });
+}
