Decide on quarantined requests and parts with settled crashes only, and with the fewest other causes

Cause: whether a request is told apart from others was decided with crashes of which only some daemons' evidence had arrived. And while two requests were at the same crashes, each of these crashes counted as another cause, so that a part of both seemed general.

Why it works: a part counts as the cause only if no two requests could be it instead.

--- a/crates/route/src/quarantine/explanation.rs
+++ b/crates/route/src/quarantine/explanation.rs
@@ -89,8 +89,11 @@
         let unexplained: Vec<&Crash> = crashes.filter(|crash| !self.is_explained(crash)).collect();
         let times = crash_times(unexplained.iter().copied(), |crash| &crash.requests);
         let is_distinct = |id: u64, refuted_ms: u64| {
-            let is_counted =
-                |crash: &&&Crash| crash.at_ms > refuted_ms && crash.requests.contains(&id);
+            // a crash that is not settled may lack the evidence of some daemons
+            let is_counted = |crash: &&&Crash| {
+                let is_settled = crash.at_ms <= self.until_ms;
+                is_settled && crash.at_ms > refuted_ms && crash.requests.contains(&id)
+            };
             let mut with_id = unexplained.iter().filter(is_counted);
             let Some(first) = with_id.next() else {
                 return false;
@@ -124,22 +127,23 @@
         threshold.is_met(&times[..settled]).then_some(times.len())
     }
 
-    /// number of causes that the crashes with a part have if the part is none: known requests, and each
-    /// crash without one
+    /// smallest number of causes that the crashes with a part may have if the part is none: known requests,
+    /// and the fewest others that were at all crashes without one; no more than [`MIN_OTHER_CAUSES`]
+    /// others are counted
     fn other_causes(&self, part: u64, refuted_ms: u64) -> usize {
         let mut known: HashSet<u64> = HashSet::new();
-        let mut unknown = 0;
-        let crashes = self.crashes.iter();
+        let mut unknown: Vec<&Crash> = Vec::new();
+        let crashes = self.crashes.iter().copied();
         for crash in crashes.filter(|crash| crash.at_ms > refuted_ms && crash.parts.contains(&part))
         {
             match crash.requests.iter().find(|id| self.requests.contains(id)) {
                 Some(id) => {
                     known.insert(*id);
                 }
-                None => unknown += 1,
+                None => unknown.push(crash),
             }
         }
-        known.len() + unknown
+        known.len() + fewest_requests(&unknown, MIN_OTHER_CAUSES)
     }
 
     fn is_explained(&self, crash: &Crash) -> bool {
@@ -147,6 +151,31 @@
     }
 }
 
+/// smallest number of requests of which each crash has one, at most `limit`; a crash without requests
+/// counts as one
+fn fewest_requests(crashes: &[&Crash], limit: usize) -> usize {
+    let Some((first, others)) = crashes.split_first() else {
+        return 0;
+    };
+    if limit == 0 {
+        return 0;
+    }
+    let without = |id: u64| -> Vec<&Crash> {
+        let others = others.iter().copied();
+        others
+            .filter(|crash| !crash.requests.contains(&id))
+            .collect()
+    };
+    let rest = first
+        .requests
+        .iter()
+        .map(|id| fewest_requests(&without(*id), limit - 1));
+    let rest = rest
+        .min()
+        .unwrap_or_else(|| fewest_requests(others, limit - 1));
+    1 + rest
+}
+
 /// ascending times of the crashes with a cause, but for those at whose times more VMs ended without it
 /// than with it: these have another cause, such as the loss of their hosts
 fn attributable<'a>(
