Read the records of streams again if the daemons that collect them are lost (LOST)

Cause: the watcher and the standby of the group, which hold its records, were among those killed. The others knew their own streams only, and only daemons that start read the records in the object API.

Evidence: 17 refusals for an unknown origin in the second of the kill, by daemons that had not restarted; record_in_the_store_is_read_if_the_daemons_that_collected_it_are_lost failed before, with 503.

Change: if neither watcher nor standby answers, a daemon reads the group's records in the object API, once a second at most, and answers then.

Why it works: collectors have at least what is in the object API, so that a read can only help without them.

--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -26,14 +26,12 @@
 
 /// keeps the configuration current for as long as the process runs
 pub async fn config<D: Dialect, S: Objects + 'static>(shared: Rc<Shared<D>>, store: Rc<S>) {
-    let ((), are_origins_read) = tokio::join!(
+    tokio::join!(
         checkpoint::restore(&shared, &*store),
         origin::restore(&shared, &*store)
     );
-    if !are_origins_read {
-        let (shared, store) = (Rc::clone(&shared), Rc::clone(&store));
-        spawn_local(async move { origin::retry(&shared, &*store).await });
-    }
+    let reading = (Rc::clone(&shared), Rc::clone(&store));
+    spawn_local(async move { origin::read_on_demand(&reading.0, &*reading.1).await });
     let mut backoff = Backoff::default();
     let mut must_list = false;
     loop {
--- a/crates/gateway/src/origin/mod.rs
+++ b/crates/gateway/src/origin/mod.rs
@@ -13,7 +13,7 @@
 
 pub use find::find;
 pub use keep::write_records;
-pub use restore::{restore, retry};
+pub use restore::{read_on_demand, restore};
 pub use share::send_records;
 pub(crate) use share::{ASK_METHOD, RECORDS_METHOD};
 pub use state::State;
--- a/crates/gateway/src/origin/restore.rs
+++ b/crates/gateway/src/origin/restore.rs
@@ -13,6 +13,10 @@
 /// call between regions
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// shortest time between two reads: a daemon whose watchers are lost gets those streams again that they had
+/// written
+const MIN_INTERVAL: Duration = Duration::from_secs(1);
+
 /// pause before a failed read is tried again
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -20,36 +24,36 @@
 const RETRY_TIME: Duration = Duration::from_secs(20);
 
 /// reads the records of this daemon's group, unless the whole system starts for the first time
-///
-/// Returns once they are read, or the first read has failed and `retry` is to be called.
-pub async fn restore<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S) -> bool {
+pub async fn restore<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S) {
     if shared.settings.is_first_start {
-        return true;
-    }
-    match timeout(READ_TIMEOUT, read(shared, store)).await {
-        Ok(Ok(())) => true,
-        Ok(Err(error)) => {
-            tracing::warn!(event = "streams_unread", cause = %error);
-            false
-        }
-        Err(_) => {
-            tracing::warn!(
-                event = "streams_unread",
-                cause = "no response from the object API within 300 ms"
-            );
-            false
-        }
+        return;
     }
+    let error = match timeout(READ_TIMEOUT, read(shared, store)).await {
+        Ok(Ok(())) => return,
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "no response from the object API within 300 ms".to_owned(),
+    };
+    tracing::warn!(event = "streams_unread", cause = error);
+    shared.origins.read_wanted.notify_one();
 }
 
-/// tries again to read the records that [`restore`] has not read
-pub async fn retry<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S) {
+/// reads the records again when they are wanted, for as long as the process runs
+pub async fn read_on_demand<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S) {
     let started = Instant::now();
-    while started.elapsed() < RETRY_TIME {
-        sleep(RETRY_PAUSE).await;
+    loop {
+        shared.origins.read_wanted.notified().await;
         match read(shared, store).await {
-            Ok(()) => return,
-            Err(error) => tracing::debug!(event = "streams_unread", cause = %error),
+            Ok(()) => {
+                shared.origins.read_done.notify_waiters();
+                sleep(MIN_INTERVAL).await;
+            }
+            Err(error) => {
+                tracing::debug!(event = "streams_unread", cause = %error);
+                sleep(RETRY_PAUSE).await;
+                if started.elapsed() < RETRY_TIME {
+                    shared.origins.read_wanted.notify_one();
+                }
+            }
         }
     }
 }
@@ -66,6 +70,7 @@
             Err(error) => return Err(error),
         }
     }
+    shared.origins.read_at.set(Some(Instant::now()));
     let records = shared.origins.table.borrow().len();
     tracing::info!(event = "streams_read", records);
     Ok(())
@@ -78,3 +83,15 @@
         Err(error) => tracing::error!(event = "streams_unreadable", %error),
     }
 }
+
+/// waits for a read of the records that this daemon has not yet, if there is to be one
+pub(super) async fn read_again<D: Dialect>(shared: &Shared<D>) {
+    let read_at = shared.origins.read_at.get();
+    if read_at.is_some_and(|at| at.elapsed() < MIN_INTERVAL) {
+        return;
+    }
+    let done = shared.origins.read_done.notified();
+    shared.origins.read_wanted.notify_one();
+    // without a response in time, the stream stays unknown
+    let _ = timeout(READ_TIMEOUT, done).await;
+}
--- a/crates/gateway/src/origin/state.rs
+++ b/crates/gateway/src/origin/state.rs
@@ -1,9 +1,10 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use route::origin::{Batch, Origin, Table, stream_id};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::adapter::Dialect;
 use crate::model::Vm;
@@ -37,6 +38,11 @@
     pub(super) topology: RefCell<Option<Topology>>,
     /// notified when there are records to send
     pub(super) added: Notify,
+    /// notified when the records in the object API are to be read again, and when they have been read
+    pub(super) read_wanted: Notify,
+    pub(super) read_done: Notify,
+    /// time of the last read
+    pub(super) read_at: Cell<Option<Instant>>,
 }
 
 impl State {
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use route::origin::{Batch, Group, Ids, Origin, stream_id};
+use serde_json::json;
 use support::{
     FakeStore, FakeVm, Harness, Response, Script, Step, config, request, restart_daemon, run,
     start_daemon, wait_until_ready,
@@ -305,3 +307,36 @@
         assert_eq!(resumed(&first) + resumed(&second), 0);
     });
 }
+
+#[test]
+fn record_in_the_store_is_read_if_the_daemons_that_collected_it_are_lost() {
+    run(async {
+        let harness = Harness::start().await;
+        let first = start_vm(&harness.store, "vm-1", "v1", rest()).await;
+        let second = start_vm(&harness.store, "vm-2", "v2", rest()).await;
+        harness.register(&[&first, &second]).await;
+        let until_s = harness.shared.wall_clock.now_ms() / 1000 + 10;
+        let group = Group {
+            origin: Some(Origin {
+                service: "desk".to_owned(),
+                version: "v2".to_owned(),
+            }),
+            until_s,
+            ids: Ids(vec![stream_id("id-1")]),
+        };
+        let batch = Batch {
+            groups: vec![group],
+        };
+        harness.store.put("streams", "all", json!(batch));
+        let response = resume(&harness, "id-2", "id-1").await;
+        assert_eq!(response.status, 200, "{response:?}");
+        assert_eq!((resumed(&first), resumed(&second)), (0, 1));
+        let calls = harness.store.own_calls();
+        for number in 0..20 {
+            let response = resume(&harness, &format!("again-{number}"), "id-3").await;
+            assert!(is_refused(&response), "{response:?}");
+        }
+        let calls = harness.store.own_calls() - calls;
+        assert!(calls < 6, "{calls} calls of the store");
+    });
+}
