--- a/crates/gateway/src/origin/keep.rs
+++ b/crates/gateway/src/origin/keep.rs
@@ -9,7 +9,7 @@
 
 /// interval between two writes: streams that began after the last one are refused after a kill of all
 /// daemons, and streams last for seconds
-const INTERVAL: Duration = Duration::from_millis(400);
+const INTERVAL: Duration = Duration::from_millis(500);
 
 /// writes the records of the group while this daemon is its watcher, for as long as the process runs
 pub async fn write_records<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S) {
