--- a/crates/gateway/src/origin/state.rs
+++ b/crates/gateway/src/origin/state.rs
@@ -2,7 +2,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use route::origin::{Batch, Origin, Table, stream_id};
+use route::origin::{Batch, MAX_TIME, Origin, Table, stream_id};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -66,7 +66,7 @@
     /// `left` is the time for which its caller may come back.
     pub fn record_origin(&self, first_attempt: &str, origin: &Origin, vm: &Vm, left: Duration) {
         let now_ms = self.wall_clock.now_ms();
-        let until_ms = now_ms.saturating_add(millis(left + SLACK));
+        let until_ms = now_ms.saturating_add(millis((left + SLACK).min(MAX_TIME)));
         let mut table = self.origins.table.borrow_mut();
         let id = stream_id(first_attempt);
         table.record(id, origin, until_ms.div_ceil(1000), now_ms / 1000);
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -87,49 +87,44 @@
     response.status == 503
 }
 
+/// runs a stream whose VM of version `v1` breaks it off, while these VMs start; returns the response and
+/// how many requests for the rest each of them got
+async fn run_broken_stream(versions: &[&str]) -> (Response, Vec<usize>) {
+    let harness = Harness::start().await;
+    let broken = Script::events(1, 3, GAP)
+        .then(Step::Wait(Duration::from_millis(300)))
+        .then(Step::Reset);
+    let first = start_vm(&harness.store, "vm-0", "v1", broken).await;
+    harness.register(&[&first]).await;
+    let mut caller = harness.connect().await;
+    let text = request("POST", "/stream/", &headers("id-1"), "body");
+    caller.send(&text).await;
+    let mut others = Vec::new();
+    for (number, version) in versions.iter().enumerate() {
+        let id = format!("vm-{}", number + 1);
+        others.push(start_vm(&harness.store, &id, version, rest()).await);
+    }
+    let last = others.last().expect("a VM");
+    harness.register(&[last]).await;
+    let response = caller.response().await;
+    (response, others.iter().map(resumed).collect())
+}
+
 #[test]
 fn broken_stream_is_not_resumed_at_another_version() {
     run(async {
-        let harness = Harness::start().await;
-        let broken = Script::events(1, 3, GAP)
-            .then(Step::Wait(Duration::from_millis(300)))
-            .then(Step::Reset);
-        let first = start_vm(&harness.store, "vm-1", "v1", broken).await;
-        harness.register(&[&first]).await;
-        let mut caller = harness.connect().await;
-        let text = request("POST", "/stream/", &headers("id-1"), "body");
-        caller.send(&text).await;
-        let second = start_vm(&harness.store, "vm-2", "v2", rest()).await;
-        harness.register(&[&second]).await;
-        let response = caller.response().await;
+        let (response, resumed) = run_broken_stream(&["v2"]).await;
         assert!(!response.is_complete, "{response:?}");
-        assert_eq!(resumed(&second), 0);
+        assert_eq!(resumed, [0]);
     });
 }
 
 #[test]
 fn broken_stream_is_resumed_at_its_version_beside_others() {
     run(async {
-        let harness = Harness::start().await;
-        let broken = Script::events(1, 3, GAP)
-            .then(Step::Wait(Duration::from_millis(300)))
-            .then(Step::Reset);
-        let first = start_vm(&harness.store, "vm-1", "v1", broken).await;
-        harness.register(&[&first]).await;
-        let mut caller = harness.connect().await;
-        let text = request("POST", "/stream/", &headers("id-1"), "body");
-        caller.send(&text).await;
-        let mut others = Vec::new();
-        for number in 2..8 {
-            let id = format!("vm-{number}");
-            others.push(start_vm(&harness.store, &id, "v2", rest()).await);
-        }
-        let same = start_vm(&harness.store, "vm-8", "v1", rest()).await;
-        harness.register(&[&same]).await;
-        let response = caller.response().await;
+        let (response, resumed) = run_broken_stream(&["v2", "v2", "v2", "v2", "v2", "v1"]).await;
         assert!(response.is_complete, "{response:?}");
-        assert_eq!(resumed(&same), 1);
-        assert_eq!(others.iter().map(resumed).sum::<usize>(), 0);
+        assert_eq!(resumed, [0, 0, 0, 0, 0, 1]);
     });
 }
 
--- a/crates/route/src/origin/mod.rs
+++ b/crates/route/src/origin/mod.rs
@@ -16,6 +16,8 @@
 pub use batch::{Batch, Group, Ids};
 pub use table::Table;
 
+use std::time::Duration;
+
 use macro_rules_attribute::apply;
 use schema::message;
 use xxhash_rust::xxh3::xxh3_64;
@@ -24,6 +26,9 @@
 /// 50,000 times
 const ID_BITS: u32 = 48;
 
+/// longest time for which a record is kept; callers that state more come back without one
+pub const MAX_TIME: Duration = Duration::from_secs(60);
+
 /// service and software version of the VM that sent the first event of a stream
 #[apply(message!)]
 #[derive(Eq, Hash, PartialOrd, Ord)]
--- a/crates/route/src/origin/table.rs
+++ b/crates/route/src/origin/table.rs
@@ -1,14 +1,11 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use super::Origin;
 use super::batch::{Batch, Group, Ids};
+use super::{MAX_TIME, Origin};
 
 /// records of a daemon: those of a zone at the largest size, 625 streams a second for the longest time
 const MAX_RECORDS: usize = 65_536;
 
-/// longest time for which a record is kept, seconds; callers that state more come back without one
-const MAX_TIME_S: u64 = 60;
-
 /// records of the streams that are known to a daemon
 #[derive(Debug, Default)]
 pub struct Table {
@@ -123,13 +120,13 @@
     fn insert(&mut self, id: u64, origin: Option<usize>, until_s: u64, now_s: u64) -> bool {
         self.remove_lapsed(now_s);
         if let Some(record) = self.by_id.get_mut(&id) {
-            record.until_s = record.until_s.max(until_s.min(now_s + MAX_TIME_S));
+            record.until_s = record.until_s.max(until_s.min(now_s + MAX_TIME.as_secs()));
             return false;
         }
         if until_s < now_s {
             return false;
         }
-        let until_s = until_s.min(now_s + MAX_TIME_S);
+        let until_s = until_s.min(now_s + MAX_TIME.as_secs());
         self.by_id.insert(id, Record { origin, until_s });
         self.order.push_back(id);
         self.changes += 1;
