Do not record the version of a stream whose VM's entry changed before its first event (ORDER)

Cause: the version that is recorded is that of the entry when the VM was chosen. If the entry changes to another version while the first event is awaited, the change comes too early to make the record uncertain, and the record holds the old version.

Evidence: version_is_uncertain_if_the_entry_of_the_vm_changes_before_its_first_event failed before: the stream went on at another VM.

Change: the record is left out then, so that the stream is neither resumed by the daemon nor by its caller.

--- a/crates/gateway/src/origin/mod.rs
+++ b/crates/gateway/src/origin/mod.rs
@@ -3,7 +3,8 @@
 //! The rules are those of [`route::origin`]. A daemon records each stream before its first event is
 //! passed on, and sends its records to the watcher and the standby of its group, which also answer
 //! daemons that do not know a stream. The watcher writes them to the object API several times a second, so
-//! that they outlast all daemons. A daemon that starts reads those of its zone before it serves.
+//! that they outlast all daemons. A daemon that starts reads those of its zone before it serves, and again
+//! while neither the watcher nor the standby answers.
 
 mod find;
 mod keep;
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -193,13 +193,19 @@
     }
 
     /// records that the stream began at a VM, or goes on at its version
+    ///
+    /// Without a record if the VM's entry has changed since it was chosen, as either version may be right.
     pub fn record_origin(&mut self, vm: &Vm) {
         let request = &mut self.request;
         let origin = request.origin.take().unwrap_or_else(|| vm.origin());
+        request.origin = Some(origin.clone());
+        if !self.is_at_origin(vm) {
+            return;
+        }
+        let request = &self.request;
         let left = request.caller_time_left();
         let first_attempt = request.first_attempt();
         self.shared.record_origin(first_attempt, &origin, vm, left);
-        request.origin = Some(origin);
     }
 
     /// spawns a task that passes the stream on
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -335,3 +335,28 @@
         assert!(calls < 6, "{calls} calls of the store");
     });
 }
+
+#[test]
+fn version_is_uncertain_if_the_entry_of_the_vm_changes_before_its_first_event() {
+    run(async {
+        let harness = Harness::start().await;
+        let wait = Step::Wait(Duration::from_millis(400));
+        let script = Script([vec![wait], begun().0].concat());
+        let mut first = start_vm(&harness.store, "vm-1", "v1", script).await;
+        harness.register(&[&first]).await;
+        let mut caller = harness.connect().await;
+        let text = request("POST", "/stream/", &headers("id-1"), "body");
+        caller.send(&text).await;
+        harness.wait_until(|_| first.requests().len() == 1).await;
+        first.vm.version = "v2".to_owned();
+        first.vm.started_at_ms = harness.shared.wall_clock.now_ms();
+        harness.store.register(&first.vm);
+        caller.read_until("piece 3\n\n").await;
+        first.set_script(rest());
+        let second = start_vm(&harness.store, "vm-2", "v1", rest()).await;
+        harness.register(&[&second]).await;
+        let response = resume(&harness, "id-2", "id-1").await;
+        assert!(is_refused(&response), "{response:?}");
+        assert_eq!(resumed(&first) + resumed(&second), 0);
+    });
+}
