--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -572,7 +572,17 @@
             await daemon.wait_ready()
         self.record.line("all daemons are ready")
 
+    async def close(self):
+        """Ends the stand-ins."""
+        for server in self.servers:
+            if server.is_up:
+                server.kill()
+        self.store.listener.stop()
+        self.cloud.listener.stop()
+        await asyncio.sleep(0.1)
+
     def stop(self):
+        """Ends the daemons."""
         for daemon in self.daemons:
             daemon.kill()
         if os.environ.get("KEEP_LOGS"):
@@ -586,12 +596,15 @@
     world = World(script)
 
     async def run():
-        return await asyncio.wait_for(play(world), 110)
+        broken = await asyncio.wait_for(play(world), 105)
+        world.record.line("the rule was broken" if broken else "the rule held")
+        for daemon in world.daemons:
+            daemon.kill()
+        await world.close()
+        return broken
 
     try:
-        broken = asyncio.run(run())
-        world.record.line("the rule was broken" if broken else "the rule held")
-        code = 1 if broken else 0
+        code = 1 if asyncio.run(run()) else 0
     except Exception as error:  # the case could not run
         world.record.line(f"the case could not run: {error!r}")
         print(repr(error), file=sys.stderr)
