--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -32,6 +32,8 @@
 HEARTBEAT_S = 1.2
 KEY = "i9n73hh2b9wu3fexd9dn"
 HOST = "ficu95.example"
+# text of a spec in whose place the store sends bytes that are no text
+UNREADABLE = "@@unreadable@@"
 
 
 class Record:
@@ -211,7 +213,7 @@
             status, value = await self.answer(method, target, body)
             if self.down:
                 return
-            data = json.dumps(value).encode()
+            data = json.dumps(value).encode().replace(UNREADABLE.encode(), b"\xc3\x28\xff")
             writer.write(response(status, data, [("Content-Type", "application/json"),
                                                  ("Store-Era", self.era)]))
             await writer.drain()
