--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")" || exit 1
 test -x ../target/release/agateloomd || { echo "build deploy/system.toml first" >&2; exit 1; }
 python3 -c 'import sys, tomllib; sys.exit(sys.version_info < (3, 11))' || exit 1
-PYTHONDONTWRITEBYTECODE=1 python3 - standins/world.py ?/case.py <<'PY'
+PYTHONDONTWRITEBYTECODE=1 python3 - standins/world.py ?/case.py findings/*.py <<'PY'
 import sys
 for path in sys.argv[1:]:
     with open(path, encoding="utf-8") as file:
