--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -304,6 +304,11 @@
         self.state = "ready"
         self.beating = None
         self.is_up = False
+        self.has_beaten = asyncio.Event()
+
+    async def next_beat(self):
+        self.has_beaten.clear()
+        await self.has_beaten.wait()
 
     async def start(self):
         await self.listener.start()
@@ -338,6 +343,7 @@
                     self.store.put("servers", self.id, entry)
                     self.record.line(f"server {self.id} has written its entry: version {self.version}, {self.state}")
                 self.seq += 1
+                self.has_beaten.set()
             await asyncio.sleep(pause)
 
     async def serve(self, reader, writer):
