Take requests late in a planned stop only if they can finish, and answer the rest

Cause: neither admission nor the deadline of a request knew about the stop. Only connections had a bound: accepted until 2.8 s, and 1.5 s later for their first request.

Change: route::drain::Schedule holds the times of a stop and decides which requests are taken: all while the load balancer may still send callers, later ones only if their time-out falls before the end. The rest is refused with 503 and Retry-After 0. The deadline of every request ends 0.25 s before the exit, so that one without a response is answered with 503 if it did not run and with 502 if it may have. Responses of a draining daemon close their connection, and a head received in part when the signal arrives is read to its end.

Why it works: whatever has been read is bound to the time that is left, whenever it came and on whatever connection.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -14,12 +14,8 @@
 use crate::peers::{Peers, exchange_reports};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::stage::Stage;
 use crate::{follow, listeners};
 
-/// fraction of the grace period after which remaining connections are closed
-const USABLE_GRACE_FRACTION: f64 = 0.92;
-
 /// shortest time from the termination signal to exit: the load balancer checks readiness once
 /// a second and sends new callers until two checks have failed
 const MIN_STOP_TIME: Duration = Duration::from_millis(3000);
@@ -128,8 +124,7 @@
             }
         }
     }
-    let stopping = Instant::now();
-    shared.stage.send_replace(Stage::Draining);
+    let schedule = shared.begin_stop();
     let (sent, received) = peers.traffic();
     tracing::info!(
         event = "stopping",
@@ -143,18 +138,18 @@
         // the limits that this daemon owns go to others at once
         spawn_local(async move { node.start_drain().await });
     }
-    let limit = shared.settings.policy.grace.mul_f64(USABLE_GRACE_FRACTION);
     loop {
         sleep(STOP_CHECK_INTERVAL).await;
-        let elapsed = stopping.elapsed();
-        let done = elapsed >= MIN_STOP_TIME && shared.caller_connections.get() == 0;
-        if done || elapsed >= limit {
+        let now = Instant::now();
+        let is_balanced = now >= schedule.started() + MIN_STOP_TIME;
+        let done = is_balanced && shared.caller_connections.get() == 0;
+        if done || now >= schedule.exit_at() {
             tracing::info!(
                 event = "stopped",
                 connections = shared.caller_connections.get()
             );
             // without time for it, the peers notice by themselves
-            if let Some(node) = node.filter(|_| elapsed + ANNOUNCE_TIME < limit) {
+            if let Some(node) = node.filter(|_| now + ANNOUNCE_TIME < schedule.exit_at()) {
                 node.stop().await;
             }
             return Ok(());
--- a/crates/gateway/src/listeners/activity.rs
+++ b/crates/gateway/src/listeners/activity.rs
@@ -12,7 +12,7 @@
     idle_since: Cell<Instant>,
     head_since: Cell<Option<Instant>>,
     has_begun: Cell<bool>,
-    first_request: Notify,
+    request_begun: Notify,
     version: Cell<Version>,
     is_truncated: Cell<bool>,
 }
@@ -30,7 +30,7 @@
             idle_since: Cell::new(Instant::now()),
             head_since: Cell::new(None),
             has_begun: Cell::new(false),
-            first_request: Notify::new(),
+            request_begun: Notify::new(),
             version: Cell::new(Version::HTTP_11),
             is_truncated: Cell::new(false),
         })
@@ -47,9 +47,8 @@
     pub fn begin_request(self: &Rc<Self>, version: Version) -> BusyGuard {
         self.version.set(version);
         self.head_since.set(None);
-        if !self.has_begun.replace(true) {
-            self.first_request.notify_one();
-        }
+        self.has_begun.set(true);
+        self.request_begun.notify_one();
         self.active_requests.set(self.active_requests.get() + 1);
         BusyGuard {
             activity: Rc::clone(self),
@@ -61,10 +60,10 @@
         self.is_truncated.get() && self.version.get() < Version::HTTP_11
     }
 
-    /// waits until the first request head is complete
-    pub async fn wait_for_first_request(&self) {
-        if !self.has_begun.get() {
-            self.first_request.notified().await;
+    /// waits until the connection has had a request and no further one has been received in part
+    pub async fn wait_until_closable(&self) {
+        while !self.has_begun.get() || self.head_since.get().is_some() {
+            self.request_begun.notified().await;
         }
     }
 
--- a/crates/gateway/src/listeners/callers.rs
+++ b/crates/gateway/src/listeners/callers.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use nix::sys::socket::{setsockopt, sockopt};
+use route::drain::BALANCER_DELAY;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::sleep;
 
 use super::connection;
 use crate::adapter::Dialect;
 use crate::shared::Shared;
-use crate::stage::Stage;
 
 /// connections waiting to be accepted; when a daemon fails, all its callers reconnect at once
 const BACKLOG: u32 = 1024;
@@ -21,10 +21,6 @@
 /// time after which a connection with unacknowledged bytes is closed
 const TCP_USER_TIMEOUT_MS: u32 = 10_000;
 
-/// time after draining starts in which connections are still accepted: the load balancer
-/// checks readiness once a second and removes a daemon after two failed checks
-const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2800);
-
 /// delay after a failed accept; descriptors usually become free within this time
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -39,13 +35,13 @@
     socket.listen(BACKLOG)
 }
 
-/// accepts caller connections until `DRAIN_ACCEPT_PERIOD` after draining starts
+/// accepts caller connections until the load balancer sends none to a draining daemon
 pub async fn callers<D: Dialect>(shared: Rc<Shared<D>>, listener: TcpListener) {
     let mut stage = shared.stage.subscribe();
     let drained = async {
         // fails only if the shared state was dropped, and with it all connections
-        let _ = stage.wait_for(|stage| *stage == Stage::Draining).await;
-        sleep(DRAIN_ACCEPT_PERIOD).await;
+        let _ = stage.wait_for(|stage| stage.drain().is_some()).await;
+        sleep(BALANCER_DELAY).await;
     };
     tokio::select! {
         () = accept(&shared, &listener) => {}
--- a/crates/gateway/src/listeners/connection.rs
+++ b/crates/gateway/src/listeners/connection.rs
@@ -1,10 +1,12 @@
+use std::convert::Infallible;
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use http::Request;
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -13,10 +15,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::activity::Activity;
+use super::activity::{Activity, BusyGuard};
 use crate::adapter::Dialect;
 use crate::model::Bounds;
-use crate::serve::handle;
+use crate::serve::{Body, handle};
 use crate::shared::Shared;
 use crate::stage::Stage;
 
@@ -26,8 +28,8 @@
 /// maximum number of headers in a request, as in common HTTP servers
 const MAX_HEADERS: usize = 100;
 
-/// time after draining starts within which an open connection may send its first request; a
-/// later request could not be finished within the grace period
+/// time after draining starts within which an open connection may send its first request, or
+/// complete one whose head has been received in part
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// TCP stream that records received bytes as activity
@@ -105,20 +107,18 @@
     let mut stage = shared.stage.subscribe();
     let service = service_fn(|request: Request<Incoming>| {
         let busy = activity.begin_request(request.version());
-        let shared = Rc::clone(&shared);
-        async move {
-            let mut response = handle(shared, request).await?;
-            response.body_mut().busy = Some(busy);
-            Ok::<_, std::convert::Infallible>(response)
-        }
+        respond(Rc::clone(&shared), request, busy)
     });
     let connection = http1::Builder::new()
         .max_buf_size(bounds.header_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(monitored), service);
     let mut connection = pin!(connection);
-    let first_request_deadline =
-        |stage: Stage| (stage == Stage::Draining).then(|| Instant::now() + FIRST_REQUEST_TIMEOUT);
+    let first_request_deadline = |stage: Stage| {
+        stage
+            .drain()
+            .map(|_| Instant::now() + FIRST_REQUEST_TIMEOUT)
+    };
     let mut drain_deadline = first_request_deadline(*stage.borrow());
     let mut is_shutting_down = false;
     loop {
@@ -139,10 +139,9 @@
             _ = stage.changed(), if drain_deadline.is_none() => {
                 drain_deadline = first_request_deadline(*stage.borrow());
             }
-            // a connection opened before draining may still send its first request
             _ = timeout_at(
                 drain_deadline.unwrap_or_else(Instant::now),
-                activity.wait_for_first_request(),
+                activity.wait_until_closable(),
             ),
                 if drain_deadline.is_some() && !is_shutting_down =>
             {
@@ -153,6 +152,21 @@
     }
 }
 
+/// handles a request; while the process stops, its connection ends with the response
+async fn respond<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    request: Request<Incoming>,
+    busy: BusyGuard,
+) -> Result<Response<Body>, Infallible> {
+    let mut response = handle(Rc::clone(&shared), request).await?;
+    response.body_mut().busy = Some(busy);
+    if shared.drain().is_some() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
 /// time-out that a connection has exceeded
 enum TimedOut {
     /// the request head was not complete in time
--- a/crates/gateway/src/model/route.rs
+++ b/crates/gateway/src/model/route.rs
@@ -3,6 +3,8 @@
 use macro_rules_attribute::apply;
 use schema::data;
 
+use super::Call;
+
 /// whether a route's requests may be repeated, and how they are answered
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -62,6 +64,12 @@
 }
 
 impl Route {
+    /// time limit of a call: that of the route, unless its caller states a shorter one
+    pub fn time_limit(&self, call: &Call) -> Duration {
+        call.time_limit
+            .map_or(self.timeout, |limit| limit.min(self.timeout))
+    }
+
     /// selects a service by weight; `draw` is uniformly distributed over the requests
     pub fn service(&self, draw: u64) -> Option<&str> {
         let total: u64 = self
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -12,7 +12,7 @@
 use route::retry::{self, Resend, may_resend};
 use route::verdict::{self, Progress};
 use schema::failure::Verdict;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::in_flight::InFlight;
 use super::request::Request;
@@ -107,7 +107,7 @@
             unsent: self.unsent,
             max_sent: request.route.attempts,
         };
-        if request.time_left().is_zero() {
+        if request.time_left().is_zero() || request.deadline.is_interrupted() {
             return false;
         }
         match may_resend(&failed) {
@@ -132,6 +132,9 @@
         if let Some(failure) = choice_failure {
             return failure;
         }
+        if request.deadline.is_interrupted() {
+            return Failure::stopping();
+        }
         if is_expired {
             return Failure::new(Reason::ExpiredUnsent);
         }
@@ -241,7 +244,7 @@
             && quarantine::refusal(shared, request.causes()).is_none()
     };
     let sending = shared.pool.send(vm.address, message, timeouts, is_wanted);
-    match timeout_at(request.deadline, sending).await {
+    match request.deadline.limit(sending).await {
         Ok(result) => result,
         Err(_) => Err(Error::TimedOut),
     }
--- a/crates/gateway/src/serve/failure.rs
+++ b/crates/gateway/src/serve/failure.rs
@@ -39,6 +39,8 @@
     Full,
     /// the prompt has a part that crashes VMs
     Quarantined,
+    /// the process is stopping, and a response would take longer than it runs
+    Stopping,
     /// a VM refused the request, and no further attempt may follow
     Refused,
     /// no connection to a VM could be established
@@ -71,6 +73,7 @@
             | Reason::UnknownOrigin
             | Reason::Full
             | Reason::Quarantined
+            | Reason::Stopping
             | Reason::Refused
             | Reason::Unreachable
             | Reason::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -94,6 +97,7 @@
             Reason::UnknownOrigin => "unknown_origin",
             Reason::Full => "full",
             Reason::Quarantined => "quarantined",
+            Reason::Stopping => "stopping",
             Reason::Refused => "refused",
             Reason::Unreachable => "unreachable",
             Reason::Lost => "lost",
@@ -139,6 +143,11 @@
         }
     }
 
+    /// the failure while the process stops; other daemons serve the caller at once
+    pub fn stopping() -> Failure {
+        Failure::with_retry_after(Reason::Stopping, Duration::ZERO)
+    }
+
     /// builds the response to the caller
     pub fn response(&self) -> Response<Body> {
         let text = format!("{}\n", self.reason.name());
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use super::request::Request;
-use super::{Body, Failure, Reason, plain, stream};
+use super::{Body, Deadline, Failure, Reason, plain, stream};
 use crate::adapter::Dialect;
 use crate::limits;
 use crate::model::{Call, Config, Limit, Route, Unit, Workspace};
@@ -45,12 +45,11 @@
 ) -> Result<Response<Body>, Infallible> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let response = match admit(&shared, head, body, arrived).await {
-        Ok(request) => forward(&shared, request).await,
-        Err(refused) => {
-            record_refusal(&shared, &refused);
-            refused.failure.response()
-        }
+    let admitted = admit(&shared, head, body, arrived);
+    let response = match shared.unless_interrupted(admitted).await {
+        Some(Ok(request)) => forward(&shared, request).await,
+        Some(Err(refused)) => refused.respond(&shared),
+        None => Refused::without_call(Failure::stopping()).respond(&shared),
     };
     Ok(response)
 }
@@ -81,6 +80,36 @@
             failure,
         }
     }
+
+    /// records the failure and builds the response
+    fn respond<D: Dialect>(&self, shared: &Shared<D>) -> Response<Body> {
+        self.record(shared);
+        self.failure.response()
+    }
+
+    fn record<D: Dialect>(&self, shared: &Shared<D>) {
+        let reason = self.failure.reason;
+        let requests = &shared.metrics.requests;
+        let labels = [self.route.as_str(), reason.name()];
+        requests.with_label_values(&labels).inc();
+        let Some(left_out) = shared.permit_log("refused") else {
+            return;
+        };
+        let retry_after = self.failure.retry_after;
+        tracing::info!(
+            event = "request_refused",
+            request = self.id,
+            route = self.route,
+            workspace = self.workspace,
+            outcome = reason.name(),
+            status = reason.status().as_u16(),
+            retry_after_ms = retry_after.map(|wait| wait.as_millis() as u64),
+            config = shared.config().map(|config| config.version),
+            config_age_ms = shared.config_age().map(|age| age.as_millis() as u64),
+            stopping_ms = shared.stopping_for().map(|time| time.as_millis() as u64),
+            left_out,
+        );
+    }
 }
 
 /// checks a request against the configuration and reads its body
@@ -110,6 +139,8 @@
     let workspace = authenticate(&config, &route, &call, trust).map_err(refuse)?;
     let body = read_body(&head, body, &config, body_deadline(&call, arrived)).await;
     let body = body.map_err(|reason| refuse(Failure::new(reason)))?;
+    let timeout_at = arrived + route.time_limit(&call);
+    check_drain(shared, timeout_at).map_err(refuse)?;
     let fingerprint = fingerprint(&head, &call, &body);
     let causes = call.shared_parts().chain(std::iter::once(fingerprint));
     if let Some(failure) = quarantine::refusal(shared, causes) {
@@ -125,14 +156,9 @@
     }
     let hash = xxh3_64(call.id.as_bytes());
     let begun_at = origin.as_ref().map(|origin| origin.service.as_str());
-    let Some(service) = begun_at.or_else(|| route.service(hash)) else {
-        return Err(refuse(not_configured(trust, Reason::NoRoute)));
-    };
-    let service = service.to_owned();
+    let service = begun_at.or_else(|| route.service(hash)).map(str::to_owned);
+    let service = service.ok_or_else(|| refuse(not_configured(trust, Reason::NoRoute)))?;
     shared.count_request(&service);
-    let timeout = call
-        .time_limit
-        .map_or(route.timeout, |limit| limit.min(route.timeout));
     Ok(Request {
         kinds: config.kinds(&service),
         hash,
@@ -146,7 +172,7 @@
         service,
         workspace,
         arrived,
-        deadline: arrived + timeout,
+        deadline: Deadline::new(timeout_at, shared.stage.subscribe()),
     })
 }
 
@@ -185,8 +211,7 @@
                 workspace,
                 failure,
             };
-            record_refusal(shared, &refused);
-            failure.response()
+            refused.respond(shared)
         }
     }
 }
@@ -254,6 +279,14 @@
     }
 }
 
+/// refuses a request that the stopping process has no time for
+fn check_drain<D: Dialect>(shared: &Shared<D>, timeout_at: Instant) -> Result<(), Failure> {
+    if shared.admits_until(timeout_at) {
+        return Ok(());
+    }
+    Err(Failure::stopping())
+}
+
 /// where the stream began that a caller resumes; none for a new stream
 async fn find_origin<D: Dialect>(
     shared: &Shared<D>,
@@ -346,30 +379,6 @@
     }
 }
 
-fn record_refusal<D: Dialect>(shared: &Shared<D>, refused: &Refused) {
-    let outcome = refused.failure.reason.name();
-    let requests = &shared.metrics.requests;
-    requests.with_label_values(&[&refused.route, outcome]).inc();
-    let Some(left_out) = shared.permit_log("refused") else {
-        return;
-    };
-    tracing::info!(
-        event = "request_refused",
-        request = refused.id,
-        route = refused.route,
-        workspace = refused.workspace,
-        outcome,
-        status = refused.failure.reason.status().as_u16(),
-        retry_after_ms = refused
-            .failure
-            .retry_after
-            .map(|wait| wait.as_millis() as u64),
-        config = shared.config().map(|config| config.version),
-        config_age_ms = shared.config_age().map(|age| age.as_millis() as u64),
-        left_out,
-    );
-}
-
 impl Request {
     /// the parameters for choosing a VM
     pub fn placement_request<'a>(
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod body;
 mod choose;
+mod deadline;
 mod events;
 mod failure;
 mod handle;
@@ -19,6 +20,7 @@
 mod vm_stream;
 
 pub use body::{Body, Chunk, Truncated};
+pub(crate) use deadline::Deadline;
 pub use events::EventBuffer;
 pub use failure::{Failure, Reason};
 pub use handle::handle;
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -101,7 +101,7 @@
         mut in_flight,
     } = vm_response;
     let reading = buffer(&mut body);
-    let read = match timeout_at(request.deadline, reading).await {
+    let read = match request.deadline.limit(reading).await {
         Ok(Ok(read)) => read,
         Ok(Err(cause)) => {
             in_flight.set_outcome(Outcome::Broken);
@@ -135,7 +135,9 @@
             connection.release();
             Body::buffered(bytes)
         }
-        ReadBody::Partial(start) => stream_body(start, body, connection, request.deadline),
+        ReadBody::Partial(start) => {
+            stream_body(start, body, connection, request.deadline.timeout_at())
+        }
     };
     Ok(build_response(shared, &head, body))
 }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -98,9 +98,10 @@
     /// passes on events from one VM until the stream ends
     async fn forward(&mut self, vm_stream: &mut VmStream<D>) -> StreamEnd {
         let mut idle_since = Instant::now();
+        let deadline = self.stream.request.deadline.timeout_at();
         loop {
             let now = Instant::now();
-            if now >= self.stream.request.deadline {
+            if now >= deadline {
                 return StreamEnd::Expired;
             }
             // without the right to resume, the stream may go on until the deadline
@@ -109,7 +110,7 @@
             } else {
                 now + IDLE_TIMEOUT
             };
-            let limit = self.stream.request.deadline.min(idle_until);
+            let limit = deadline.min(idle_until);
             let next = tokio::select! {
                 biased;
                 () = self.sender.closed() => return StreamEnd::Cancelled,
@@ -126,7 +127,7 @@
                         self.stream.record_origin(&vm_stream.vm);
                     }
                     let sending = self.sender.send(Chunk::Bytes(bytes));
-                    match timeout_at(self.stream.request.deadline, sending).await {
+                    match timeout_at(deadline, sending).await {
                         Ok(Ok(())) => {}
                         Ok(Err(_)) => return StreamEnd::Cancelled,
                         Err(_) => return StreamEnd::Expired,
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -7,6 +7,7 @@
 use route::placement::Kind;
 use tokio::time::Instant;
 
+use super::Deadline;
 use crate::model::{Call, Route, Workspace};
 
 /// number of route priorities distinguished within one workspace priority
@@ -41,8 +42,8 @@
     pub parts: Vec<(u64, u32)>,
     /// when the head was received
     pub arrived: Instant,
-    /// when the time-out of the caller or of the route expires
-    pub deadline: Instant,
+    /// when it fails unless it has a response
+    pub deadline: Deadline,
 }
 
 impl Request {
@@ -87,8 +88,9 @@
         limit.saturating_sub(self.arrived.elapsed())
     }
 
-    /// time left until the deadline
+    /// time left until the time-out of the caller or of the route
     pub fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        let timeout_at = self.deadline.timeout_at();
+        timeout_at.saturating_duration_since(Instant::now())
     }
 }
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -14,7 +14,6 @@
 use route::placement::{Kind, Outcome, Pick, TimeLimit, time_limit};
 use route::verdict::Progress;
 use tokio::sync::mpsc;
-use tokio::time::timeout_at;
 
 use super::attempt::{AttemptError, Attempts, Sending, VmResponse, record_failed_attempt, send};
 use super::choose::choose;
@@ -137,7 +136,8 @@
             return pass_on_buffered(shared, request, vm, vm_response).await;
         }
         let (head, mut vm_stream) = VmStream::new(vm, vm_response);
-        let next = timeout_at(request.deadline, vm_stream.next(&mut self.events)).await;
+        let next = request.deadline.limit(vm_stream.next(&mut self.events));
+        let next = next.await;
         match next {
             Ok(Ok(Next::Events(first, has_data))) => {
                 if !self.is_at_origin(vm) {
@@ -237,7 +237,7 @@
         Outcome::Answered
     });
     let reading = http_body_util::Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    let bytes = match timeout_at(request.deadline, reading).await {
+    let bytes = match request.deadline.limit(reading).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
             in_flight.set_outcome(Outcome::Broken);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,9 +8,11 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
 use std::collections::HashMap;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
+use route::drain::Schedule;
 use route::placement::{Balancer, Distance, Member, Pick};
 use route::quota::{Ledger, Quota};
 use route::retry::{Allowance, RepeatLimit};
@@ -222,10 +224,41 @@
 
     /// whether this daemon accepts new callers
     pub fn is_ready(&self) -> bool {
-        let serving = *self.stage.borrow() == Stage::Serving;
+        let serving = self.drain().is_none();
         serving && self.listed_at.get().is_some() && self.trust() != Trust::Stale
     }
 
+    /// begins the stop of the process
+    pub fn begin_stop(&self) -> Schedule {
+        let schedule = Schedule::new(Instant::now(), self.settings.policy.grace);
+        self.stage.send_replace(Stage::Draining(schedule));
+        schedule
+    }
+
+    /// times of the stop, once it has begun
+    pub fn drain(&self) -> Option<Schedule> {
+        self.stage.borrow().drain()
+    }
+
+    /// time since the stop began
+    pub fn stopping_for(&self) -> Option<Duration> {
+        let drain = self.drain()?;
+        Some(drain.started().elapsed())
+    }
+
+    /// whether a request that has been read completely is taken; it ends at `timeout_at`
+    pub fn admits_until(&self, timeout_at: Instant) -> bool {
+        let now = Instant::now();
+        let time_limit = timeout_at.saturating_duration_since(now);
+        self.drain()
+            .is_none_or(|drain| drain.admits(now, time_limit))
+    }
+
+    /// the result of a future, or none if the process is about to exit before
+    pub async fn unless_interrupted<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        Stage::unless_interrupted(self.stage.subscribe(), future).await
+    }
+
     /// the role in which this daemon calls the store
     pub fn store_role(&self) -> Role {
         match self.role.get() {
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use gateway::Stage;
 use support::{FakeVm, Harness, Script, Step, request, run};
 use tokio::time::sleep;
 
@@ -134,7 +133,7 @@
         let mut busy = harness.connect().await;
         busy.send(&text).await;
         harness.wait_until(|_| vm.requests().len() == 2).await;
-        harness.shared.stage.send_replace(Stage::Draining);
+        harness.shared.begin_stop();
         assert!(!harness.shared.is_ready());
         assert!(idle.is_closed_within(Duration::from_millis(200)).await);
         let response = busy.response().await;
@@ -154,7 +153,7 @@
         let (harness, vm) = start_with_vm().await;
         let mut silent = harness.connect().await;
         sleep(Duration::from_millis(50)).await;
-        harness.shared.stage.send_replace(Stage::Draining);
+        harness.shared.begin_stop();
         assert!(!silent.is_closed_within(Duration::from_millis(1000)).await);
         assert!(silent.is_closed_within(Duration::from_millis(1000)).await);
         assert!(vm.requests().is_empty());
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -54,13 +54,17 @@
 impl Caller {
     /// connects to a gateway
     pub async fn connect(address: SocketAddr) -> Caller {
-        let stream = TcpStream::connect(address)
-            .await
-            .expect("the gateway accepts connections");
-        Caller {
+        let caller = Caller::try_connect(address).await;
+        caller.expect("the gateway accepts connections")
+    }
+
+    /// connects to a gateway unless it refuses the connection
+    pub async fn try_connect(address: SocketAddr) -> Option<Caller> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        Some(Caller {
             stream,
             bytes: Vec::new(),
-        }
+        })
     }
 
     /// sends text as it is
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`tokio::time::Instant`] and a random number generator as [`rand::Rng`], so that
 //! daemons and tests run the same code.
 
+pub mod drain;
 pub mod level;
 pub mod limit;
 pub mod notice;
