Answer calls that outlast a planned stop of the product's own daemon

What callers saw: a call to a plain service that was still running when drain_ms and two further seconds were over ended without an answer, also one that may not be repeated.

Calls were admitted until the last moment of the drain with their full deadline, and the listener dropped connections whose handler had not responded.

Change: a draining daemon takes a call that it can't hand over only if its deadline falls before the end, once the load balancer sends no more callers (route::drain). At the end of a shutdown the listener answers in place of a handler that has not (web::Fallback): 502, may have run. The wait for readers is shorter by a second, so that this fits into the reserve of a preemption notice.

Evidence: without the two changes the new test of web and a_call_that_outlasts_the_stop_is_answered_and_a_late_one_is_refused (bench, real processes) fail: "unexpected end of file". With them web, entry and bench's stop, daemons and reclaim pass.

--- a/crates/bench/tests/stop.rs
+++ b/crates/bench/tests/stop.rs
@@ -10,6 +10,7 @@
 use bench::poll_until;
 use bench::world::World;
 use schema::failure::Verdict;
+use schema::settings::Timing;
 use standin::plain;
 use support::{DESK, MODEL, WAIT_TIMEOUT, two_centres, wait_served};
 
@@ -20,6 +21,9 @@
 /// limit for a planned stop
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// time after a signal when the load balancer no longer sends callers
+const BALANCED: Duration = Duration::from_secs(3);
+
 /// observations of all callers
 #[derive(Default)]
 struct Observations {
@@ -174,3 +178,45 @@
         }
     });
 }
+
+/// starts a world whose plain service is slower than a stop
+fn slow_world() -> World {
+    let desk = plain::Options::builder().delay_ms(20_000).build();
+    let timing = Timing {
+        drain_ms: 5000,
+        ..Timing::default()
+    };
+    two_centres()
+        .plain(desk)
+        .timing(timing)
+        .start()
+        .expect("world must start")
+}
+
+/// calls to a plain service that outlasted a planned stop were cut without an answer
+#[test]
+fn a_call_that_outlasts_the_stop_is_answered_and_a_late_one_is_refused() {
+    let world = slow_world();
+    let client = world.client().timeout(WAIT_TIMEOUT);
+    wait_served(&world, &client);
+    thread::scope(|scope| {
+        let early = scope.spawn(|| book(&client, 1, "early"));
+        // the request for the metrics is in flight as well
+        let received = || {
+            let metrics = world.daemons()[1].metrics().ok()?;
+            metrics
+                .lines()
+                .any(|line| line == "agateloom_in_flight 2")
+                .then_some(())
+        };
+        assert!(poll_until(WAIT_TIMEOUT, received).is_some());
+        world.daemons()[1].terminate().expect("signal the daemon");
+        thread::sleep(BALANCED);
+        let late = book(&client, 1, "late").expect_err("the daemon is stopping");
+        assert_eq!(late.verdict(), Some(Verdict::NotRun), "{late}");
+        let early = early.join().expect("the caller ends");
+        let early = early.expect_err("the service is too slow");
+        assert_eq!(early.verdict(), Some(Verdict::MayHaveRun), "{early}");
+    });
+    wait_ended(&world, 1);
+}
--- a/crates/entry/src/call/admit.rs
+++ b/crates/entry/src/call/admit.rs
@@ -17,6 +17,8 @@
 
 /// retry delay for callers while the daemon starts or stops
 const STAGE_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// retry delay while the daemon stops: the load balancer already sends callers to others
+const DRAIN_RETRY_AFTER: Duration = Duration::ZERO;
 /// longest deadline and first-token target that a caller may ask for
 const MAX_DEADLINE: Duration = Duration::from_secs(24 * 3600);
 
@@ -56,6 +58,16 @@
     Err(Fault::not_run(503, "stage", message).with_retry_after(STAGE_RETRY_AFTER))
 }
 
+/// refuses a call that the stopping daemon may have no time for and can't hand over
+pub(super) fn check_drain(context: &Context, urgency: &Urgency) -> Result<(), Fault> {
+    let now = Instant::now();
+    if context.lifecycle.admits(now, urgency.time_left()) {
+        return Ok(());
+    }
+    let fault = Fault::not_run(503, "stage", "The daemon is stopping.");
+    Err(fault.with_retry_after(DRAIN_RETRY_AFTER))
+}
+
 /// priority, deadline and first-token target from the headers, or as declared
 ///
 /// A caller can lower the declared priority and relax the declared first-token target, but
--- a/crates/entry/src/call/plain.rs
+++ b/crates/entry/src/call/plain.rs
@@ -92,6 +92,7 @@
     let body = exchange.body()?;
     admit::check_stage(context)?;
     let urgency = admit::urgency(&exchange.headers, workspace, service, start)?;
+    admit::check_drain(context, &urgency)?;
     let path = match exchange.query.as_str() {
         "" => format!("/{path}"),
         query => format!("/{path}?{query}"),
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use macro_rules_attribute::apply;
+use route::drain::{BALANCER_DELAY, Schedule};
 use schema::value;
 use tokio::time::Instant;
 
@@ -15,10 +16,9 @@
 
 /// interval between checks for remaining requests
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// time until the load balancer sends no more requests to a draining daemon
-const BALANCER_DELAY: Duration = Duration::from_secs(2);
-/// longest wait for open responses to redirect their callers to another daemon
-const READERS_TIMEOUT: Duration = Duration::from_secs(2);
+/// time after the drain for open responses to redirect their callers to another daemon; less than
+/// what a preemption notice leaves, so that the listener can still answer the rest
+const READERS_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// result of a shutdown
 #[apply(value!)]
@@ -34,7 +34,8 @@
 /// This daemon must have announced to its peers beforehand that it leaves.
 pub fn run(context: &Context, time: Duration) -> Report {
     let start = Instant::now();
-    context.lifecycle.advance(Stage::Draining);
+    let exit = start + time + READERS_TIMEOUT;
+    context.lifecycle.start_drain(Schedule::until(start, exit));
     let mut copied = HashSet::new();
     while start.elapsed() < time && !is_idle(context, start) {
         copy_new(context, &mut copied);
@@ -43,7 +44,7 @@
     context.lifecycle.advance(Stage::Closing);
     let open = context.journals.open();
     let not_accepted = handover::hand_over(context, &open);
-    wait_for_responses(context, Instant::now() + READERS_TIMEOUT);
+    wait_for_responses(context, exit);
     let handed_over = (open.len() - not_accepted.len()) as u32;
     let lost = not_accepted
         .iter()
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, TrySendError, bounded};
-use web::{Listener, Malformed, Request, Timeouts};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
+use web::{Fallback, Listener, Malformed, Request, Timeouts};
 
 use crate::call;
 use crate::context::Context;
@@ -20,6 +22,12 @@
 /// retry delay for a caller when all workers are busy
 const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// responses that need no worker
+const FALLBACK: Fallback = Fallback {
+    malformed,
+    interrupted,
+};
+
 /// why the listener could not start
 #[derive(Debug)]
 pub enum Error {
@@ -106,7 +114,7 @@
             }
             context.metrics.in_flight.dec();
         };
-        let server = self.listener.start(Timeouts::default(), enqueue, malformed);
+        let server = self.listener.start(Timeouts::default(), enqueue, FALLBACK);
         server.map_err(Error::Thread)
     }
 }
@@ -160,3 +168,14 @@
     );
     (head + &body).into_bytes()
 }
+
+/// response to a request that is still in progress when the daemon exits
+fn interrupted() -> Response<Vec<u8>> {
+    let message = "The daemon stopped before the request had a response.";
+    let fault = Fault::may_have_run(502, "stopped", message);
+    let mut response = Response::new(fault.json().into_bytes());
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
--- a/crates/route/src/drain.rs
+++ b/crates/route/src/drain.rs
@@ -28,16 +28,18 @@
 #[apply(value!)]
 pub struct Schedule {
     started: Instant,
-    usable: Duration,
+    exit_at: Instant,
 }
 
 impl Schedule {
     /// a stop whose signal arrived at `started`, of a process that is killed `grace` later
     pub fn new(started: Instant, grace: Duration) -> Schedule {
-        Schedule {
-            started,
-            usable: grace.mul_f64(USABLE_GRACE_FRACTION),
-        }
+        Schedule::until(started, started + grace.mul_f64(USABLE_GRACE_FRACTION))
+    }
+
+    /// a stop of a process that exits by itself
+    pub fn until(started: Instant, exit_at: Instant) -> Schedule {
+        Schedule { started, exit_at }
     }
 
     /// when the termination signal arrived
@@ -47,12 +49,13 @@
 
     /// when the process exits at the latest; responses that are being written may last so long
     pub fn exit_at(&self) -> Instant {
-        self.started + self.usable
+        self.exit_at
     }
 
     /// when requests without a response fail with what is known of them
     pub fn answer_at(&self) -> Instant {
-        self.started + self.usable.saturating_sub(ANSWER_TIME)
+        let time = self.exit_at - self.started;
+        self.started + time.saturating_sub(ANSWER_TIME)
     }
 
     /// whether a request that was read completely at `now` is taken; it ends after `time_limit`
--- a/crates/standin/src/http/listener.rs
+++ b/crates/standin/src/http/listener.rs
@@ -4,10 +4,17 @@
 use std::net::SocketAddr;
 use std::thread::{self, JoinHandle};
 
-use web::{Malformed, Request, Timeouts};
+use http::Response;
+use web::{Fallback, Malformed, Request, Timeouts};
 
 use super::Stop;
 
+/// responses without the handler; a stand-in ends without a graceful shutdown
+const FALLBACK: Fallback = Fallback {
+    malformed,
+    interrupted: || Response::new(Vec::new()),
+};
+
 /// a listening HTTP server; stops on drop
 #[derive(Debug)]
 pub struct Listener {
@@ -30,7 +37,7 @@
             }
         };
         let server =
-            web::Listener::bind(listen)?.start(Timeouts::default(), spawn_handler, malformed)?;
+            web::Listener::bind(listen)?.start(Timeouts::default(), spawn_handler, FALLBACK)?;
         let address = server.address();
         let stopped = stop.clone();
         let close_thread = thread::Builder::new()
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -1,4 +1,5 @@
 use std::fmt;
+use std::future::{Future, pending};
 use std::pin::pin;
 use std::time::Duration;
 
@@ -12,10 +13,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::body::{Body, Source};
-use crate::head::{MAX_HEADERS, Malformed};
+use crate::fallback::Fallback;
+use crate::head::MAX_HEADERS;
 use crate::listener::Timeouts;
 use crate::request::{BodyError, Command, Request};
 use crate::transport::{ResponseState, Transport};
@@ -25,8 +27,8 @@
 pub(crate) struct Callbacks<H> {
     /// passes a request to a handler thread; must not block
     pub handle: H,
-    /// builds the raw response to a malformed request, status line included
-    pub malformed: fn(Malformed) -> Vec<u8>,
+    /// responses without the handler
+    pub fallback: Fallback,
 }
 
 /// the handler dropped a request without a response
@@ -51,11 +53,14 @@
     H: Fn(Request),
 {
     let state = ResponseState::new();
-    let transport = Transport::new(stream, timeouts.write, state.clone(), callbacks.malformed);
+    let malformed = callbacks.fallback.malformed;
+    let transport = Transport::new(stream, timeouts.write, state.clone(), malformed);
+    let stopping = shutdown.clone();
     let service = service_fn(|request: hyper::Request<Incoming>| {
         let state = state.clone();
         let version = request.version();
-        let response = serve(request, timeouts, &callbacks.handle);
+        let serving = serve(request, timeouts, &callbacks.handle);
+        let response = unless_interrupted(stopping.clone(), &callbacks.fallback, serving);
         async move {
             let response = response.await?;
             Ok::<_, Dropped>(response.map(|source| Body::new(source, version, state)))
@@ -80,6 +85,36 @@
     }
 }
 
+/// part of the time for a shutdown in which handlers may still respond
+const HANDLER_FRACTION: f64 = 0.5;
+
+/// the handler's response, or the fallback if the server shuts down before
+async fn unless_interrupted(
+    mut shutdown: watch::Receiver<Option<Duration>>,
+    fallback: &Fallback,
+    serving: impl Future<Output = Result<Response<Source>, Dropped>>,
+) -> Result<Response<Source>, Dropped> {
+    let interrupted = async {
+        let grace = match shutdown.wait_for(Option::is_some).await {
+            Ok(grace) => grace.filter(|grace| !grace.is_zero()),
+            // the listener was dropped, and with it all connections
+            Err(_) => None,
+        };
+        match grace {
+            Some(grace) => sleep(grace.mul_f64(HANDLER_FRACTION)).await,
+            None => pending().await,
+        }
+    };
+    tokio::select! {
+        biased;
+        response = serving => response,
+        () = interrupted => {
+            tracing::info!(event = "request_interrupted", cause = "shutdown");
+            Ok((fallback.interrupted)().map(Source::complete))
+        }
+    }
+}
+
 /// passes a request to the handler and executes its commands until it responds
 async fn serve<H>(
     request: hyper::Request<Incoming>,
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod body;
 mod connection;
+mod fallback;
 mod head;
 mod listener;
 mod request;
 mod transport;
 mod writer;
 
+pub use fallback::Fallback;
 pub use head::Malformed;
 pub use listener::{Listener, Server, Timeouts};
 pub use request::{BodyError, Request};
--- a/crates/web/src/listener.rs
+++ b/crates/web/src/listener.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connection::{self, Callbacks};
-use crate::head::Malformed;
+use crate::fallback::Fallback;
 use crate::request::Request;
 
 /// delay after a failed accept; file descriptors are usually released within it
@@ -68,16 +68,9 @@
 
     /// accepts connections on a new thread, which calls `handle`; the handler must not block
     ///
-    /// `malformed` builds the raw response to a malformed request, status line included.
-    ///
     /// # Errors
     /// When the event loop or its thread can't be started.
-    pub fn start<H>(
-        self,
-        timeouts: Timeouts,
-        handle: H,
-        malformed: fn(Malformed) -> Vec<u8>,
-    ) -> io::Result<Server>
+    pub fn start<H>(self, timeouts: Timeouts, handle: H, fallback: Fallback) -> io::Result<Server>
     where
         H: Fn(Request) + Clone + Send + 'static,
     {
@@ -89,7 +82,7 @@
         let run = move || {
             let serving = async {
                 let socket = TcpListener::from_std(socket)?;
-                let callbacks = Callbacks { handle, malformed };
+                let callbacks = Callbacks { handle, fallback };
                 serve(socket, timeouts, callbacks, receiver).await;
                 io::Result::Ok(())
             };
@@ -158,6 +151,8 @@
     }
 
     /// shuts down gracefully: closes idle connections and gives responses in flight this time
+    ///
+    /// Half of it is for handlers, after which the listener answers in their place.
     pub fn shut_down(self, grace: Duration) {
         self.shutdown.send_replace(Some(grace));
     }
--- a/crates/web/tests/listener.rs
+++ b/crates/web/tests/listener.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use web::{BodyError, Listener, Malformed, Request, Server, Timeouts};
+use web::{BodyError, Fallback, Listener, Malformed, Request, Server, Timeouts};
 
 /// time limit for each step of a test
 const STEP_TIMEOUT: Duration = Duration::from_secs(10);
@@ -25,11 +25,22 @@
             .expect("the test waits for the request")
     };
     let server = listener
-        .start(timeouts, forward, malformed)
+        .start(timeouts, forward, FALLBACK)
         .expect("the listener thread starts");
     (server, requests)
 }
 
+const FALLBACK: Fallback = Fallback {
+    malformed,
+    interrupted,
+};
+
+fn interrupted() -> http::Response<Vec<u8>> {
+    let mut response = http::Response::new(b"interrupted".to_vec());
+    *response.status_mut() = http::StatusCode::BAD_GATEWAY;
+    response
+}
+
 fn malformed(cause: Malformed) -> Vec<u8> {
     format!("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n{cause:?}").into_bytes()
 }
@@ -221,6 +232,23 @@
     assert!(read_to_end(&mut busy).ends_with("0\r\n\r\n"));
 }
 
+/// calls that were still running when the time for a shutdown was over were cut without an answer
+#[test]
+fn a_request_whose_handler_does_not_respond_is_answered_at_the_end_of_a_shutdown() {
+    let (server, requests) = start(Timeouts::default());
+    let mut caller = connect(server.address(), "GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    let request = next_request(&requests);
+    let grace = Duration::from_secs(2);
+    let start = Instant::now();
+    let stopping = thread::spawn(move || server.shut_down(grace));
+    let text = read_to_end(&mut caller);
+    assert!(text.starts_with("HTTP/1.1 502 "), "{text}");
+    assert!(text.ends_with("interrupted"), "{text}");
+    assert!(start.elapsed() < grace);
+    stopping.join().expect("the shutdown does not panic");
+    request.respond(200, &[], Vec::new());
+}
+
 #[test]
 fn malformed_requests_get_the_callback_s_response_and_do_not_reach_the_handler() {
     let (server, requests) = start(Timeouts::default());
