End a connection to a VM or the store that sends no response head within 128 KB

What callers saw: a faulty VM that sent interim responses or empty lines without end, as fast as it could, kept its connection until the request's time-out and the daemon busy with them.

Cause: the HTTP library skips both and limits neither; only the deadline of the request did.

Change: a connection fails once 128 KB have been received without the head of a final response (gateway::pool::Transport). The read buffer, which limits a head and the part of a body that is passed on at once, is 64 KB instead of the library's 400 KB.

Evidence: without the limit bytes_without_end_before_a_response_end_at_once fails ("empty lines at /once/"); it passes now, within half of the route's time-out.

--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -8,6 +8,7 @@
 #[allow(clippy::module_inception)]
 mod pool;
 mod timeouts;
+mod transport;
 
 pub use error::Error;
 pub use framing::Framing;
--- a/crates/gateway/src/pool/pool.rs
+++ b/crates/gateway/src/pool/pool.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use super::transport::{Allowance, Transport};
 use super::{Error, Timeouts};
 
 /// maximum number of idle connections to one address
@@ -29,11 +30,19 @@
 /// reused, so that a request is not sent while the server closes the connection
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 
-type Sender = SendRequest<Full<Bytes>>;
+/// buffer of a connection: limits the head of a response and the part of a body that is passed on at
+/// once, several of which wait for a caller that does not read
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// an open connection that has no request in flight
+struct Channel {
+    sender: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
+}
 
 /// an idle connection
 struct Idle {
-    sender: Sender,
+    channel: Channel,
     since: Instant,
     max_idle: Duration,
 }
@@ -50,7 +59,7 @@
 ///
 /// Dropped before that, the connection is closed, so that the server stops the request.
 pub struct Connection {
-    sender: Sender,
+    channel: Channel,
     address: SocketAddr,
     max_idle: Duration,
     pool: Weak<Pool>,
@@ -94,18 +103,18 @@
         is_wanted: impl Fn() -> bool,
     ) -> Result<Exchange, Error> {
         let mut request = request;
-        while let Some(sender) = self.checkout(address, timeouts.idle) {
-            match self.exchange(sender, address, request, false).await {
+        while let Some(channel) = self.checkout(address, timeouts.idle) {
+            match self.exchange(channel, address, request, false).await {
                 Ok(exchange) => return Ok(exchange),
                 Err((_, Some(unsent))) => request = unsent,
                 Err((error, None)) => return Err(error),
             }
         }
-        let sender = self.connect(address, timeouts.connect).await?;
+        let channel = self.connect(address, timeouts.connect).await?;
         if !is_wanted() {
             return Err(Error::Withdrawn);
         }
-        let result = self.exchange(sender, address, request, true).await;
+        let result = self.exchange(channel, address, request, true).await;
         result.map_err(|(error, _)| error)
     }
 
@@ -119,7 +128,9 @@
     pub fn prune(&self) {
         let now = Instant::now();
         self.idle.borrow_mut().retain(|_, connections| {
-            connections.retain(|idle| !idle.sender.is_closed() && now < idle.since + idle.max_idle);
+            connections.retain(|idle| {
+                !idle.channel.sender.is_closed() && now < idle.since + idle.max_idle
+            });
             !connections.is_empty()
         });
     }
@@ -130,20 +141,21 @@
     }
 
     /// removes a usable idle connection, the most recently used first
-    fn checkout(&self, address: SocketAddr, idle_timeout: Duration) -> Option<Sender> {
+    fn checkout(&self, address: SocketAddr, idle_timeout: Duration) -> Option<Channel> {
         let mut idle_connections = self.idle.borrow_mut();
         let connections = idle_connections.get_mut(&address)?;
         let now = Instant::now();
         while let Some(idle) = connections.pop() {
             let max_idle = idle.max_idle.min(idle_timeout);
-            if idle.sender.is_ready() && !idle.sender.is_closed() && now < idle.since + max_idle {
-                return Some(idle.sender);
+            let sender = &idle.channel.sender;
+            if sender.is_ready() && !sender.is_closed() && now < idle.since + max_idle {
+                return Some(idle.channel);
             }
         }
         None
     }
 
-    async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Sender, Error> {
+    async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Channel, Error> {
         let failed = |error: std::io::Error| Error::Connect(error.to_string());
         let stream = match timeout(limit, TcpStream::connect(address)).await {
             Ok(result) => result.map_err(failed)?,
@@ -154,29 +166,35 @@
         if let Err(error) = setsockopt(&stream, sockopt::TcpUserTimeout, &TCP_USER_TIMEOUT_MS) {
             tracing::debug!(event = "socket_option_refused", %address, %error);
         }
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let allowance = Allowance::new();
+        let transport = Transport::new(stream, allowance.clone());
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(transport)).await;
         let (sender, connection) = handshake.map_err(|error| Error::Connect(error.to_string()))?;
         tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(event = "connection_ended", %address, %error);
             }
         });
-        Ok(sender)
+        Ok(Channel { sender, allowance })
     }
 
     /// sends a request on a connection; on failure returns the request if none of it was written
     async fn exchange(
         &self,
-        mut sender: Sender,
+        mut channel: Channel,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         is_first: bool,
     ) -> Result<Exchange, (Error, Option<Request<Full<Bytes>>>)> {
-        match sender.try_send_request(request).await {
+        channel.allowance.limit_head();
+        match channel.sender.try_send_request(request).await {
             Ok(response) => {
+                channel.allowance.lift();
                 let max_idle = max_idle_time(response.headers());
                 let connection = Connection {
-                    sender,
+                    channel,
                     address,
                     max_idle,
                     pool: self.this.clone(),
@@ -206,7 +224,8 @@
         let Some(pool) = self.pool.upgrade() else {
             return;
         };
-        if self.max_idle.is_zero() || self.sender.is_closed() {
+        self.channel.allowance.limit_head();
+        if self.max_idle.is_zero() || self.channel.sender.is_closed() {
             return;
         }
         let mut idle_connections = pool.idle.borrow_mut();
@@ -215,7 +234,7 @@
             connections.remove(0);
         }
         connections.push(Idle {
-            sender: self.sender,
+            channel: self.channel,
             since: Instant::now(),
             max_idle: self.max_idle,
         });
--- a/crates/gateway/tests/malformed.rs
+++ b/crates/gateway/tests/malformed.rs
@@ -134,9 +134,15 @@
     let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: seal\r\n\r\n";
     let chunked =
         "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n";
+    let last_chunk = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n\
+        3\r\n: \n\r\n0\r\n";
     let error = "HTTP/1.1 500 Error\r\nx-id: {id}\r\nx-seal: seal\r\n\r\n";
+    let interim = "HTTP/1.1 103 Early Hints\r\nx-a: b\r\n\r\n";
     vec![
         ("bytes that are no head", "", "x".repeat(1000)),
+        ("empty lines", "", "\r\n".repeat(500)),
+        ("interim responses", "", interim.repeat(100)),
+        ("trailers", last_chunk, "x-a: b\r\n".repeat(100)),
         ("a status line", "HTTP/1.1 200 ", "O".repeat(1000)),
         ("headers", "HTTP/1.1 200 OK\r\n", "x-a: b\r\n".repeat(100)),
         ("a header", "HTTP/1.1 200 OK\r\nx-a: ", "b".repeat(1000)),
@@ -203,6 +209,44 @@
     }
 }
 
+/// most bytes that a VM may write before a response, with what the kernel buffers
+const MAX_BYTES_BEFORE_RESPONSE: u64 = 12 * 1024 * 1024;
+
+/// a VM that sent interim responses without end kept its daemon busy until the request's deadline
+#[test]
+fn bytes_without_end_before_a_response_end_at_once() {
+    for (name, first, then) in endless_responses() {
+        let is_before_body = !first.contains("x-id");
+        if !is_before_body {
+            continue;
+        }
+        for path in ["/once/", "/safe/", "/stream/", "/non-resumable/"] {
+            run(async {
+                let script = Script(vec![
+                    Step::Write(first.to_owned()),
+                    Step::Endless(then.clone(), Duration::ZERO),
+                ]);
+                let harness = Harness::start().await;
+                let vm = FakeVm::start("vm-1", SERVICE, script).await;
+                harness.register(&[&vm]).await;
+                let start = std::time::Instant::now();
+                let response = harness.call("POST", path, "id-1").await;
+                assert_eq!(response.status, 502, "{name} at {path}");
+                assert!(start.elapsed() < ROUTE_TIMEOUT / 2, "{name} at {path}");
+                let written = vm.written();
+                let sent = vm.requests().len() as u64;
+                assert!(
+                    written < MAX_BYTES_BEFORE_RESPONSE * sent,
+                    "{name} at {path}: {written} bytes"
+                );
+                harness
+                    .wait_until(|_| u64::from(vm.cancelled()) == sent)
+                    .await;
+            });
+        }
+    }
+}
+
 /// most bytes that a VM may write while the caller does not read
 const MAX_UNREAD_BYTES: u64 = 16 * 1024 * 1024;
 
