Bound the handshake of connections between daemons in bytes and time

What was seen: a process at a daemon's address that wrote bytes without end kept the caller busy beyond its time-out (1.56 s with one of 1 s), as the WebSocket client collects the response to its handshake without a limit and parses all of it after each read. A connection to the control address that never sent a request stayed open for good.

Change: 64 KB may be received before a connection is established, on both sides, and the first request with a valid key has to arrive within 10 s.

--- a/crates/peer/src/rpc/connection.rs
+++ b/crates/peer/src/rpc/connection.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 
 use super::guard::UNAUTHORISED_CODE;
-use super::meter::{Meter, Metered};
+use super::meter::{Handshake, Meter, Metered};
 use super::{CallError, MAX_MESSAGE_BYTES};
 
 /// largest number of calls in flight on one connection
@@ -58,15 +58,18 @@
         let value = HeaderValue::from_str(&format!("Bearer {key}"))
             .map_err(|error| unreachable(error.to_string()))?;
         headers.insert(AUTHORIZATION, value);
+        let handshake = Handshake::new();
+        let stream = Metered::new(stream, meter, handshake.clone());
         let client = WsClientBuilder::new()
             .set_headers(headers)
             .max_request_size(MAX_MESSAGE_BYTES)
             .max_response_size(MAX_MESSAGE_BYTES)
             .max_concurrent_requests(MAX_CALLS_IN_FLIGHT)
             .request_timeout(REQUEST_TIMEOUT)
-            .build_with_stream(format!("ws://{control}"), Metered::new(stream, meter))
+            .build_with_stream(format!("ws://{control}"), stream)
             .await
             .map_err(|error| unreachable(error.to_string()))?;
+        handshake.complete();
         Ok(Connection {
             client,
             responses: AtomicU64::new(0),
--- a/crates/peer/src/rpc/server.rs
+++ b/crates/peer/src/rpc/server.rs
@@ -1,3 +1,4 @@
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,12 +10,14 @@
     TowerServiceBuilder, serve_with_graceful_shutdown, stop_channel,
 };
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::timeout;
 use tower::Service;
 use tower::layer::util::{Identity, Stack};
 
 use super::MAX_MESSAGE_BYTES;
 use super::guard::{GuardLayer, Keys};
-use super::meter::{Meter, Metered};
+use super::meter::{Handshake, Meter, Metered};
 
 /// largest number of connections at a time
 const MAX_CONNECTIONS: u32 = 2048;
@@ -22,6 +25,8 @@
 const PING_PERIOD: Duration = Duration::from_secs(60);
 /// time without a message or pong after which a connection is closed
 const INACTIVITY_TIMEOUT: Duration = Duration::from_secs(150);
+/// time for the first request of a connection with a valid key
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
 /// pause after a failed `accept`
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -98,7 +103,9 @@
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "cannot set TCP_NODELAY on an accepted connection");
         }
-        let stream = Metered::new(stream, self.meter.clone());
+        let handshake = Handshake::new();
+        let stream = Metered::new(stream, self.meter.clone(), handshake.clone());
+        let (established, mut is_established) = watch::channel(false);
         let builder = self.builder.clone();
         let methods = self.methods.clone();
         let keys = self.keys.clone();
@@ -106,6 +113,10 @@
         let service = tower::service_fn(move |mut request: http::Request<_>| {
             let role = keys.role(&request);
             let mut service = builder.clone().build(methods.clone(), stop.clone());
+            if role.is_some() {
+                handshake.complete();
+                established.send_replace(true);
+            }
             async move {
                 let Some(role) = role else {
                     return Ok::<_, std::io::Error>(unauthorised());
@@ -116,8 +127,21 @@
         });
         let stopped = self.stop.clone().shutdown();
         tokio::spawn(async move {
-            if let Err(error) = serve_with_graceful_shutdown(stream, service, stopped).await {
-                tracing::debug!(%error, "control connection ended with an error");
+            let serving = serve_with_graceful_shutdown(stream, service, stopped);
+            let late = async {
+                let handshake = is_established.wait_for(|established| *established);
+                let in_time = timeout(HANDSHAKE_TIMEOUT, handshake).await.is_ok();
+                if in_time {
+                    pending::<()>().await;
+                }
+            };
+            tokio::select! {
+                result = serving => if let Err(error) = result {
+                    tracing::debug!(%error, "control connection ended with an error");
+                },
+                () = late => {
+                    tracing::debug!("control connection closed: no request with a valid key in time");
+                }
             }
         });
     }
--- a/crates/peer/tests/node.rs
+++ b/crates/peer/tests/node.rs
@@ -327,6 +327,90 @@
     assert_eq!(error.verdict(), Verdict::MayHaveRun);
 }
 
+/// starts a process that writes bytes without end to whoever connects; counts them
+fn start_endless(runtime: &Runtime, bytes: &'static [u8]) -> (SocketAddr, Arc<AtomicU64>) {
+    let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0"));
+    let listener = listener.expect("a local address");
+    let address = listener.local_addr().expect("a local address");
+    let written = Arc::new(AtomicU64::new(0));
+    let count = written.clone();
+    runtime.spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = count.clone();
+            tokio::spawn(async move {
+                while stream.write_all(bytes).await.is_ok() {
+                    count.fetch_add(bytes.len() as u64, Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    (address, written)
+}
+
+/// another process at a daemon's address, whose bytes without end were kept until the time-out
+#[test]
+fn bytes_without_end_in_place_of_a_handshake_end_the_connection() {
+    let caller = Host::start("caller", "west-1", &[]);
+    let runtime = runtime();
+    for bytes in [
+        b"HTTP/1.1 200 OOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOOO".as_slice(),
+        b"\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n".as_slice(),
+    ] {
+        // a repeated status line is one status line without end
+        let chunk: &'static [u8] = Vec::leak(match bytes {
+            [b'H', ..] => [bytes, &[b'O'; 16_000]].concat(),
+            _ => bytes.repeat(1000),
+        });
+        let (address, written) = start_endless(&runtime, chunk);
+        let endless = Member {
+            control: address.to_string(),
+            ..caller.node.me().clone()
+        };
+        let before = caller.node.traffic().received_bytes;
+        let start = Instant::now();
+        let result =
+            caller
+                .node
+                .call_blocking::<_, String>(&endless, "test_echo", &"a", 10 * SECOND);
+        assert_eq!(
+            result.expect_err("there is no daemon").verdict(),
+            Verdict::NotRun
+        );
+        assert!(start.elapsed() < SECOND / 2, "{:?}", start.elapsed());
+        let received = caller.node.traffic().received_bytes - before;
+        assert!(received < 100_000, "{received} bytes received");
+        let wrote = written.load(Ordering::SeqCst);
+        std::thread::sleep(SECOND / 5);
+        assert_eq!(
+            written.load(Ordering::SeqCst),
+            wrote,
+            "the connection is open"
+        );
+    }
+}
+
+/// a connection to the control address that never sent a request stayed open for good
+#[test]
+fn connection_without_a_valid_request_is_closed() {
+    let host = Host::start("server", "west-1", &[]);
+    let control = host.node.me().control.clone();
+    let runtime = runtime();
+    for text in [
+        "",
+        "POST / HTTP/1.1\r\n",
+        "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        let closed = runtime.block_on(async {
+            let mut stream = TcpStream::connect(&control).await.expect("a connection");
+            stream.write_all(text.as_bytes()).await.expect("a write");
+            let mut bytes = Vec::new();
+            let reading = stream.read_to_end(&mut bytes);
+            tokio::time::timeout(12 * SECOND, reading).await
+        });
+        assert!(closed.is_ok(), "{text:?}: the connection is still open");
+    }
+}
+
 /// TCP proxy that can stall its connections for good, without closing them
 struct StallingProxy {
     address: SocketAddr,
