Limit the events that a daemon forwards from another one

A stream that another daemon serves was read line by line without a limit, and its lines were collected until a blank one: bytes without end filled the memory. An event may have 1 MB now, and a complete response that is forwarded 600 s in all instead of between two bytes.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod client;
+mod event;
 mod failure;
 mod plain;
 mod stated;
@@ -12,6 +13,7 @@
 
 pub use body::{read_body, stated_length};
 pub use client::{Client, Timeouts};
+pub use event::read_event;
 pub use failure::{Failure, FailureKind};
 pub use plain::{Header, Request, Response};
 pub use stated::Stated;
--- a/crates/entry/src/call/remote.rs
+++ b/crates/entry/src/call/remote.rs
@@ -1,10 +1,10 @@
 //! Forwarding of a call to the daemon that has the request.
 
-use std::io::{BufRead, BufReader};
+use std::io::BufReader;
 use std::time::Duration;
 
 use attohttpc::{Method, RequestBuilder, Response, ResponseReader};
-use engine::{Header, read_body, stated_length};
+use engine::{Header, read_body, read_event, stated_length};
 use peer::Member;
 
 use super::reattach;
@@ -31,6 +31,8 @@
 const COMPLETE_TIMEOUT: Duration = Duration::from_secs(600);
 /// largest complete response
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+/// largest event of a stream
+const MAX_EVENT_BYTES: u64 = 1024 * 1024;
 /// retry delay for a caller when the daemon that has its request can't be reached
 const LOST_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -71,6 +73,9 @@
             COMPLETE_TIMEOUT
         })
         .header(HOP_HEADER, "1");
+    if !streamed {
+        request = request.timeout(COMPLETE_TIMEOUT);
+    }
     for name in FORWARDED_HEADERS {
         if let Some(value) = exchange.headers.get(name) {
             request = request.try_header(name, value)?;
@@ -105,20 +110,20 @@
 fn stream(exchange: Exchange, id: &str, reader: ResponseReader) {
     let mut sse = exchange.events(id);
     let mut complete = false;
-    let mut event = String::new();
-    for line in BufReader::new(reader).lines() {
-        let Ok(line) = line else {
-            break;
-        };
-        event.push_str(&line);
-        event.push('\n');
-        if line.is_empty() {
-            complete = event.contains("[DONE]") || event.starts_with("event: ");
-            sse.raw(&event);
-            event.clear();
-            if sse.flush().is_err() {
-                return;
+    let mut reader = BufReader::new(reader);
+    loop {
+        let event = match read_event(&mut reader, MAX_EVENT_BYTES) {
+            Ok(Some(event)) => event,
+            Ok(None) => break,
+            Err(error) => {
+                tracing::info!(event = "forwarding_ended", request = id, %error);
+                break;
             }
+        };
+        complete = event.contains("[DONE]") || event.starts_with("event: ");
+        sse.raw(&event);
+        if sse.flush().is_err() {
+            return;
         }
     }
     if !complete {
