Close connections to the readiness and metrics addresses that send no complete request

The two listeners had no time limit for the head of a request and none for idle connections, so that each silent or slow connection took a descriptor for good. Both have 10 s and 16 KB now.

The endless responses of engine/tests/endless.rs cover chunks, trailers, interim responses, empty lines and three more kinds of calls; these passed without a change.

--- a/crates/engine/tests/endless.rs
+++ b/crates/engine/tests/endless.rs
@@ -66,7 +66,19 @@
 /// responses without end: what comes first, and what comes again and again
 fn responses() -> Vec<(&'static str, String, String)> {
     let open_head = format!("{HEAD}\r\n");
+    let chunked = format!("{HEAD}transfer-encoding: chunked\r\n\r\n");
+    let interim = "HTTP/1.1 103 Early Hints\r\nx-a: b\r\n\r\n";
     vec![
+        ("empty lines", String::new(), "\r\n".to_owned()),
+        ("interim responses", String::new(), interim.to_owned()),
+        ("a chunk size", chunked.clone(), "0".to_owned()),
+        ("a chunk extension", format!("{chunked}1;"), "a".to_owned()),
+        ("chunks", chunked.clone(), "1\r\nx\r\n".to_owned()),
+        (
+            "trailers",
+            format!("{chunked}0\r\n"),
+            "x-a: b\r\n".to_owned(),
+        ),
         ("bytes that are no head", String::new(), "x".to_owned()),
         ("a status line", "HTTP/1.1 200 ".to_owned(), "O".to_owned()),
         ("header lines", HEAD.to_owned(), "x-a: b\r\n".to_owned()),
@@ -111,6 +123,14 @@
     });
     assert_fails(name, || client.call(address, &request, LIMIT).is_err());
     assert_fails(name, || client.load(address).is_err());
+    assert_fails(name, || client.cache_events(address, 0).is_err());
+    assert_fails(name, || client.last_order(address).is_err());
+    assert_fails(name, || {
+        if let Ok(mut stream) = client.attach(address, "stream-1", 0, LIMIT) {
+            while stream.next_item().is_ok() {}
+        }
+        true
+    });
     assert_fails(name, || {
         // the body of a successful response is not read
         let _ = client.cancel(address, "stream-1");
--- a/crates/gateway/src/listeners/admin.rs
+++ b/crates/gateway/src/listeners/admin.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -9,13 +10,23 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
+use tokio::time::sleep;
 
 use crate::adapter::Dialect;
 use crate::peers::Peers;
 use crate::shared::Shared;
 
+/// time for the head of a request, and time after which an idle connection is closed
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// maximum size of the head of a request
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// pause after a failed accept
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// answers the load balancer's readiness checks
 pub async fn readiness<D: Dialect + 'static>(shared: Rc<Shared<D>>, listener: TcpListener) {
     let respond = move |request: &Request<Incoming>| {
@@ -75,7 +86,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
@@ -87,7 +98,11 @@
             async move { Ok::<_, Infallible>(response) }
         });
         tokio::task::spawn_local(async move {
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .max_buf_size(MAX_HEAD_BYTES)
+                .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 tracing::debug!(event = "side_connection_ended", %error);
             }
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -80,6 +80,11 @@
         let _ = self.stream.write_all(bytes).await;
     }
 
+    /// sends text unless the gateway has closed the connection
+    pub async fn try_send(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
     /// sends a request and reads its response
     pub async fn call(&mut self, text: &str) -> Response {
         self.send(text).await;
