Ask a VM when it started before a stream goes on there by an old list

Cause: the version of a VM was taken from the list of VMs however old it was, both where a stream goes on and where its origin is recorded.

Change: a connection that was open before the list was last confirmed leads to the listed process, as a VM's connections end with it. For a later one the VM is asked for the start of its process, and a stream goes on only if the list has the same. A stream that begins on such a connection is recorded at once only while newer entries would arrive, and its record becomes uncertain if neither the list nor the VM confirms it.

Why it works: what is compared is the process itself, so that it does not matter why the list is old or how the VM came to restart.

--- a/crates/gateway/src/adapter/dialect.rs
+++ b/crates/gateway/src/adapter/dialect.rs
@@ -74,6 +74,12 @@
     /// selects the headers of a VM's response to pass on to the caller
     fn response_headers(&self, head: &response::Parts) -> HeaderMap;
 
+    /// path at which a VM states its condition
+    fn condition_path(&self) -> &'static str;
+
+    /// start time of a VM's process, milliseconds since the Unix epoch, from its stated condition
+    fn started_at_ms(&self, condition: &[u8]) -> Option<u64>;
+
     /// whether a path is that of the readiness check
     fn is_readiness_check(&self, path: &str) -> bool;
 }
--- a/crates/gateway/src/origin/mod.rs
+++ b/crates/gateway/src/origin/mod.rs
@@ -6,12 +6,14 @@
 //! that they outlast all daemons. A daemon that starts reads those of its zone before it serves, and again
 //! while neither the watcher nor the standby answers.
 
+mod confirm;
 mod find;
 mod keep;
 mod restore;
 mod share;
 mod state;
 
+pub(crate) use confirm::Unconfirmed;
 pub use find::find;
 pub use keep::write_records;
 pub use restore::{read_on_demand, restore};
--- a/crates/gateway/src/origin/state.rs
+++ b/crates/gateway/src/origin/state.rs
@@ -113,6 +113,12 @@
         self.origins.added.notify_one();
     }
 
+    /// makes the origin of one of this daemon's streams uncertain
+    pub fn doubt_origin(&self, id: u64) {
+        self.origins.table.borrow_mut().doubt(id);
+        self.origins.added.notify_one();
+    }
+
     /// adds the records of another daemon
     pub fn merge_origins(&self, batch: &Batch) {
         let now_s = self.wall_clock.now_ms() / 1000;
--- a/crates/gateway/src/pool/pool.rs
+++ b/crates/gateway/src/pool/pool.rs
@@ -18,6 +18,7 @@
 
 use super::transport::{Allowance, Transport};
 use super::{Error, Timeouts};
+use crate::clock::Clock;
 
 /// maximum number of idle connections to one address
 const MAX_IDLE_PER_ADDRESS: usize = 16;
@@ -38,6 +39,7 @@
 struct Channel {
     sender: SendRequest<Full<Bytes>>,
     allowance: Allowance,
+    opened_at: Instant,
 }
 
 /// an idle connection
@@ -48,10 +50,10 @@
 }
 
 /// pool of idle connections by address
-#[derive(Default)]
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     opened: Cell<u64>,
+    clock: Clock,
     this: Weak<Pool>,
 }
 
@@ -79,8 +81,10 @@
     /// creates an empty pool
     pub fn new() -> Rc<Pool> {
         Rc::new_cyclic(|this| Pool {
+            idle: RefCell::default(),
+            opened: Cell::default(),
+            clock: Clock::start(),
             this: this.clone(),
-            ..Pool::default()
         })
     }
 
@@ -157,6 +161,7 @@
 
     async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Channel, Error> {
         let failed = |error: std::io::Error| Error::Connect(error.to_string());
+        let opened_at = self.clock.now();
         let stream = match timeout(limit, TcpStream::connect(address)).await {
             Ok(result) => result.map_err(failed)?,
             Err(_) => return Err(Error::Connect("timed out".to_owned())),
@@ -177,7 +182,11 @@
                 tracing::debug!(event = "connection_ended", %address, %error);
             }
         });
-        Ok(Channel { sender, allowance })
+        Ok(Channel {
+            sender,
+            allowance,
+            opened_at,
+        })
     }
 
     /// sends a request on a connection; on failure returns the request if none of it was written
@@ -214,6 +223,11 @@
 }
 
 impl Connection {
+    /// when it was opened, by a clock that includes suspension
+    pub fn opened_at(&self) -> Instant {
+        self.channel.opened_at
+    }
+
     /// lets the connection be closed instead of returned to the pool
     pub fn retire(&mut self) {
         self.max_idle = Duration::ZERO;
--- a/crates/gateway/src/relay/state.rs
+++ b/crates/gateway/src/relay/state.rs
@@ -138,6 +138,11 @@
         self.state().vms.revision
     }
 
+    /// when the list of VMs was last known to be complete
+    pub fn vms_confirmed_at(&self) -> Option<Instant> {
+        self.state().vms.confirmed_at
+    }
+
     /// time since the list of VMs was known to be complete
     pub fn vm_age(&self) -> Option<Duration> {
         let at = self.state().vms.confirmed_at?;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -118,13 +118,14 @@
             };
             match next {
                 Ok(Ok(Next::Events(bytes, has_data))) => {
-                    if !self.stream.is_at_origin(&vm_stream.vm) && !vm_stream.is_passed_on {
-                        let cause = "the VM has restarted with another version";
+                    if !vm_stream.is_passed_on && !self.is_at_origin(vm_stream).await {
+                        let cause = "the VM may have restarted with another version";
                         return StreamEnd::Failed(cause.to_owned());
                     }
                     vm_stream.is_passed_on = true;
                     if has_data && self.stream.request.origin.is_none() {
-                        self.stream.record_origin(&vm_stream.vm);
+                        let opened_at = vm_stream.opened_at();
+                        self.stream.record_origin(&vm_stream.vm, opened_at);
                     }
                     let sending = self.sender.send(Chunk::Bytes(bytes));
                     match timeout_at(deadline, sending).await {
@@ -151,6 +152,11 @@
         }
     }
 
+    async fn is_at_origin(&self, vm_stream: &VmStream<D>) -> bool {
+        let opened_at = vm_stream.opened_at();
+        self.stream.is_at_origin(&vm_stream.vm, opened_at).await
+    }
+
     fn may_resume(&self) -> bool {
         self.stream.request.route.kind.is_repeatable()
             && self.stream.attempts.sent() + 1 < self.stream.request.route.attempts
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -10,10 +10,12 @@
 use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use route::origin::stream_id;
+use route::origin::{Certainty, Origin, stream_id};
 use route::placement::{Kind, Outcome, Pick, TimeLimit, time_limit};
 use route::verdict::Progress;
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use super::attempt::{AttemptError, Attempts, Sending, VmResponse, record_failed_attempt, send};
 use super::choose::choose;
@@ -25,6 +27,7 @@
 use super::{Body, Failure, Reason};
 use crate::adapter::Dialect;
 use crate::model::Vm;
+use crate::origin::Unconfirmed;
 use crate::quarantine;
 use crate::shared::Shared;
 
@@ -140,14 +143,14 @@
         let next = next.await;
         match next {
             Ok(Ok(Next::Events(first, has_data))) => {
-                if !self.is_at_origin(vm) {
+                if !self.is_at_origin(vm, vm_stream.opened_at()).await {
                     vm_stream.in_flight.set_outcome(Outcome::Broken);
-                    let cause = "the VM has restarted with another version";
+                    let cause = "the VM may have restarted with another version";
                     record_failed_attempt(&self.shared, &self.request, vm, Reason::Lost, cause);
                     return Err(lost_attempt());
                 }
                 if has_data {
-                    self.record_origin(vm);
+                    self.record_origin(vm, vm_stream.opened_at());
                 }
                 vm_stream.in_flight.record_first_token();
                 Ok(Opened::Stream(head, first, Box::new(vm_stream)))
@@ -182,11 +185,19 @@
         }
     }
 
-    /// whether a VM has the version at which the stream began, by the latest list
-    pub fn is_at_origin(&self, vm: &Vm) -> bool {
+    /// whether the process that sends events over a connection has the version at which the stream
+    /// began
+    pub async fn is_at_origin(&self, vm: &Vm, opened_at: Instant) -> bool {
         let Some(origin) = &self.request.origin else {
             return true;
         };
+        self.is_listed_at(vm, origin)
+            && self.shared.is_listed_process(vm, opened_at).await
+            && self.is_listed_at(vm, origin)
+    }
+
+    /// whether a VM has a version by the latest list
+    fn is_listed_at(&self, vm: &Vm, origin: &Origin) -> bool {
         let vms = self.shared.vms.borrow();
         let listed = vms.get(&vm.id);
         listed.is_none_or(|vm| vm.version == origin.version)
@@ -194,25 +205,50 @@
 
     /// records that the stream began at a VM, or goes on at its version
     ///
-    /// Without a record if the VM's entry has changed since it was chosen, as either version may be right.
-    pub fn record_origin(&mut self, vm: &Vm) {
-        let request = &mut self.request;
-        let origin = request.origin.take().unwrap_or_else(|| vm.origin());
-        request.origin = Some(origin.clone());
-        if !self.is_at_origin(vm) {
+    /// Without a record if the VM's entry has changed since it was chosen, as either version may be right,
+    /// or if it can't be known that it is the entry of this process.
+    pub fn record_origin(&mut self, vm: &Rc<Vm>, opened_at: Instant) {
+        let resumed = self.request.origin.clone();
+        let origin = resumed.clone().unwrap_or_else(|| vm.origin());
+        self.request.origin = Some(origin.clone());
+        if !self.is_listed_at(vm, &origin) {
             return;
         }
-        let request = &self.request;
+        let (shared, request) = (&self.shared, &self.request);
+        let first_attempt = request.first_attempt().to_owned();
         let left = request.caller_time_left();
-        let first_attempt = request.first_attempt();
-        self.shared.record_origin(first_attempt, &origin, vm, left);
+        let certainty = match resumed {
+            Some(_) => Certainty::Certain,
+            None => shared.certainty(opened_at),
+        };
+        if certainty != Certainty::Unknown {
+            shared.record_origin(&first_attempt, &origin, vm, left);
+        }
+        if certainty == Certainty::Certain {
+            return;
+        }
+        let unconfirmed = Unconfirmed {
+            id: stream_id(&first_attempt),
+            vm: Rc::clone(vm),
+            opened_at,
+        };
+        let shared = Rc::clone(shared);
+        spawn_local(async move {
+            match (unconfirmed.confirm(&shared).await, certainty) {
+                (true, Certainty::Unknown) => {
+                    shared.record_origin(&first_attempt, &origin, &unconfirmed.vm, left);
+                }
+                (false, Certainty::Pending) => shared.doubt_origin(unconfirmed.id),
+                _ => {}
+            }
+        });
     }
 
     /// spawns a task that passes the stream on
     fn relay(self, head: &Parts, first: Bytes, vm_stream: VmStream<D>) -> Response<Body> {
         let (sender, chunks) = mpsc::channel(CHANNEL_CAPACITY);
         let response = build_response(&self.shared, head, Body::streamed(chunks));
-        tokio::task::spawn_local(Relay::new(self, sender).run(first, vm_stream));
+        spawn_local(Relay::new(self, sender).run(first, vm_stream));
         response
     }
 }
--- a/crates/gateway/src/serve/vm_stream.rs
+++ b/crates/gateway/src/serve/vm_stream.rs
@@ -60,6 +60,11 @@
         (response.head, stream)
     }
 
+    /// when the connection to the VM was opened
+    pub fn opened_at(&self) -> Instant {
+        self.connection.opened_at()
+    }
+
     /// waits for complete events or the end of the stream
     pub async fn next(&mut self, events: &mut EventBuffer) -> Result<Next, String> {
         while let Some(frame) = self.body.frame().await {
--- a/crates/gateway/tests/support/dialect.rs
+++ b/crates/gateway/tests/support/dialect.rs
@@ -107,6 +107,14 @@
         headers
     }
 
+    fn condition_path(&self) -> &'static str {
+        "/condition"
+    }
+
+    fn started_at_ms(&self, condition: &[u8]) -> Option<u64> {
+        std::str::from_utf8(condition).ok()?.parse().ok()
+    }
+
     fn is_readiness_check(&self, path: &str) -> bool {
         path == "/ready"
     }
--- a/crates/gateway/tests/support/vm.rs
+++ b/crates/gateway/tests/support/vm.rs
@@ -93,6 +93,9 @@
     crashed: watch::Sender<bool>,
     written: Rc<Cell<u64>>,
     connections: Rc<Cell<u32>>,
+    started_at_ms: Rc<Cell<u64>>,
+    conditions: Rc<Cell<u32>>,
+    restarted: watch::Sender<u64>,
 }
 
 impl FakeVm {
@@ -111,6 +114,9 @@
             crashed: watch::Sender::new(false),
             written: Rc::default(),
             connections: Rc::default(),
+            started_at_ms: Rc::default(),
+            conditions: Rc::default(),
+            restarted: watch::Sender::new(0),
         };
         let serving = fake.clone();
         tokio::task::spawn_local(async move {
@@ -152,6 +158,20 @@
         self.crashed.send_replace(true);
     }
 
+    /// ends the process and starts it again at the same address, with another version; the entry that
+    /// a test has registered stays as it is
+    pub fn restart(&mut self, version: &str, started_at_ms: u64) {
+        self.vm.version = version.to_owned();
+        self.vm.started_at_ms = started_at_ms;
+        self.started_at_ms.set(started_at_ms);
+        self.restarted.send_modify(|count| *count += 1);
+    }
+
+    /// number of times that it was asked for its condition
+    pub fn conditions(&self) -> u32 {
+        self.conditions.get()
+    }
+
     /// whether the process has ended
     pub fn has_crashed(&self) -> bool {
         *self.crashed.borrow()
@@ -159,8 +179,10 @@
 
     async fn serve_until_crash(self, stream: TcpStream) {
         let mut crashed = self.crashed.subscribe();
+        let mut restarted = self.restarted.subscribe();
         tokio::select! {
             () = self.serve(stream) => {}
+            _ = restarted.changed() => {}
             _ = crashed.wait_for(|crashed| *crashed) => {}
         }
     }
@@ -195,8 +217,22 @@
         *self.script.borrow_mut() = script;
     }
 
+    /// states when the process started
+    async fn state_condition(&self, stream: &mut TcpStream) {
+        self.conditions.set(self.conditions.get() + 1);
+        let stated = self.started_at_ms.get().to_string();
+        let length = stated.len();
+        let text = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{stated}");
+        // without a connection the gateway gets no response
+        let _ = stream.write_all(text.as_bytes()).await;
+    }
+
     async fn serve(self, mut stream: TcpStream) {
         while let Some((head, body)) = read_request(&mut stream).await {
+            if head.starts_with("get /condition ") {
+                self.state_condition(&mut stream).await;
+                continue;
+            }
             self.requests.borrow_mut().push(head.clone());
             self.arrivals.borrow_mut().push(Instant::now());
             let id = head
--- a/crates/route/src/origin/mod.rs
+++ b/crates/route/src/origin/mod.rs
@@ -11,9 +11,11 @@
 //! costs one refusal. They lapse with the time for which the caller waits.
 
 mod batch;
+mod certainty;
 mod table;
 
 pub use batch::{Batch, Group, Ids};
+pub use certainty::{Certainty, certainty};
 pub use table::Table;
 
 use std::time::Duration;
--- a/crates/route/tests/origin.rs
+++ b/crates/route/tests/origin.rs
@@ -5,7 +5,10 @@
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use route::origin::{Batch, Group, Ids, Origin, Table, stream_id};
+use std::time::Duration;
+
+use route::origin::{Batch, Certainty, Group, Ids, Origin, Table, certainty, stream_id};
+use tokio::time::Instant;
 
 fn origin(version: &str) -> Origin {
     Origin {
@@ -194,3 +197,43 @@
         println!("seed {seed}: {known} of {all} known, {bytes} bytes");
     }
 }
+
+/// a daemon that is cut off or stands still has a list that no newer entry reaches
+#[test]
+fn a_list_tells_the_process_behind_connections_from_before_its_confirmation_only() {
+    let drain = Duration::from_millis(2500);
+    let opened = Instant::now() + Duration::from_secs(60);
+    let ms = Duration::from_millis;
+    let table = [
+        (
+            Some(opened + ms(1000)),
+            opened + ms(60_000),
+            Certainty::Certain,
+        ),
+        (
+            Some(opened + ms(900)),
+            opened + ms(1000),
+            Certainty::Pending,
+        ),
+        (
+            Some(opened - ms(500)),
+            opened + ms(1000),
+            Certainty::Pending,
+        ),
+        (
+            Some(opened - ms(500)),
+            opened + ms(1300),
+            Certainty::Unknown,
+        ),
+        (
+            Some(opened + ms(900)),
+            opened + ms(60_000),
+            Certainty::Unknown,
+        ),
+        (None, opened, Certainty::Unknown),
+    ];
+    for (confirmed_at, now, expected) in table {
+        let certainty = certainty(opened, confirmed_at, now, drain);
+        assert_eq!(certainty, expected, "{confirmed_at:?} {now:?}");
+    }
+}
