Keep the entry of a restarted VM when the store comes back from an older copy

Cause: the first list after a restore replaced a known VM by an entry whose process had started earlier.

Change: such an entry counts as one that a restore has brought back: it is not used, and the newer VM is kept like any VM whose entry is missing, until its entry is written again or the time for that is over.

--- a/crates/gateway/src/follow/restoration.rs
+++ b/crates/gateway/src/follow/restoration.rs
@@ -36,15 +36,21 @@
         self.missing.until = Some(until);
     }
 
-    /// takes the VMs that were removed before a restore out of the restored store's first list
+    /// takes the VMs that were removed before a restore, or have started again since the copy, out of the
+    /// restored store's first list
     pub fn doubt_returned(
         &mut self,
         listed: &mut HashMap<String, Rc<Vm>>,
+        previous: &HashMap<String, Rc<Vm>>,
         departed: &Departed,
         now: Instant,
     ) {
         self.returned.until = Some(now + STALE_ENTRY_TIME);
-        let returned = listed.extract_if(|_, vm| departed.was_removed(vm));
+        let returned = listed.extract_if(|id, vm| {
+            let known = previous.get(id);
+            let is_older = known.is_some_and(|known| vm.started_at_ms < known.started_at_ms);
+            is_older || departed.was_removed(vm)
+        });
         self.returned.vms.extend(returned);
     }
 
@@ -55,7 +61,10 @@
         listed: &mut HashMap<String, Rc<Vm>>,
         previous: HashMap<String, Rc<Vm>>,
     ) {
-        listed.retain(|id, _| !self.returned.vms.contains_key(id));
+        listed.retain(|id, vm| {
+            let returned = self.returned.vms.get(id);
+            returned.is_none_or(|returned| returned.started_at_ms != vm.started_at_ms)
+        });
         if self.missing.until.is_none() {
             return;
         }
--- a/crates/gateway/src/follow/vms.rs
+++ b/crates/gateway/src/follow/vms.rs
@@ -97,7 +97,7 @@
     let mut listed = decode(shared, store, &list.objects);
     let previous = std::mem::take(&mut *shared.vms.borrow_mut());
     if is_restored {
-        restoration.doubt_returned(&mut listed, &shared.departed.borrow(), now);
+        restoration.doubt_returned(&mut listed, &previous, &shared.departed.borrow(), now);
     }
     restoration.amend(&mut listed, previous);
     for vm in listed.values() {
--- a/crates/gateway/tests/restarted_versions.rs
+++ b/crates/gateway/tests/restarted_versions.rs
@@ -182,6 +182,31 @@
     });
 }
 
+/// review/2: the store came back from a copy with the entry from before a VM's restart, which replaced
+/// the newer one
+#[test]
+fn restored_store_does_not_bring_back_the_version_from_before_a_restart() {
+    run(async {
+        let (harness, first, mut second) = start().await;
+        drop(begin(&harness, "id-1").await);
+        harness.register(&[&second]).await;
+        let copy = harness.store.copy();
+        second.restart("v2", harness.shared.wall_clock.now_ms());
+        second.set_script(events("v2", 4, 6).end());
+        harness.store.register(&second.vm);
+        let is_upgraded = |harness: &Harness| harness.shared.vms.borrow()["vm-2"].version == "v2";
+        harness.wait_until(is_upgraded).await;
+        harness.store.restore(&copy);
+        first.crash();
+        for number in 0..10 {
+            assert!(is_upgraded(&harness), "the older entry is back");
+            let response = resume(&harness, &format!("again-{number}"), "id-1").await;
+            assert!(!response.body.contains("v2"), "{response:?}");
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+}
+
 /// streams go on while the store is out, as VMs state when they started
 #[test]
 fn streams_go_on_while_the_store_is_out_if_their_vms_have_not_restarted() {
