--- a/crates/gateway/src/pool/pool.rs
+++ b/crates/gateway/src/pool/pool.rs
@@ -35,7 +35,7 @@
 /// once, several of which wait for a caller that does not read
 const BUFFER_BYTES: usize = 64 * 1024;
 
-/// an open connection that has no request in flight
+/// an open connection, and what may be received on it
 struct Channel {
     sender: SendRequest<Full<Bytes>>,
     allowance: Allowance,
