Count the units of a limit once where its owner and deputy both decide

Traced: some daemons ask the deputy because the owner answered late. Owner and deputy copy their ledgers to each other and each took the lower level, and later subtracted the same units again when they were reported, so both fell to a burst below zero while little was spent. Each refused request was a call to the owner, up to 2,400 a second on 0.12 of a core, so that it answered late. Change: copies state what their ledger has granted in total; a ledger in use subtracts the increase and expects it in the reports. A refusal of the owner answers a daemon's further requests that are not smaller for 2.5 ms a daemon (0.1 to 1 s); the owner is told of the units with the next request.

--- a/crates/gateway/src/limits/charge.rs
+++ b/crates/gateway/src/limits/charge.rs
@@ -31,13 +31,18 @@
     workspace: &str,
     units: f64,
 ) -> Result<(), Duration> {
-    if !shared.quotas.borrow().contains_key(workspace) {
-        return Ok(());
-    }
+    let refused = match shared.quotas.borrow_mut().get_mut(workspace) {
+        None => return Ok(()),
+        Some(quota) => match quota.known_refusal(units, Instant::now()) {
+            Some(wait) => return Err(wait),
+            None => quota.take_backlog(),
+        },
+    };
     let charge = Charge {
         workspace: workspace.to_owned(),
         zone: shared.settings.zone.clone(),
         units,
+        refused,
     };
     let ruling = decide(shared, &charge).await;
     let now = Instant::now();
@@ -51,8 +56,9 @@
             Ok(())
         }
         Ruling::Refused { wait_ms } => {
-            quota.record_refused(units, now);
-            Err(Duration::from_millis(wait_ms))
+            let wait = Duration::from_millis(wait_ms);
+            quota.record_refused(units, wait, shared.daemons.get(), now);
+            Err(wait)
         }
         Ruling::NotOwner => quota.spend(units, now),
     }
@@ -98,6 +104,9 @@
         .or_insert_with(|| Ledger::new(limit, level, assumed, now));
     ledger.configure(limit, now);
     ledger.resume(level, now);
+    if charge.refused > 0.0 {
+        ledger.record_refused(charge.refused, now);
+    }
     let charged = if is_own {
         ledger.charge(charge.units, now)
     } else {
@@ -122,6 +131,7 @@
                 workspace,
                 zone: shared.settings.zone.clone(),
                 units: 0.0,
+                refused: 0.0,
             };
             let shared = Rc::clone(shared);
             spawn_local(async move { ask(&shared, &owner, &charge).await });
--- a/crates/gateway/src/limits/deputy.rs
+++ b/crates/gateway/src/limits/deputy.rs
@@ -19,6 +19,8 @@
         workspace: workspace.to_owned(),
         level: copied.level,
         unreported: copied.unreported,
+        total: copied.total,
+        from: shared.settings.name.clone(),
     };
     spawn_local(async move {
         let sent = node
@@ -42,10 +44,11 @@
     let copied = Copied {
         level: message.level,
         unreported: message.unreported,
+        total: message.total,
     };
     let mut ledgers = shared.ledgers.borrow_mut();
     match ledgers.get_mut(&message.workspace) {
-        Some(ledger) => ledger.restore(copied, now),
+        Some(ledger) => ledger.restore(&message.from, copied, now),
         None => {
             let ledger = Ledger::new(limit, copied.level, copied.unreported, now);
             ledgers.insert(message.workspace.clone(), ledger);
--- a/crates/gateway/src/limits/message.rs
+++ b/crates/gateway/src/limits/message.rs
@@ -12,6 +12,9 @@
     pub zone: String,
     /// units of its limit
     pub units: f64,
+    /// units that the asking daemon has refused since its last request
+    #[serde(default)]
+    pub refused: f64,
 }
 
 /// answer to a [`Charge`]
@@ -47,4 +50,10 @@
     pub level: f64,
     /// units granted to daemons that have not reported them yet
     pub unreported: f64,
+    /// units granted since the ledger was opened
+    #[serde(default)]
+    pub total: f64,
+    /// the copying daemon
+    #[serde(default)]
+    pub from: String,
 }
--- a/crates/gateway/src/limits/refund.rs
+++ b/crates/gateway/src/limits/refund.rs
@@ -31,6 +31,7 @@
                 workspace: workspace.to_owned(),
                 zone: shared.settings.zone.clone(),
                 units,
+                refused: 0.0,
             };
             spawn_local(send_refund(Rc::clone(shared), owner, charge));
         }
--- a/crates/gateway/tests/limit_owners.rs
+++ b/crates/gateway/tests/limit_owners.rs
@@ -236,6 +236,7 @@
             workspace: WORKSPACE.to_owned(),
             zone: "zone-0".to_owned(),
             units: 1.0,
+            refused: 0.0,
         };
         let other = &daemons[(owner + 1) % DAEMONS];
         assert_eq!(rule_for_peer(&other.shared, &charge), Ruling::NotOwner);
--- a/crates/route/src/quota/ledger.rs
+++ b/crates/route/src/quota/ledger.rs
@@ -44,6 +44,10 @@
     refused: f64,
     /// other daemons' zones by name
     zones: HashMap<String, Zone>,
+    /// units granted by this ledger since it was opened
+    total: f64,
+    /// the same of other daemons' ledgers, by the daemon's name, at their last copy
+    copied_totals: HashMap<String, f64>,
 }
 
 /// what the deputy of an owner has to know of a ledger
@@ -53,6 +57,8 @@
     pub level: f64,
     /// units granted to daemons that have not reported them yet
     pub unreported: f64,
+    /// units granted since the ledger was opened, those of refunded requests included
+    pub total: f64,
 }
 
 /// charges of the daemons of a zone
@@ -93,6 +99,8 @@
             reported: 0.0,
             refused: 0.0,
             zones: HashMap::new(),
+            total: 0.0,
+            copied_totals: HashMap::new(),
         }
     }
 
@@ -116,18 +124,29 @@
         Some(Copied {
             level: self.level,
             unreported: self.granted - self.reported,
+            total: self.total,
         })
     }
 
-    /// takes over a copy of the owner's ledger; while this daemon decides itself, only a lower level
-    pub fn restore(&mut self, copied: Copied, now: Instant) {
+    /// takes over a copy of another daemon's ledger; while this daemon decides itself, only what the other
+    /// one has granted
+    pub fn restore(&mut self, from: &str, copied: Copied, now: Instant) {
         self.advance(now);
         if now > self.charged_at + OWNERSHIP_PAUSE {
             self.level = copied.level;
             self.granted = self.reported + copied.unreported;
         } else {
-            self.level = self.level.min(copied.level);
+            // both decide at the moment: the level is lowered by what the other has granted since its last
+            // copy, which counts as granted here, so that reports do not lower the level again
+            let before = self.copied_totals.get(from).copied();
+            let granted = match before {
+                Some(before) if copied.total >= before => copied.total - before,
+                _ => (self.level - copied.level).max(0.0),
+            };
+            self.level -= granted;
+            self.granted += granted;
         }
+        self.copied_totals.insert(from.to_owned(), copied.total);
     }
 
     /// lowers the level to the one known from reports if nothing was charged for a while
@@ -150,6 +169,7 @@
         let needed = units.min(LARGE_REQUEST_FRACTION * self.limit.burst);
         if needed <= self.level {
             self.level -= units;
+            self.total += units;
             return Ok(());
         }
         let missing = needed - self.level + self.refused;
@@ -159,6 +179,12 @@
         Err(wait.max(MIN_RETRY_AFTER))
     }
 
+    /// records units that a daemon refused on the strength of an earlier refusal
+    pub fn record_refused(&mut self, units: f64, now: Instant) {
+        self.advance(now);
+        self.refused += units;
+    }
+
     /// charges a request of another daemon of a zone
     ///
     /// # Errors
--- a/crates/route/src/quota/mod.rs
+++ b/crates/route/src/quota/mod.rs
@@ -16,7 +16,8 @@
 //! a large request to a daemon that rarely sees it.
 //!
 //! Where reports take seconds, one daemon keeps the [`Ledger`] of a limit and decides on every
-//! request, or another one from a copy of it; shares are spent while neither can be asked.
+//! request, or another one from a copy of it; shares are spent while neither can be asked. A [`Refusal`]
+//! of theirs answers a daemon's further requests for a short time.
 
 use std::time::Duration;
 
@@ -27,10 +28,12 @@
     reason = "the module is named for its central type"
 )]
 mod quota;
+mod refusal;
 
 pub use ledger::{Copied, Ledger};
 pub use limit::{Limit, PeerSpending};
 pub use quota::Quota;
+pub use refusal::Refusal;
 
 /// fraction of the burst, or of a daemon's share of it, that suffices for a request of any size; the
 /// level may then go below zero, and later requests wait until it has recovered
--- a/crates/route/src/quota/quota.rs
+++ b/crates/route/src/quota/quota.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use super::{LARGE_REQUEST_FRACTION, Limit, MIN_RETRY_AFTER, PeerSpending};
+use super::{LARGE_REQUEST_FRACTION, Limit, MIN_RETRY_AFTER, PeerSpending, Refusal};
 
 /// fraction of the level that is split evenly between the daemons
 const EVEN_FRACTION: f64 = 0.4;
@@ -31,6 +31,8 @@
     assumed_peer_spent: f64,
     peers_updated_at: Instant,
     updated_at: Instant,
+    /// last refusal of the limit's owner
+    refusal: Option<Refusal>,
 }
 
 impl Quota {
@@ -48,6 +50,7 @@
             assumed_peer_spent: 0.0,
             peers_updated_at: now,
             updated_at: now,
+            refusal: None,
         }
     }
 
@@ -59,6 +62,9 @@
             self.level *= ratio;
             self.budget *= ratio;
         }
+        if limit != self.limit {
+            self.refusal = None;
+        }
         self.limit = limit;
     }
 
@@ -115,9 +121,24 @@
         self.refunded += units;
     }
 
-    /// records units that the limit's owner refused
-    pub fn record_refused(&mut self, units: f64, now: Instant) {
+    /// records units that the limit's owner refused for a time
+    pub fn record_refused(&mut self, units: f64, wait: Duration, daemons: usize, now: Instant) {
+        self.offer(units, now);
+        self.refusal = Some(Refusal::new(units, wait, daemons, now));
+    }
+
+    /// the wait of a request that the owner need not be asked about, as it has just refused another
+    /// one that is not larger
+    pub fn known_refusal(&mut self, units: f64, now: Instant) -> Option<Duration> {
+        let wait = self.refusal.as_mut()?.apply(units, self.limit.rate, now)?;
         self.offer(units, now);
+        Some(wait)
+    }
+
+    /// units refused since the owner was asked last, of which it is told with the next request
+    pub fn take_backlog(&mut self) -> f64 {
+        let refusal = self.refusal.take();
+        refusal.map_or(0.0, |refusal| refusal.backlog())
     }
 
     /// the limit over all daemons
--- a/crates/route/tests/quota_zones.rs
+++ b/crates/route/tests/quota_zones.rs
@@ -60,10 +60,13 @@
         let Some(ledger) = ledger else {
             return self.quota.spend(units, now).is_ok();
         };
+        if self.quota.known_refusal(units, now).is_some() {
+            return false;
+        }
         let charged = ledger.charge_peer(&zone.to_string(), units, now);
         match charged {
             Ok(()) => self.quota.record_spent(units, now),
-            Err(_) => self.quota.record_refused(units, now),
+            Err(wait) => self.quota.record_refused(units, wait, DAEMONS, now),
         }
         charged.is_ok()
     }
