Learn the speed of engines

Cause: the prefill rate (50 tokens in a millisecond), the base time and the slot time were assumed for all engines, in the choice of a VM and in the plan of capacity. Engines that prefill 157 tokens in a millisecond were refused requests that they could serve in time when most VMs were lost.

Change: daemons measure the time to the first event and the durations of streams. The prefill rate is the weighted median of the slopes between pairs of requests (Theil and Sen), so that queueing, which does not depend on the size of the request's own prompt, hardly matters. Nothing is learned where queueing dominates. Daemons add up their measurements in the reports; the sum is in effect from a ratio of 1.4 to the assumption on, until it is below 1.25. The checkpoint carries the learned times.

--- a/crates/fleet/src/zones/demand.rs
+++ b/crates/fleet/src/zones/demand.rs
@@ -3,19 +3,32 @@
 
 use tokio::time::Instant;
 
-/// prefill rate of an engine that runs no stream, tokens a second
-const PREFILL_TOKENS_PER_SECOND: f64 = 50_000.0;
-
 /// concurrent streams that an engine runs without a marked slow-down of each
 const STREAMS_PER_ENGINE: f64 = 16.0;
 
-/// duration of a stream on an engine that is not saturated, seconds
-const STREAM_SECONDS: f64 = 1.0;
-
 /// time for which a peak of the demand is kept, since orders take seconds to take effect and
 /// traffic comes in bursts
 const PEAK_RETENTION: Duration = Duration::from_secs(20);
 
+/// times of a service's engines
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Timing {
+    /// prefill rate of an engine that runs no stream, tokens a second
+    pub prefill_tokens_per_s: f64,
+    /// duration of a stream on an engine that is not saturated, seconds
+    pub stream_s: f64,
+}
+
+impl Default for Timing {
+    /// the times assumed until those of a service's engines are learned
+    fn default() -> Timing {
+        Timing {
+            prefill_tokens_per_s: 50_000.0,
+            stream_s: 1.0,
+        }
+    }
+}
+
 /// demand for a service's engines
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Demand {
@@ -27,9 +40,9 @@
 
 impl Demand {
     /// VMs that serve this demand at a utilisation of their capacity, above 0 and at most 1
-    pub fn vms(&self, utilisation: f64) -> f64 {
-        (self.prefill_tokens / PREFILL_TOKENS_PER_SECOND
-            + self.streams * STREAM_SECONDS / STREAMS_PER_ENGINE)
+    pub fn vms(&self, timing: &Timing, utilisation: f64) -> f64 {
+        (self.prefill_tokens / timing.prefill_tokens_per_s
+            + self.streams * timing.stream_s / STREAMS_PER_ENGINE)
             / utilisation
     }
 }
--- a/crates/fleet/src/zones/mod.rs
+++ b/crates/fleet/src/zones/mod.rs
@@ -13,11 +13,13 @@
 //!   on-demand VMs have started.
 //! * The load rises to a multiple within seconds and falls again.
 //! * The cloud refuses orders, or does not respond.
+//! * Engines prefill at three times the assumed rate, so that three times the VMs are ordered that their
+//!   prefill needs. What the daemons learned of them is used instead.
 
 mod demand;
 mod history;
 mod order;
 
-pub use demand::{Demand, Peak};
+pub use demand::{Demand, Peak, Timing};
 pub use history::OrderHistory;
 pub use order::{Constraints, Need, PoolOrder, VmCounts, Zone, orders};
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fleet::zones::{
-    Constraints, Demand, Need, OrderHistory, Peak, PoolOrder, VmCounts, Zone, orders,
+    Constraints, Demand, Need, OrderHistory, Peak, PoolOrder, Timing, VmCounts, Zone, orders,
 };
 use proptest::prelude::*;
 use tokio::time::Instant;
@@ -242,7 +242,22 @@
         prefill_tokens: 50_000.0,
         streams: 16.0,
     };
-    assert!((demand.vms(0.5) - 4.0).abs() < 1e-9);
+    assert!((demand.vms(&Timing::default(), 0.5) - 4.0).abs() < 1e-9);
+}
+
+/// engines that prefill faster than assumed were ordered in three times the number needed
+#[test]
+fn engines_that_are_faster_than_assumed_are_ordered_in_smaller_numbers() {
+    let demand = Demand {
+        prefill_tokens: 1_570_000.0,
+        streams: 160.0,
+    };
+    let learned = Timing {
+        prefill_tokens_per_s: 157_000.0,
+        stream_s: 0.8,
+    };
+    assert!((demand.vms(&Timing::default(), 0.5) - 82.8).abs() < 1e-9);
+    assert!((demand.vms(&learned, 0.5) - 36.0).abs() < 1e-9);
 }
 
 proptest! {
--- a/crates/gateway/src/checkpoint/read.rs
+++ b/crates/gateway/src/checkpoint/read.rs
@@ -47,6 +47,7 @@
         limits = record.limits.len(),
         windows = record.windows.len(),
         quarantined = record.marks.len(),
+        engines = record.engines.len(),
     );
     if record.generation < object.revision.generation {
         // later spending was recorded in what the restored store has lost
--- a/crates/gateway/src/checkpoint/record.rs
+++ b/crates/gateway/src/checkpoint/record.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use macro_rules_attribute::apply;
+use route::placement::Timing;
 use route::quarantine::Mark;
 use route::quota;
 use schema::message;
@@ -58,6 +59,9 @@
     /// quarantined parts of prompts
     #[serde(default)]
     pub marks: Vec<Mark>,
+    /// learned times of engines by service
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub engines: BTreeMap<String, Timing>,
 }
 
 impl Record {
--- a/crates/gateway/src/checkpoint/write.rs
+++ b/crates/gateway/src/checkpoint/write.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
     duty: (Rc<Lease>, Rc<Peers>),
 ) {
     let (lease, peers) = duty;
+    let mut written_engines = BTreeMap::new();
     loop {
         sleep(INTERVAL).await;
         if lease.permit().is_none() {
@@ -31,7 +33,9 @@
         }
         let record = record(&shared, &peers);
         let has_counts = !record.windows.values().all(Counts::is_empty);
-        if record.limits.is_empty() && record.marks.is_empty() && !has_counts {
+        // learned times alone are written when they change, as each write is billed
+        let has_new_engines = !record.engines.keys().eq(written_engines.keys());
+        if record.limits.is_empty() && record.marks.is_empty() && !has_counts && !has_new_engines {
             continue;
         }
         let spec = match serde_json::to_value(&record) {
@@ -41,10 +45,13 @@
                 continue;
             }
         };
-        if let Err(error) = write(&*store, &spec).await
-            && let Some(left_out) = shared.permit_log("checkpoint_failed")
-        {
-            tracing::warn!(event = "checkpoint_failed", cause = %error, left_out);
+        match write(&*store, &spec).await {
+            Ok(()) => written_engines = record.engines,
+            Err(error) => {
+                if let Some(left_out) = shared.permit_log("checkpoint_failed") {
+                    tracing::warn!(event = "checkpoint_failed", cause = %error, left_out);
+                }
+            }
         }
     }
 }
@@ -65,6 +72,12 @@
         generation: shared.generation.current(),
         daemons: shared.daemons.get(),
         marks: shared.quarantine.parts.borrow().marks(),
+        engines: shared
+            .placement
+            .borrow()
+            .all_learned()
+            .into_iter()
+            .collect(),
         ..Record::default()
     };
     for window in (newest + 1).saturating_sub(MAX_WINDOWS)..=newest {
--- a/crates/gateway/src/duty/capacity.rs
+++ b/crates/gateway/src/duty/capacity.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fleet::zones::{
-    self, Constraints, Demand, Need, OrderHistory, Peak, PoolOrder, VmCounts, Zone,
+    self, Constraints, Demand, Need, OrderHistory, Peak, PoolOrder, Timing, VmCounts, Zone,
 };
 use tokio::time::{Instant, timeout};
 
@@ -28,6 +28,10 @@
 /// few are refused
 const DEGRADED_UTILISATION: f64 = 0.85;
 
+/// longest learned duration of a stream that is planned for, seconds: streams on saturated engines
+/// last longer, and would be answered with more VMs than the demand needs
+const MAX_STREAM_S: f64 = 2.0;
+
 /// fraction of the VMs live at the start of a term that is kept until demand is known
 const INITIAL_VMS_FRACTION: f64 = 0.85;
 
@@ -111,8 +115,11 @@
         prefill_tokens: rate.prefill_tokens,
         streams: rate.requests,
     };
-    let peak = state.peak.record(demand.vms(TARGET_UTILISATION), now);
-    let minimum = (demand.vms(MAX_UTILISATION)).ceil() as u32;
+    let timing = timing(shared, service);
+    let peak = state
+        .peak
+        .record(demand.vms(&timing, TARGET_UTILISATION), now);
+    let minimum = demand.vms(&timing, MAX_UTILISATION).ceil() as u32;
     let mut target = peak;
     if now < state.started_at + REGISTRATION_TIME {
         state.initial_vms = state.initial_vms.max(live);
@@ -123,7 +130,7 @@
     let need = Need {
         target: target.ceil() as u32,
         minimum,
-        after_zone_loss: demand.vms(DEGRADED_UTILISATION).ceil() as u32,
+        after_zone_loss: demand.vms(&timing, DEGRADED_UTILISATION).ceil() as u32,
     };
     let constraints = Constraints {
         min: scaling.min,
@@ -142,12 +149,23 @@
             live,
             unread_per_second = demand.prefill_tokens.round(),
             streams_per_second = demand.streams.round(),
+            tokens_per_second = timing.prefill_tokens_per_s.round(),
+            stream_ms = (timing.stream_s * 1000.0).round(),
             orders = orders.len(),
         );
     }
     orders
 }
 
+/// times of a service's engines, as learned from responses
+fn timing<D: Dialect>(shared: &Shared<D>, service: &Service) -> Timing {
+    let learned = shared.placement.borrow().learned(&service.name);
+    learned.map_or_else(Timing::default, |learned| Timing {
+        prefill_tokens_per_s: learned.tokens_per_ms * 1000.0,
+        stream_s: learned.slot_time.as_secs_f64().min(MAX_STREAM_S),
+    })
+}
+
 /// zones of a service with their prices and live VMs
 fn zones<D: Dialect>(shared: &Shared<D>, service: &Service, scaling: &Scaling) -> Vec<Zone> {
     let mut live_by_zone: HashMap<&str, VmCounts> = HashMap::new();
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -2,7 +2,7 @@
 
 use macro_rules_attribute::apply;
 use route::notice::Notice;
-use route::placement::{Load, Prefill, Rate};
+use route::placement::{Load, Measurement, Prefill, Rate};
 use route::quarantine::{Evidence, Mark};
 use schema::message;
 
@@ -108,6 +108,9 @@
     pub prefills: Vec<Prefill>,
     /// requested work per second by service
     pub rates: HashMap<String, Rate>,
+    /// measured times of engines by service
+    #[serde(default, skip_serializing_if = "HashMap::is_empty")]
+    pub engines: HashMap<String, Measurement>,
     /// requests begun, by window and workspace
     pub counts: Snapshot,
     /// whether the receiver is to answer with the reports of all other daemons
@@ -134,6 +137,10 @@
         for (service, rate) in &other.rates {
             self.rates.entry(service.clone()).or_default().add(rate);
         }
+        for (service, measured) in &other.engines {
+            let sum = self.engines.entry(service.clone()).or_default();
+            sum.add(measured);
+        }
         for (workspace, spending) in &other.spending {
             let sum = self.spending.entry(workspace.clone()).or_default();
             sum.demand += spending.demand;
--- a/crates/gateway/src/peers/reporter.rs
+++ b/crates/gateway/src/peers/reporter.rs
@@ -92,6 +92,7 @@
             self.send_report(&members, &topology, report).await;
             let now = Instant::now();
             self.peers.rebalance(&self.shared, now - rebalanced_at);
+            self.peers.apply_measurements(&self.shared);
             connect_to_owners(&self.shared);
             rebalanced_at = now;
             sleep_until(next).await;
@@ -238,6 +239,7 @@
         let mut placement = shared.placement.borrow_mut();
         let loads = placement.loads();
         let rates = placement.rates(now);
+        let engines = placement.measurements(now);
         let prefills = placement.take_prefills();
         drop(placement);
         let mut spending = HashMap::new();
@@ -264,6 +266,7 @@
             spending,
             prefills,
             rates,
+            engines,
             counts: Snapshot { windows },
             notices: shared.notices.table.borrow().in_force(now_ms),
             marks: shared.quarantine.parts.borrow().marks(),
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -1,7 +1,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use route::placement::{Prefill, Rate};
+use route::placement::{Measurement, Prefill, Rate};
 use route::quota::PeerSpending;
 use tokio::time::Instant;
 
@@ -154,6 +154,17 @@
         sum
     }
 
+    /// what all daemons measured of engines, by service
+    pub fn measurements(&self, now: Instant) -> HashMap<String, Measurement> {
+        let mut sums: HashMap<String, Measurement> = self.local.engines.clone();
+        for received in self.current(now) {
+            for (service, measured) in &received.report.engines {
+                sums.entry(service.clone()).or_default().add(measured);
+            }
+        }
+        sums
+    }
+
     /// units per second that callers of the peers request for a workspace
     pub fn demand(&self, workspace: &str, now: Instant) -> f64 {
         let current = self.current(now);
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -119,6 +119,25 @@
         is_asked.then(|| Box::new(reports.others(receiver, Instant::now())))
     }
 
+    /// applies what all daemons measured of engines
+    pub(super) fn apply_measurements<D: Dialect>(&self, shared: &Shared<D>) {
+        let now = Instant::now();
+        let totals = self.reports.borrow().measurements(now);
+        let mut placement = shared.placement.borrow_mut();
+        for (service, total) in totals {
+            if let Some(timing) = placement.apply_measurement(&service, &total) {
+                tracing::info!(
+                    event = "engines_measured",
+                    service,
+                    is_learned = placement.learned(&service).is_some(),
+                    tokens_per_ms = timing.tokens_per_ms,
+                    base_ms = timing.base.as_millis() as u64,
+                    slot_ms = timing.slot_time.as_millis() as u64,
+                );
+            }
+        }
+    }
+
     /// updates this daemon's share of each limit from the spending and demand of all daemons
     pub(super) fn rebalance<D: Dialect>(&self, shared: &Shared<D>, elapsed: Duration) {
         let now = Instant::now();
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -149,7 +149,12 @@
     sending: &Sending<'_>,
 ) -> Result<VmResponse<D>, AttemptError> {
     let vm = sending.vm;
-    let mut in_flight = InFlight::begin(shared, request, &vm.id, sending.pick.uncached);
+    let mut in_flight = InFlight::begin(
+        shared,
+        request,
+        sending.pick,
+        sending.resume_after.is_some(),
+    );
     let message = build_message(shared, request, vm, sending.resume_after);
     let exchange = match exchange(shared, request, sending, message).await {
         Ok(exchange) => exchange,
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use route::placement::{Completion, Outcome, TimeLimit, Work};
+use route::placement::{Completion, Outcome, Pick, Sample, TimeLimit, Work};
 use tokio::time::Instant;
 
 use super::request::Request;
@@ -15,6 +15,11 @@
     id: String,
     work: Work,
     is_prefilling: bool,
+    sent_at: Instant,
+    /// what the time to the first event is compared with; none if it can't be compared
+    expectation: Option<Sample>,
+    /// whether the time to the first event was measured
+    is_measured: bool,
     outcome: Outcome,
     latency: Option<Duration>,
 }
@@ -24,16 +29,17 @@
     pub fn begin(
         shared: &Rc<Shared<D>>,
         request: &Request,
-        id: &str,
-        uncached: u32,
+        pick: &Pick,
+        is_resumed: bool,
     ) -> InFlight<D> {
+        let (id, now) = (&pick.id, Instant::now());
         let work = Work {
-            prefill_tokens: uncached,
-            held: uncached.saturating_add(request.call.output_tokens()),
+            prefill_tokens: pick.uncached,
+            held: pick.uncached.saturating_add(request.call.output_tokens()),
         };
         let placement_request = request.placement_request(&[], TimeLimit::total(Duration::ZERO));
         let mut balancer = shared.placement.borrow_mut();
-        balancer.begin(&placement_request, id, &work, Instant::now());
+        balancer.begin(&placement_request, id, &work, now);
         drop(balancer);
         InFlight {
             shared: Rc::clone(shared),
@@ -41,6 +47,15 @@
             id: id.to_owned(),
             work,
             is_prefilling: true,
+            sent_at: now,
+            // a resumed stream also recomputes its output
+            expectation: (!is_resumed).then(|| Sample {
+                prefill_tokens: pick.uncached,
+                running: pick.running,
+                wait: pick.expected.saturating_sub(pick.unloaded),
+                took: Duration::ZERO,
+            }),
+            is_measured: false,
             outcome: Outcome::Cancelled,
             latency: None,
         }
@@ -54,6 +69,20 @@
 
     /// records that the first token was received
     pub fn record_first_token(&mut self) {
+        if let Some(expectation) = self.expectation.take() {
+            self.is_measured = true;
+            let now = Instant::now();
+            let sample = Sample {
+                took: now.saturating_duration_since(self.sent_at),
+                ..expectation
+            };
+            let mut balancer = self.shared.placement.borrow_mut();
+            balancer.record_sample(&self.service, &self.id, &sample, now);
+        }
+        self.finish_prefill();
+    }
+
+    fn finish_prefill(&mut self) {
         if !self.is_prefilling {
             return;
         }
@@ -75,7 +104,13 @@
 
 impl<D: Dialect> Drop for InFlight<D> {
     fn drop(&mut self) {
-        self.record_first_token();
+        self.finish_prefill();
+        let now = Instant::now();
+        if self.is_measured && self.outcome == Outcome::Answered {
+            let took = now.saturating_duration_since(self.sent_at);
+            let mut balancer = self.shared.placement.borrow_mut();
+            balancer.record_stream(&self.service, took, now);
+        }
         let completion = Completion {
             service: &self.service,
             id: &self.id,
@@ -83,9 +118,6 @@
             outcome: self.outcome,
             took: self.latency,
         };
-        self.shared
-            .placement
-            .borrow_mut()
-            .end(&completion, Instant::now());
+        self.shared.placement.borrow_mut().end(&completion, now);
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -295,6 +295,11 @@
     /// restores the checkpoint from before this process started
     pub fn restore(&self, record: Record) {
         self.set_daemons(record.daemons.max(1));
+        let mut placement = self.placement.borrow_mut();
+        for (service, timing) in &record.engines {
+            placement.restore_learned(service, *timing);
+        }
+        drop(placement);
         *self.restored.borrow_mut() = Some(record);
     }
 
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -5,8 +5,9 @@
 
 use super::completion::{Completion, Outcome};
 use super::cost::{MIN_RETRY_AFTER, admit, distance_penalty, jitter, preferred_vm, tokens};
-use super::engine::{self, Capacity};
+use super::engine::{Capacity, Timing};
 use super::entry::Entry;
+use super::learner::Learner;
 use super::load::{Load, Meter, Rate, Work};
 use super::member::Member;
 use super::plain::{self, ResponseTime};
@@ -37,6 +38,7 @@
     baseline_failures: f64,
     baseline_response_time: ResponseTime,
     meter: Meter,
+    pub learner: Learner,
 }
 
 /// last reported load of a peer, by VM
@@ -169,8 +171,9 @@
     pub fn total_load(&self, service: &str, now: Instant) -> Load {
         let mut total = Load::default();
         if let Some(state) = self.services.get(service) {
+            let timing = state.learner.timing();
             for entry in state.entries.values() {
-                total.add(&self.load(entry, now));
+                total.add(&self.load(entry, &timing, now));
             }
         }
         total
@@ -187,7 +190,8 @@
         };
         let entries = || state.entries.values().filter(has_version);
         let ids = entries().map(|entry| entry.member.id.as_str());
-        let preferred = preferred_vm(ids, request);
+        let timing = state.learner.timing();
+        let preferred = preferred_vm(ids, request, &timing);
         let mut best: Option<(bool, Duration, Pick)> = None;
         let mut at_limit = None;
         let mut opens_at: Option<(Instant, &str)> = None;
@@ -203,7 +207,7 @@
             }
             let is_avoided = request.avoid.contains(&entry.member.id);
             let is_last_resort = is_avoided || entry.health.is_suspect(now);
-            let pick = self.pick(entry, request, state.baseline_response_time, now);
+            let pick = self.pick(state, entry, request, now);
             let preferred = preferred.filter(|preferred| preferred.id == entry.member.id);
             let cost = pick.expected
                 + distance_penalty(pick.distance)
@@ -323,7 +327,7 @@
     }
 
     /// returns the local and reported load at a VM
-    fn load(&self, entry: &Entry, now: Instant) -> Load {
+    fn load(&self, entry: &Entry, timing: &Timing, now: Instant) -> Load {
         let mut load = entry.local;
         for report in self.peer_loads.values() {
             let age = now.saturating_duration_since(report.received_at);
@@ -331,24 +335,21 @@
                 continue;
             }
             if let Some(peer_load) = report.loads.get(&entry.member.id) {
-                load.add(&engine::after_prefill(peer_load, age));
+                load.add(&timing.after_prefill(peer_load, age));
             }
         }
         load
     }
 
-    fn pick(
-        &self,
-        entry: &Entry,
-        request: &Request<'_>,
-        baseline: ResponseTime,
-        now: Instant,
-    ) -> Pick {
+    fn pick(&self, state: &Service, entry: &Entry, request: &Request<'_>, now: Instant) -> Pick {
         let member = &entry.member;
-        let load = self.load(entry, now);
+        let timing = state.learner.timing();
+        let load = self.load(entry, &timing, now);
         let (expected, unloaded, uncached) = match member.cache_tokens {
             None => {
-                let response_time = entry.response_time.estimate(baseline, now);
+                let response_time = entry
+                    .response_time
+                    .estimate(state.baseline_response_time, now);
                 (
                     plain::expected(member.slots, &load, response_time),
                     response_time,
@@ -363,8 +364,8 @@
                     cache_tokens,
                 };
                 let held = uncached.saturating_add(request.output_tokens);
-                let expected = engine::expected(&capacity, &load, uncached, held);
-                (expected, engine::unloaded(uncached), uncached)
+                let expected = timing.expected(&capacity, &load, uncached, held);
+                (expected, timing.unloaded(uncached), uncached)
             }
         };
         Pick {
@@ -372,6 +373,7 @@
             expected,
             unloaded,
             uncached,
+            running: load.running,
             distance: member.distance,
         }
     }
--- a/crates/route/src/placement/cost.rs
+++ b/crates/route/src/placement/cost.rs
@@ -5,7 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::engine;
+use super::engine::Timing;
 use super::request::{Choice, Distance, Full, Pick, Request, TimeLimit};
 
 /// bonus of the preferred VM, as a fraction of the prefill time of the shared tokens: other
@@ -49,13 +49,16 @@
 pub(super) fn preferred_vm<'a>(
     ids: impl Iterator<Item = &'a str>,
     request: &Request<'_>,
+    timing: &Timing,
 ) -> Option<PreferredVm<'a>> {
     let (_, shared) = request.parts.split_last()?;
     let (part, _) = shared.last()?;
     let id = ids.max_by_key(|id| xxh3_64_with_seed(id.as_bytes(), *part))?;
     Some(PreferredVm {
         id,
-        bonus: engine::prefill_time(u64::from(tokens(shared))).mul_f64(PREFERENCE_FRACTION),
+        bonus: timing
+            .prefill_time(u64::from(tokens(shared)))
+            .mul_f64(PREFERENCE_FRACTION),
     })
 }
 
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -30,6 +30,8 @@
 //!   it may refuse this daemon as well.
 //! * Kinds with long objectives fill the VMs until urgent kinds with short objectives miss
 //!   theirs. A kind is accepted only while the more urgent ones would be in time as well.
+//! * Engines prefill at three times the assumed rate, so that requests which they could serve in time
+//!   are refused while VMs are lost. Their times are learned from responses (`learner`).
 
 mod admission;
 mod balancer;
@@ -38,6 +40,8 @@
 mod engine;
 mod entry;
 mod health;
+mod learner;
+mod learning;
 mod load;
 mod member;
 mod plain;
@@ -48,6 +52,8 @@
 pub use admission::{Kind, retry_after, time_limit};
 pub use balancer::Balancer;
 pub use completion::{Completion, Outcome};
+pub use engine::Timing;
+pub use learner::{Measurement, Sample};
 pub use load::{Load, Rate, Work};
 pub use member::Member;
 pub use prefix_cache::Prefill;
--- a/crates/route/src/placement/request.rs
+++ b/crates/route/src/placement/request.rs
@@ -63,6 +63,8 @@
     pub unloaded: Duration,
     /// tokens of the prompt that it has to prefill
     pub uncached: u32,
+    /// requests in flight there
+    pub running: u32,
     /// network distance
     pub distance: Distance,
 }
--- a/crates/route/tests/placement/main.rs
+++ b/crates/route/tests/placement/main.rs
@@ -1,5 +1,7 @@
 //! Replays of the load patterns that `route::placement` handles.
 
+mod cluster;
+mod learned_engines;
 mod report_interval;
 mod stale_reports;
 
