--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -32,8 +32,13 @@
 //!   theirs. A kind is accepted only while the more urgent ones would be in time as well.
 //! * Engines prefill at three times the assumed rate, so that requests which they could serve in time
 //!   are refused while VMs are lost. Their times are learned from responses (`learner`).
+//! * Callers that were refused come back as told, and are refused again. They go ahead of new
+//!   requests of their kind, and what can't respond before its caller gives up is not sent.
+//! * One region has lost its VMs and the other has room. A VM within the limit is preferred to a
+//!   nearer one beyond it.
 
 mod admission;
+mod backlog;
 mod balancer;
 mod completion;
 mod cost;
@@ -46,10 +51,11 @@
 mod member;
 mod plain;
 mod prefix_cache;
+mod rank;
 mod request;
 mod statements;
 
-pub use admission::{Kind, retry_after, time_limit};
+pub use admission::{Caller, Kind, plain_time_limit, retry_after, time_limit};
 pub use balancer::Balancer;
 pub use completion::{Completion, Outcome};
 pub use engine::Timing;
