--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,6 +18,7 @@
 mod refusal;
 pub mod resume;
 pub mod retry;
+pub mod rollout;
 pub mod table;
 pub mod trust;
 pub mod verdict;
--- /dev/null
+++ b/crates/route/src/rollout/sample.rs
@@ -0,0 +1,19 @@
+use macro_rules_attribute::apply;
+use schema::data;
+
+/// what an attempt at a VM shows of its version
+///
+/// Broken connections, refusals and time-outs of the daemon are no samples: they have causes
+/// other than the version. An attempt that is still unanswered after several times the expected time may
+/// be recorded then, once, with the ratio reached.
+#[apply(data!)]
+#[derive(Copy)]
+pub struct Sample<'a> {
+    /// instance id of the VM
+    pub vm: &'a str,
+    /// whether the VM itself responded with a server error
+    pub is_failed: bool,
+    /// time to the first event or response in multiples of what was expected there, if known; ignored for
+    /// a failure
+    pub ratio: Option<f64>,
+}
