--- a/crates/route/src/rollout/evidence.rs
+++ b/crates/route/src/rollout/evidence.rs
@@ -9,17 +9,18 @@
 use super::sample::Sample;
 
 /// number of ranges of the ratio of a time to the expected one
-pub(super) const RATIOS: usize = 18;
+pub(super) const RATIOS: usize = 42;
 
 /// upper end of the lowest range
 const LOWEST_RATIO: f64 = 0.25;
 
-/// ranges in which the ratio doubles
-pub(super) const RATIOS_PER_OCTAVE: f64 = 3.0;
+/// ranges in which the ratio doubles: a limit is met to 4.5 %, so that twice the time of the old
+/// version is told from three times
+const RATIOS_PER_OCTAVE: f64 = 8.0;
 
 /// groups into which the VMs of the new version are divided by a hash: more than the usual number of
 /// canary VMs, and few enough for the size of reports
-const GROUPS: u8 = 16;
+const GROUPS: u8 = 64;
 
 /// seconds that are kept apart at least; twice the longest delay of evidence is enough for the
 /// comparison
@@ -61,7 +62,6 @@
 
 /// counts of responses
 #[apply(value!)]
-#[derive(Default)]
 pub(super) struct Counts {
     /// all responses
     pub answered: u32,
@@ -71,6 +71,16 @@
     pub ratios: [u32; RATIOS],
 }
 
+impl Default for Counts {
+    fn default() -> Counts {
+        Counts {
+            answered: 0,
+            failed: 0,
+            ratios: [0; RATIOS],
+        }
+    }
+}
+
 impl Counts {
     pub fn add(&mut self, other: &Counts) {
         self.answered = self.answered.saturating_add(other.answered);
@@ -87,9 +97,10 @@
         Evidence::default()
     }
 
-    /// records a response to a request sent in this second since the request for the roll-out
+    /// records a response that came in this second since the request for the roll-out
     ///
-    /// `route` is a hash of the route.
+    /// It is the second of the response, not that of sending: otherwise a recent second would have fast
+    /// responses only, which hide the slow ones before them. `route` is a hash of the route.
     pub fn record(&mut self, second: u32, is_target: bool, route: u64, sample: &Sample<'_>) {
         let mut counts = Counts {
             answered: 1,
@@ -107,16 +118,14 @@
             route: route as u8,
         };
         self.add_counts(cell, &counts);
-        self.compact();
     }
 
     /// adds evidence of other daemons
     pub fn add(&mut self, other: &Evidence) {
+        self.advance(other.latest);
         for (cell, counts) in &other.cells {
             self.add_counts(*cell, counts);
         }
-        self.latest = self.latest.max(other.latest);
-        self.compact();
     }
 
     /// the part from a second on, for a report between full ones
@@ -134,10 +143,10 @@
     /// takes over a later part of the same daemon's evidence
     pub fn replace(&mut self, part: &Evidence) {
         for (cell, counts) in &part.cells {
-            self.cells.insert(*cell, *counts);
+            self.cells.remove(cell);
+            self.add_counts(*cell, counts);
         }
-        self.latest = self.latest.max(part.latest);
-        self.compact();
+        self.advance(part.latest);
     }
 
     /// whether nothing is recorded
@@ -150,33 +159,66 @@
         self.cells.len()
     }
 
-    fn add_counts(&mut self, cell: Cell, counts: &Counts) {
-        self.latest = self.latest.max(cell.second);
-        self.cells.entry(cell).or_default().add(counts);
+    /// requests a second, up to the latest one; none without any
+    pub(super) fn rate(&self) -> Option<f64> {
+        let answered: u64 = self
+            .cells
+            .values()
+            .map(|counts| u64::from(counts.answered))
+            .sum();
+        (answered > 0).then(|| answered as f64 / (f64::from(self.latest) + 1.0))
     }
 
-    /// merges old seconds, and drops the oldest ones above the largest number of cells
-    fn compact(&mut self) {
-        let until = self.latest.saturating_sub(RECENT_S) / MERGED_S * MERGED_S;
-        let is_merged = |cell: &Cell| cell.second >= until || cell.second.is_multiple_of(MERGED_S);
-        // merged seconds are a prefix, so that usually there is none to be merged
-        let apart: Vec<Cell> = self
-            .cells
-            .range(..first_cell(until))
-            .map(|(cell, _)| *cell)
-            .filter(|cell| !is_merged(cell))
-            .collect();
-        for cell in apart {
-            if let Some(counts) = self.cells.remove(&cell) {
-                let second = cell.second / MERGED_S * MERGED_S;
-                let merged = Cell { second, ..cell };
-                self.cells.entry(merged).or_default().add(&counts);
-            }
+    pub(super) fn latest(&self) -> u32 {
+        self.latest
+    }
+
+    pub(super) fn cells(&self) -> impl Iterator<Item = (&Cell, &Counts)> {
+        self.cells.iter()
+    }
+
+    fn add_counts(&mut self, mut cell: Cell, counts: &Counts) {
+        self.advance(cell.second);
+        if cell.second < merged_until(self.latest) {
+            cell.second -= cell.second % MERGED_S;
         }
+        self.cells.entry(cell).or_default().add(counts);
         while self.cells.len() > MAX_CELLS {
             self.cells.pop_first();
         }
     }
+
+    /// takes note of a second, and merges those that are old by then
+    fn advance(&mut self, second: u32) {
+        if second <= self.latest {
+            return;
+        }
+        let merged = first_cell(merged_until(self.latest));
+        self.latest = second;
+        let kept = self.cells.split_off(&first_cell(merged_until(second)));
+        let apart = self.cells.split_off(&merged);
+        for (mut cell, counts) in apart {
+            cell.second -= cell.second % MERGED_S;
+            self.cells.entry(cell).or_default().add(&counts);
+        }
+        self.cells.extend(kept);
+    }
+}
+
+/// second before which seconds are merged
+fn merged_until(latest: u32) -> u32 {
+    latest.saturating_sub(RECENT_S) / MERGED_S * MERGED_S
+}
+
+/// the range that begins closest to a ratio
+pub(super) fn nearest_range(ratio: f64) -> usize {
+    let above = (ratio / LOWEST_RATIO).log2() * RATIOS_PER_OCTAVE;
+    (1 + above.round().max(0.0) as usize).min(RATIOS - 1)
+}
+
+/// the ratio at a part of a range
+pub(super) fn ratio_in(range: usize, part: f64) -> f64 {
+    LOWEST_RATIO * ((range as f64 - 1.0 + part) / RATIOS_PER_OCTAVE).exp2()
 }
 
 /// the range of a ratio
@@ -272,7 +314,6 @@
         };
         evidence.add_counts(cell, &counts);
     }
-    evidence.compact();
     Some(evidence)
 }
 
--- a/crates/route/src/rollout/mod.rs
+++ b/crates/route/src/rollout/mod.rs
@@ -18,10 +18,12 @@
 //! final: the caller keeps it and passes it in as [`View::is_stopped`].
 
 mod canary;
+mod compare;
 mod decide;
 mod decision;
 mod evidence;
 mod order;
+mod plan;
 mod sample;
 mod view;
 
--- a/crates/route/src/rollout/order.rs
+++ b/crates/route/src/rollout/order.rs
@@ -7,7 +7,7 @@
 const CANARY_PART: f64 = 0.7;
 
 /// time that the old version's requests take to end if the caller of [`Bounds::new`] knows nothing better
-const DRAIN: Duration = Duration::from_millis(2500);
+const DRAIN: Duration = Duration::from_secs(2);
 
 /// an operator's request to move a service to a version
 #[apply(message!)]
