Carry out roll-outs in the gateway: first usable state

Orders are watched and passed on by the relay, evidence and stops are exchanged between the daemons, the balancer splits requests by version, and the lease holder writes the status.

--- a/crates/gateway/src/adapter/objects.rs
+++ b/crates/gateway/src/adapter/objects.rs
@@ -5,7 +5,7 @@
 use schema::{data, message};
 use serde_json::Value;
 
-use crate::model::{Config, Vm};
+use crate::model::{Config, Rollout, RolloutStatus, Vm};
 
 /// position in the history of the store
 ///
@@ -47,6 +47,8 @@
     pub revision: Revision,
     /// content
     pub spec: Value,
+    /// what daemons state about the content; null if they state nothing
+    pub status: Value,
 }
 
 /// all objects of one kind
@@ -135,6 +137,8 @@
     const CONFIG_NAME: &'static str;
     /// kind of the objects by which VMs register themselves
     const VM_KIND: &'static str;
+    /// kind of the objects by which operators request roll-outs
+    const ROLLOUT_KIND: &'static str;
 
     /// highest generation that any response of the store has shown; none before the first one
     fn generation(&self) -> Option<u64>;
@@ -151,6 +155,18 @@
     /// A description of the invalid content.
     fn vm(&self, name: &str, spec: &Value) -> Result<Vm, String>;
 
+    /// decodes a request for a roll-out
+    ///
+    /// # Errors
+    /// A description of the invalid content.
+    fn rollout(&self, spec: &Value) -> Result<Rollout, String>;
+
+    /// decodes the status of a roll-out; none if there is none, or an invalid one
+    fn rollout_status(&self, status: &Value) -> Option<RolloutStatus>;
+
+    /// encodes the status of a roll-out
+    fn encode_rollout_status(&self, status: &RolloutStatus) -> Value;
+
     /// lists all objects of a kind
     async fn list(&self, kind: &str) -> Result<List, ObjectError>;
 
@@ -173,4 +189,16 @@
         spec: &Value,
         how: Write,
     ) -> Result<Revision, ObjectError>;
+
+    /// writes the status of an object at this revision and returns its new revision; the content
+    /// stays as it is
+    ///
+    /// Fails with a conflict if the object has another revision.
+    async fn write_status(
+        &self,
+        kind: &str,
+        name: &str,
+        status: &Value,
+        base: Revision,
+    ) -> Result<Revision, ObjectError>;
 }
--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -14,7 +14,7 @@
 use crate::peers::{Peers, exchange_reports};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{follow, listeners};
+use crate::{follow, listeners, rollout};
 
 /// shortest time from the termination signal to exit: the load balancer checks readiness once
 /// a second and sends new callers until two checks have failed
@@ -70,6 +70,8 @@
     spawn_local(listeners::callers(Rc::clone(&shared), callers));
     spawn_local(follow::config(Rc::clone(&shared), Rc::clone(&objects)));
     spawn_local(follow::vms(Rc::clone(&shared), Rc::clone(&objects)));
+    spawn_local(follow::rollouts(Rc::clone(&shared), Rc::clone(&objects)));
+    spawn_local(rollout::evaluate(Rc::clone(&shared)));
     let peer_state = Peers::new(&settings.name, &settings.zone);
     let lease = Lease::new(&*shared, &peer_state);
     spawn_local(listeners::metrics(
@@ -83,6 +85,11 @@
         Rc::clone(&peer_state),
     ));
     spawn_local(Rc::clone(&lease).run(Rc::clone(&objects)));
+    spawn_local(rollout::write_statuses(
+        Rc::clone(&shared),
+        Rc::clone(&objects),
+        Rc::clone(&lease),
+    ));
     let duty = (lease, Rc::clone(&peer_state));
     spawn_local(write_checkpoints(
         Rc::clone(&shared),
--- a/crates/gateway/src/checkpoint/read.rs
+++ b/crates/gateway/src/checkpoint/read.rs
@@ -58,5 +58,6 @@
         record.limits.clear();
     }
     quarantine::apply_marks(shared, &record.marks, false);
+    shared.restore_rollouts(std::mem::take(&mut record.rollouts), &record.stops);
     shared.restore(record);
 }
--- a/crates/gateway/src/checkpoint/record.rs
+++ b/crates/gateway/src/checkpoint/record.rs
@@ -6,6 +6,7 @@
 use route::quota;
 use schema::message;
 
+use crate::rollout::{Saved, Stop};
 use crate::usage::Counts;
 
 /// checkpoint age beyond which its limits are ignored: callers' demand does not stay the same
@@ -58,6 +59,12 @@
     /// quarantined parts of prompts
     #[serde(default)]
     pub marks: Vec<Mark>,
+    /// roll-outs
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<Saved>,
+    /// versions that get no requests
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stops: Vec<Stop>,
 }
 
 impl Record {
--- a/crates/gateway/src/checkpoint/write.rs
+++ b/crates/gateway/src/checkpoint/write.rs
@@ -25,13 +25,18 @@
 ) {
     let (lease, peers) = duty;
     loop {
-        sleep(INTERVAL).await;
+        tokio::select! {
+            () = sleep(INTERVAL) => {}
+            () = shared.rollouts.checkpoint_due.notified() => {}
+        }
         if lease.permit().is_none() {
             continue;
         }
         let record = record(&shared, &peers);
         let has_counts = !record.windows.values().all(Counts::is_empty);
-        if record.limits.is_empty() && record.marks.is_empty() && !has_counts {
+        let has_rollouts = !record.rollouts.is_empty() || !record.stops.is_empty();
+        let is_empty = record.limits.is_empty() && record.marks.is_empty();
+        if is_empty && !has_counts && !has_rollouts {
             continue;
         }
         let spec = match serde_json::to_value(&record) {
@@ -65,6 +70,8 @@
         generation: shared.generation.current(),
         daemons: shared.daemons.get(),
         marks: shared.quarantine.parts.borrow().marks(),
+        rollouts: shared.saved_rollouts(),
+        stops: shared.stops_in_force(),
         ..Record::default()
     };
     for window in (newest + 1).saturating_sub(MAX_WINDOWS)..=newest {
--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -9,12 +9,15 @@
 use crate::shared::Shared;
 
 impl<D: Dialect> Shared<D> {
-    /// whether a VM may get a request now: it is listed as ready and has not closed itself
+    /// whether a VM may get a request now: it is listed as ready, has not closed itself, and
+    /// its version is not stopped
     pub fn accepts_requests(&self, service: &str, id: &str) -> bool {
         let is_ready = |vm: &Rc<Vm>| vm.health == Health::Ready;
         let is_listed = self.vms.borrow().get(id).is_some_and(is_ready);
         let placement = self.placement.borrow();
-        is_listed && !placement.is_closed(service, id, Instant::now())
+        is_listed
+            && !placement.is_closed(service, id, Instant::now())
+            && !placement.is_stopped(service, id)
     }
 
     /// excludes a VM that drains from further requests; false if that was known
--- a/crates/gateway/src/duty/capacity.rs
+++ b/crates/gateway/src/duty/capacity.rs
@@ -75,9 +75,16 @@
         for service in config.services.values() {
             if let Some(scaling) = &service.scaling {
                 let orders = plan(&shared, &peers, service, scaling, &mut states);
-                // before all live VMs have registered, orders may only add VMs
-                let is_safe = |order: &PoolOrder| is_complete || order.is_increase;
-                for order in orders.into_iter().filter(is_safe) {
+                let target = shared.rollout_target(&service.name);
+                // before all live VMs have registered, and while there are two versions, orders may only
+                // add VMs
+                let may_reduce = is_complete && target.is_none();
+                let is_safe = |order: &PoolOrder| may_reduce || order.is_increase;
+                for mut order in orders.into_iter().filter(is_safe) {
+                    if target.is_some() {
+                        let live = live_in_pool(&shared, service, &order);
+                        order.count = order.count.max(live);
+                    }
                     let state = states.get_mut(&service.name);
                     send(&*cloud, &lease, service, &order, state).await;
                 }
@@ -148,12 +155,27 @@
     orders
 }
 
-/// zones of a service with their prices and live VMs
+/// live VMs of all versions in the pool of an order
+fn live_in_pool<D: Dialect>(shared: &Shared<D>, service: &Service, order: &PoolOrder) -> u32 {
+    let vms = shared.vms.borrow();
+    let in_pool = vms.values().filter(|vm| {
+        vm.service == service.name
+            && vm.health == Health::Ready
+            && vm.zone == order.zone
+            && vm.reclaimable == order.reclaimable
+    });
+    u32::try_from(in_pool.count()).unwrap_or(u32::MAX)
+}
+
+/// zones of a service with their prices and live VMs, without those of a version to which the service is
+/// being moved: the doubled number is no idle capacity
 fn zones<D: Dialect>(shared: &Shared<D>, service: &Service, scaling: &Scaling) -> Vec<Zone> {
     let mut live_by_zone: HashMap<&str, VmCounts> = HashMap::new();
+    let target = shared.rollout_target(&service.name);
     let vms = shared.vms.borrow();
     for vm in vms.values() {
-        if vm.service != service.name || vm.health != Health::Ready {
+        let is_target = target.as_ref() == Some(&vm.version);
+        if vm.service != service.name || vm.health != Health::Ready || is_target {
             continue;
         }
         let live = live_by_zone.entry(&vm.zone).or_default();
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,4 +1,4 @@
-//! The configuration and the upstream VMs, as the object API has them.
+//! The configuration, the upstream VMs and the requests for roll-outs, as the object API has them.
 //!
 //! One daemon of a group watches the object API for changes; the others receive the same state
 //! from it (`crate::relay`) and read the object API only at their start, if no peer answers, and
@@ -11,11 +11,13 @@
 mod departed;
 mod relayed;
 mod restoration;
+mod rollouts;
 mod vms;
 
 pub use config::config;
 pub use departed::Departed;
 pub use relayed::apply_reply;
+pub use rollouts::rollouts;
 pub use vms::vms;
 
 use std::time::Duration;
--- a/crates/gateway/src/follow/relayed.rs
+++ b/crates/gateway/src/follow/relayed.rs
@@ -8,7 +8,7 @@
 use super::config::apply_if_newer;
 use crate::adapter::{Dialect, Objects};
 use crate::model::Vm;
-use crate::relay::{ConfigUpdate, Reply, VmChange, VmUpdate};
+use crate::relay::{ConfigUpdate, Reply, RolloutUpdate, VmChange, VmUpdate};
 use crate::shared::Shared;
 
 /// applies another daemon's reply to a call that was sent at a time, by [`Shared::clock`]; false
@@ -32,6 +32,9 @@
     if let Some(revision) = reply.config_revision {
         shared.relay.set_config_revision(revision);
     }
+    if let Some(update) = reply.rollouts {
+        apply_rollouts(shared, update, written_at);
+    }
     reply
         .vms
         .is_some_and(|update| apply_vms(shared, update, written_at))
@@ -44,6 +47,20 @@
     }
 }
 
+fn apply_rollouts<D: Dialect>(shared: &Shared<D>, update: RolloutUpdate, written_at: Instant) {
+    let is_restored = update.revision.generation < shared.generation.current();
+    if is_restored || Some(update.revision) < shared.relay.rollouts_revision() {
+        return;
+    }
+    let age = Duration::from_millis(update.age_ms);
+    if let Some(at) = written_at.checked_sub(age) {
+        shared.relay.confirm_rollouts(update.revision, at);
+    }
+    if let Some(entries) = update.entries {
+        shared.set_rollouts(entries);
+    }
+}
+
 fn apply_vms<D: Dialect>(shared: &Shared<D>, update: VmUpdate, written_at: Instant) -> bool {
     let is_restored = update.revision.generation < shared.generation.current();
     if is_restored || Some(update.revision) < shared.relay.vm_revision() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod pool;
 pub mod quarantine;
 pub mod relay;
+pub mod rollout;
 pub mod serve;
 mod settings;
 mod shared;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub latency: HistogramVec,
     /// calls to the platform's APIs by call and outcome
     pub calls: IntCounterVec,
+    /// responses during roll-outs by service, version and outcome
+    pub versions: IntCounterVec,
     /// current values by name, such as the configuration's version and age
     pub states: IntGaugeVec,
 }
@@ -52,6 +54,11 @@
             "Calls to the platform by call and outcome.",
             &["call", "outcome"],
         );
+        let versions = counter(
+            "agateloom_rollout_responses_total",
+            "Responses during roll-outs by service, version of the VM and outcome.",
+            &["service", "version", "outcome"],
+        );
         let options = HistogramOpts::new(
             "agateloom_latency_seconds",
             "Time to the answer or the first event by route.",
@@ -70,6 +77,7 @@
             attempts,
             latency,
             calls,
+            versions,
             states,
         }
     }
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -5,10 +5,12 @@
 
 mod call;
 mod config;
+mod rollout;
 mod route;
 mod vm;
 
 pub use call::{Call, Part};
 pub use config::{Bounds, Config, Engine, KeyHash, Limit, Scaling, Service, Unit, Workspace};
+pub use rollout::{Rollout, RolloutStatus};
 pub use route::{Kind, Route, Target};
 pub use vm::{Health, Vm};
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -15,6 +15,7 @@
 use crate::origin;
 use crate::quarantine::{apply_evidence, evaluate_crashes};
 use crate::relay::{Known, Reply};
+use crate::rollout::apply_stops;
 use crate::shared::Shared;
 
 /// capacity of the queue of received messages
@@ -75,7 +76,7 @@
     while let Some(message) = queue.recv().await {
         match message {
             Message::Report(report, reply) => {
-                let others = peers.others(&report);
+                let others = peers.others(shared, &report);
                 peers.receive(shared, *report);
                 if reply.send(others).is_err() {
                     tracing::debug!(event = "report_given_up");
@@ -85,6 +86,7 @@
                 let is_forwarded = peers.topology().is_delegate();
                 notices::apply(shared, &update.notices, is_forwarded);
                 apply_evidence(shared, &update.evidence, is_forwarded);
+                apply_stops(shared, &update.stops, is_forwarded);
             }
             Message::Refund(charge) => refund_peer(shared, &charge),
             Message::Records(batch) => shared.merge_origins(&batch),
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -7,6 +7,7 @@
 use schema::message;
 
 use crate::freshness::Confirmation;
+use crate::rollout::{Progress, Stop};
 use crate::usage::Snapshot;
 
 /// which daemons a report covers
@@ -63,12 +64,15 @@
     /// crashes and quarantined parts
     #[serde(default, skip_serializing_if = "Evidence::is_empty")]
     pub evidence: Evidence,
+    /// versions that get no requests
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stops: Vec<Stop>,
 }
 
 impl Update {
     /// whether there is nothing to send
     pub fn is_empty(&self) -> bool {
-        self.notices.is_empty() && self.evidence.is_empty()
+        self.notices.is_empty() && self.evidence.is_empty() && self.stops.is_empty()
     }
 }
 
@@ -122,6 +126,12 @@
     /// times of day at other daemons of the zone, for a process that has just started
     #[serde(default)]
     pub times_ms: HashMap<String, u64>,
+    /// roll-outs in progress
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<Progress>,
+    /// versions that get no requests
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stops: Vec<Stop>,
 }
 
 impl Report {
--- a/crates/gateway/src/peers/reporter.rs
+++ b/crates/gateway/src/peers/reporter.rs
@@ -85,7 +85,9 @@
             self.peers.reports.borrow_mut().set_local(report.clone());
             if sends_zone_sum {
                 zone_sum_next = now + ZONE_SUM_INTERVAL;
-                let zone = self.peers.reports.borrow_mut().zone_sum(now);
+                let mut zone = self.peers.reports.borrow_mut().zone_sum(now);
+                zone.rollouts = self.shared.rollout_progress_of_zone();
+                zone.stops = self.shared.stops_in_force();
                 self.send(&members, topology.remote_delegates(), &zone)
                     .await;
             }
@@ -103,18 +105,20 @@
         placement.set_report_interval(interval);
     }
 
-    /// sends what VMs stated and evidence of crashes as soon as there is some
+    /// sends what VMs stated, evidence of crashes and stops of versions as soon as there are some
     pub async fn run_updates(&self) {
         let shared = &self.shared;
         loop {
             tokio::select! {
                 () = shared.notices.news_ready.notified() => {}
                 () = shared.quarantine.evidence_ready.notified() => {}
+                () = shared.rollouts.news_ready.notified() => {}
             }
             sleep(UPDATE_BATCH_TIME).await;
             let update = Update {
                 notices: shared.notices.news.take(),
                 evidence: shared.quarantine.evidence.take(),
+                stops: shared.rollouts.news.take(),
             };
             if !update.is_empty() {
                 self.send_update(&update, &self.peers.topology().update_peers());
@@ -160,6 +164,7 @@
         let mut reports = self.peers.reports.borrow_mut();
         reports.set_topology(topology.clone());
         self.shared.origins.set_topology(&topology);
+        self.shared.rollouts.set_topology(&topology);
         let is_alone = topology.group_peers().is_empty() && self.registered > 1;
         if !is_alone {
             self.shared.is_joined.set(true);
@@ -267,6 +272,8 @@
             counts: Snapshot { windows },
             notices: shared.notices.table.borrow().in_force(now_ms),
             marks: shared.quarantine.parts.borrow().marks(),
+            rollouts: shared.rollout_progress(),
+            stops: shared.stops_in_force(),
             ..Report::default()
         }
     }
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -13,6 +13,7 @@
 use crate::adapter::Dialect;
 use crate::notices;
 use crate::quarantine;
+use crate::rollout;
 use crate::shared::Shared;
 use crate::usage::Counts;
 
@@ -104,6 +105,7 @@
         let is_forwarded = self.topology().is_delegate();
         notices::apply(shared, &report.notices, is_forwarded);
         quarantine::apply_marks(shared, &report.marks, is_forwarded);
+        rollout::receive(shared, &report, is_forwarded);
         let mut reports = self.reports.borrow_mut();
         let mut placement = shared.placement.borrow_mut();
         if let Some(report) = reports.receive(report, now) {
@@ -113,10 +115,19 @@
     }
 
     /// the sum of all daemons but the one that sent this report, if this daemon collects them
-    pub(super) fn others(&self, receiver: &Report) -> Option<Box<Report>> {
+    pub(super) fn others<D: Dialect>(
+        &self,
+        shared: &Shared<D>,
+        receiver: &Report,
+    ) -> Option<Box<Report>> {
         let mut reports = self.reports.borrow_mut();
-        let is_asked = receiver.wants_others && reports.topology().is_delegate();
-        is_asked.then(|| Box::new(reports.others(receiver, Instant::now())))
+        if !receiver.wants_others || !reports.topology().is_delegate() {
+            return None;
+        }
+        let mut others = reports.others(receiver, Instant::now());
+        others.rollouts = shared.rollout_progress_for(receiver);
+        others.stops = shared.stops_in_force();
+        Some(Box::new(others))
     }
 
     /// updates this daemon's share of each limit from the spending and demand of all daemons
--- a/crates/gateway/src/peers/topology.rs
+++ b/crates/gateway/src/peers/topology.rs
@@ -175,12 +175,17 @@
 
     /// whether a report counts, given that each daemon has to be counted exactly once
     pub fn accepts(&self, report: &Report) -> bool {
+        self.accepts_from(report.scope, &report.zone)
+    }
+
+    /// whether a report with a scope from a zone counts
+    pub(crate) fn accepts_from(&self, scope: Scope, zone: &str) -> bool {
         if self.is_single_group {
-            return report.scope == Scope::Daemon;
+            return scope == Scope::Daemon;
         }
-        match report.scope {
-            Scope::Daemon => self.is_delegate() && report.zone == self.me.zone,
-            Scope::Zone => self.is_delegate() && report.zone != self.me.zone,
+        match scope {
+            Scope::Daemon => self.is_delegate() && zone == self.me.zone,
+            Scope::Zone => self.is_delegate() && zone != self.me.zone,
             Scope::Others => !self.is_delegate(),
         }
     }
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -5,6 +5,7 @@
 use crate::adapter::Revision;
 use crate::freshness::Confirmation;
 use crate::model::Vm;
+use crate::rollout::Entry;
 
 /// a call of a follower: what it knows, and how long to hold the call
 #[apply(message!)]
@@ -16,6 +17,9 @@
     pub vms: Position,
     /// longest time for which the call is held if there is nothing newer, milliseconds
     pub wait_ms: u64,
+    /// hash of its list of requests for roll-outs, if it has one
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollouts: Option<u64>,
 }
 
 /// state of a daemon's list of VMs
@@ -46,6 +50,9 @@
     pub config_revision: Option<Revision>,
     /// the list of VMs
     pub vms: Option<VmUpdate>,
+    /// the requests for roll-outs, if the deployment uses them
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollouts: Option<RolloutUpdate>,
 }
 
 /// a configuration as it stands in the store
@@ -70,6 +77,18 @@
     pub change: VmChange,
 }
 
+/// state of the list of requests for roll-outs
+#[apply(message!)]
+pub struct RolloutUpdate {
+    /// revision of the store up to which the list is complete
+    pub revision: Revision,
+    /// how long ago the list was known to be complete, milliseconds, rounded up
+    pub age_ms: u64,
+    /// the list, if the follower has another one
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entries: Option<Vec<Entry>>,
+}
+
 /// difference between two lists of VMs
 #[apply(message!)]
 pub enum VmChange {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -18,9 +18,10 @@
 mod cursor;
 mod encoded;
 mod message;
+mod rollouts;
 mod state;
 
 pub use cursor::Cursor;
 pub use encoded::Encoded;
-pub use message::{ConfigUpdate, Known, Position, Reply, VmChange, VmUpdate};
+pub use message::{ConfigUpdate, Known, Position, Reply, RolloutUpdate, VmChange, VmUpdate};
 pub use state::Relay;
--- a/crates/gateway/src/relay/state.rs
+++ b/crates/gateway/src/relay/state.rs
@@ -9,10 +9,12 @@
 
 use super::Encoded;
 use super::message::{ConfigUpdate, Known, Position, Reply, VmChange, VmUpdate};
+use super::rollouts::Rollouts;
 use crate::adapter::Revision;
 use crate::clock::Clock;
 use crate::freshness::Freshness;
 use crate::model::{Health, Vm};
+use crate::rollout::Entry;
 
 /// longest time for which a call is held, whatever the caller asks for
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -40,6 +42,7 @@
     config: Option<Config>,
     config_revision: Option<Revision>,
     vms: Vms,
+    rollouts: Rollouts,
 }
 
 struct Config {
@@ -149,12 +152,40 @@
         Some(self.shared.clock.now().saturating_duration_since(at))
     }
 
+    /// replaces the requests for roll-outs
+    pub fn set_rollouts(&self, entries: Vec<Entry>) {
+        if self.state().rollouts.replace(entries) {
+            self.shared.changed.notify_waiters();
+        }
+    }
+
+    /// records that the list of requests was complete up to a revision and at a time; neither moves
+    /// back
+    pub fn confirm_rollouts(&self, revision: Revision, at: Instant) {
+        self.state().rollouts.confirm(revision, at);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// revision up to which the list of requests is complete
+    pub fn rollouts_revision(&self) -> Option<Revision> {
+        let (revision, _) = self.state().rollouts.confirmed()?;
+        Some(revision)
+    }
+
+    /// when the list of requests was last known to be complete
+    pub fn rollouts_confirmed_at(&self) -> Option<Instant> {
+        let (_, at) = self.state().rollouts.confirmed()?;
+        Some(at)
+    }
+
     /// what this daemon would ask another one for
     pub fn known(&self, vms: Position, wait: Duration) -> Known {
+        let state = self.state();
         Known {
-            config: self.state().config.as_ref().map(Config::order),
+            config: state.config.as_ref().map(Config::order),
             vms,
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+            rollouts: state.rollouts.hash(),
         }
     }
 
@@ -196,6 +227,7 @@
             confirmation,
             config_revision: state.config_revision,
             vms: state.vms.update(known.vms, now),
+            rollouts: state.rollouts.update(known.rollouts, now),
         }
     }
 
@@ -216,7 +248,10 @@
     /// whether it has anything but confirmations
     fn has_change(&self) -> bool {
         let is_changed = |vms: &VmUpdate| vms.change != VmChange::None;
-        self.config.is_some() || self.vms.as_ref().is_some_and(is_changed)
+        let rollouts = self.rollouts.as_ref();
+        self.config.is_some()
+            || self.vms.as_ref().is_some_and(is_changed)
+            || rollouts.is_some_and(|update| update.entries.is_some())
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/rollout/versions.rs
@@ -0,0 +1,73 @@
+use std::collections::{BTreeMap, HashMap};
+
+use tokio::time::Instant;
+
+use crate::model::Vm;
+
+/// versions of the listed VMs, and when each was first seen
+///
+/// Load pattern: VMs of a new version are started together with the request to move to it, and a daemon
+/// may learn of them first. It uses a version that it has not known before only once the list of requests is
+/// known to be newer than that.
+#[derive(Debug, Default)]
+pub(super) struct Versions {
+    first_seen: BTreeMap<(String, String), Instant>,
+}
+
+impl Versions {
+    /// records the listed VMs; true if there is a version that was not known
+    pub fn record<'a>(&mut self, vms: impl Iterator<Item = &'a Vm>, now: Instant) -> bool {
+        let mut listed = BTreeMap::new();
+        let mut has_new = false;
+        for vm in vms {
+            let key = (vm.service.clone(), vm.version.clone());
+            let known = self.first_seen.get(&key);
+            has_new |= known.is_none();
+            listed.insert(key, known.copied().unwrap_or(now));
+        }
+        self.first_seen = listed;
+        has_new
+    }
+
+    /// whether VMs of a version are listed
+    pub fn is_listed(&self, service: &str, version: &str) -> bool {
+        let key = (service.to_owned(), version.to_owned());
+        self.first_seen.contains_key(&key)
+    }
+
+    /// the versions of a service that were first seen after the list of requests was known to be
+    /// complete; if none was known before, all but that of the VM that started first
+    pub fn unconfirmed<'a>(
+        &self,
+        service: &str,
+        vms: impl Iterator<Item = &'a Vm>,
+        confirmed_at: Option<Instant>,
+    ) -> Vec<String> {
+        let is_confirmed = |seen: Instant| confirmed_at.is_some_and(|at| at >= seen);
+        let of_service = self
+            .first_seen
+            .iter()
+            .filter(|((name, _), _)| name == service);
+        let seen: HashMap<&str, Instant> = of_service
+            .map(|((_, version), at)| (version.as_str(), *at))
+            .collect();
+        let mut unconfirmed: Vec<String> = seen
+            .iter()
+            .filter(|(_, at)| !is_confirmed(**at))
+            .map(|(version, _)| (*version).to_owned())
+            .collect();
+        let first_seen = seen.values().min();
+        // versions that were first seen together: that of the oldest VM is the one in use
+        let together: Vec<&str> = seen
+            .iter()
+            .filter(|(_, at)| Some(*at) == first_seen)
+            .map(|(version, _)| *version)
+            .collect();
+        let of_these =
+            vms.filter(|vm| vm.service == service && together.contains(&vm.version.as_str()));
+        if let Some(oldest) = of_these.min_by_key(|vm| vm.started_at_ms) {
+            unconfirmed.retain(|version| *version != oldest.version);
+        }
+        unconfirmed
+    }
+}
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -149,7 +149,7 @@
     sending: &Sending<'_>,
 ) -> Result<VmResponse<D>, AttemptError> {
     let vm = sending.vm;
-    let mut in_flight = InFlight::begin(shared, request, &vm.id, sending.pick.uncached);
+    let mut in_flight = InFlight::begin(shared, request, vm, sending.pick);
     let message = build_message(shared, request, vm, sending.resume_after);
     let exchange = match exchange(shared, request, sending, message).await {
         Ok(exchange) => exchange,
@@ -158,6 +158,10 @@
                 in_flight.set_outcome(Outcome::Broken);
                 shared.pool.close_idle(vm.address);
             }
+            if matches!(error, Error::Connect(_)) {
+                let mut placement = shared.placement.borrow_mut();
+                placement.record_unreachable(&request.service, &vm.id, Instant::now());
+            }
             if matches!(error, Error::Lost(_)) {
                 quarantine::record_broken(shared, request, vm, None);
             }
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -1,11 +1,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use route::placement::{Completion, Outcome, TimeLimit, Work};
+use route::placement::{Completion, Outcome, Pick, TimeLimit, Work};
 use tokio::time::Instant;
 
 use super::request::Request;
 use crate::adapter::Dialect;
+use crate::model::Vm;
+use crate::rollout::Attempt;
 use crate::shared::Shared;
 
 /// a request in flight at a VM; removed from the balancer's load when dropped
@@ -17,32 +19,36 @@
     is_prefilling: bool,
     outcome: Outcome,
     latency: Option<Duration>,
+    /// the same attempt, if the deployment uses roll-outs
+    attempt: Option<Attempt<D>>,
 }
 
 impl<D: Dialect> InFlight<D> {
     /// adds a request to the balancer's load
-    pub fn begin(
-        shared: &Rc<Shared<D>>,
-        request: &Request,
-        id: &str,
-        uncached: u32,
-    ) -> InFlight<D> {
+    pub fn begin(shared: &Rc<Shared<D>>, request: &Request, vm: &Vm, pick: &Pick) -> InFlight<D> {
         let work = Work {
-            prefill_tokens: uncached,
-            held: uncached.saturating_add(request.call.output_tokens()),
+            prefill_tokens: pick.uncached,
+            held: pick.uncached.saturating_add(request.call.output_tokens()),
         };
         let placement_request = request.placement_request(&[], TimeLimit::total(Duration::ZERO));
         let mut balancer = shared.placement.borrow_mut();
-        balancer.begin(&placement_request, id, &work, Instant::now());
+        balancer.begin(&placement_request, &vm.id, &work, Instant::now());
         drop(balancer);
         InFlight {
             shared: Rc::clone(shared),
             service: request.service.clone(),
-            id: id.to_owned(),
+            id: vm.id.clone(),
             work,
             is_prefilling: true,
             outcome: Outcome::Cancelled,
             latency: None,
+            attempt: Attempt::begin(
+                shared,
+                vm,
+                &request.route.name,
+                request.route.kind,
+                pick.usual,
+            ),
         }
     }
 
@@ -62,6 +68,21 @@
         balancer.record_first_token(&self.service, &self.id, &self.work);
     }
 
+    /// records the first event of a stream, or that a response is complete, as a sample of the VM's
+    /// version
+    pub fn record_response(&self, is_failed: bool) {
+        if let Some(attempt) = &self.attempt {
+            attempt.record_response(is_failed);
+        }
+    }
+
+    /// records that a stream has begun, which goes on at the version of this VM only
+    pub fn bind(&self) {
+        if let Some(attempt) = &self.attempt {
+            attempt.bind();
+        }
+    }
+
     /// sets how the request ended; without it the request counts as cancelled
     pub fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -127,6 +127,7 @@
         Outcome::Answered
     });
     in_flight.set_latency(sent_at.elapsed());
+    in_flight.record_response(is_server_error);
     quarantine::record_success(shared, request, Instant::now());
     record_response(shared, request, vm, &head, sent_at.elapsed());
     count_usage(shared, request);
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -150,6 +150,8 @@
                     return Err(lost_attempt());
                 }
                 if has_data {
+                    vm_stream.in_flight.record_response(false);
+                    vm_stream.in_flight.bind();
                     self.record_origin(vm, vm_stream.opened_at());
                 }
                 vm_stream.in_flight.record_first_token();
@@ -158,6 +160,7 @@
             Ok(Ok(Next::End(rest))) => {
                 vm_stream.log_end(shared, request, &rest);
                 vm_stream.in_flight.set_outcome(Outcome::Answered);
+                vm_stream.in_flight.record_response(false);
                 vm_stream.connection.release();
                 record_response(shared, request, vm, &head, request.arrived.elapsed());
                 Ok(Opened::Buffered(build_response(
@@ -284,6 +287,7 @@
         Err(_) => return Err(lost_attempt()),
     };
     connection.release();
+    in_flight.record_response(is_server_error);
     record_response(shared, request, vm, &head, request.arrived.elapsed());
     // a server error that the VM itself sends means that it ran the request
     if is_server_error {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use route::quota;
+use route::{quota, rollout};
 
 use crate::model::{Limit, Unit};
 
@@ -101,6 +101,8 @@
     pub orders_capacity: bool,
     /// time limits and budgets
     pub policy: Policy,
+    /// bounds of roll-outs; none if the deployment does not use them
+    pub rollout: Option<rollout::Bounds>,
 }
 
 impl Settings {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -35,6 +35,7 @@
 use crate::pool::Pool;
 use crate::quarantine;
 use crate::relay::{Position, Relay};
+use crate::rollout;
 use crate::settings::Settings;
 use crate::stage::Stage;
 use crate::usage::Tally;
@@ -109,6 +110,8 @@
     pub origins: origin::State,
     /// prompt parts that crash VMs
     pub quarantine: quarantine::State,
+    /// moves of services to other software versions
+    pub rollouts: rollout::State,
     /// rate limits for log lines
     pub sampler: RefCell<Sampler>,
 }
@@ -155,6 +158,7 @@
             notices,
             origins: origin::State::default(),
             quarantine: quarantine::State::default(),
+            rollouts: rollout::State::default(),
             sampler: RefCell::new(Sampler::new(Instant::now())),
         })
     }
@@ -330,6 +334,7 @@
         }
         drop(placement);
         drop(vms);
+        self.record_versions();
         self.update_limits();
         self.vms_changed.notify_one();
     }
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -6,7 +6,7 @@
 
 use gateway::model::{Bounds, Config, KeyHash, Kind, Route, Service, Target, Workspace};
 use gateway::pool::Pool;
-use gateway::{Policy, QuotaTolerance, Settings, Shared, follow, listeners};
+use gateway::{Policy, QuotaTolerance, Settings, Shared, follow, listeners, rollout};
 use tokio::runtime;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
@@ -65,6 +65,7 @@
             usage_deadline: Duration::from_secs(10),
             relist_time: Duration::from_millis(2000),
         },
+        rollout: None,
     }
 }
 
@@ -152,6 +153,8 @@
         spawn_local(listeners::callers(Rc::clone(&shared), listener));
         spawn_local(follow::config(Rc::clone(&shared), Rc::new(store.clone())));
         spawn_local(follow::vms(Rc::clone(&shared), Rc::new(store.clone())));
+        spawn_local(follow::rollouts(Rc::clone(&shared), Rc::new(store.clone())));
+        spawn_local(rollout::evaluate(Rc::clone(&shared)));
         Harness {
             store,
             shared,
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use gateway::adapter::{Event, List, Object, ObjectError, Objects, Revision, Watch, Write};
-use gateway::model::{Config, Health, Vm};
+use gateway::model::{Config, Health, Rollout, RolloutStatus, Vm};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -38,6 +38,8 @@
     watches_silent: Cell<bool>,
     calls: Cell<u64>,
     slow_writes: RefCell<Option<(String, Duration)>>,
+    written_states: RefCell<Vec<String>>,
+    status_responses_lost: Cell<bool>,
 }
 
 impl FakeStore {
@@ -75,6 +77,7 @@
             name: name.to_owned(),
             revision,
             spec,
+            status: Value::Null,
         };
         let key = (kind.to_owned(), name.to_owned());
         self.state.objects.borrow_mut().insert(key, object.clone());
@@ -82,6 +85,30 @@
         revision
     }
 
+    /// requests to move the service `desk` to a version
+    pub fn request_rollout(&self, to: &str, duration: Duration) -> Revision {
+        let spec = json!({ "to": to, "duration_ms": duration.as_millis() as u64 });
+        self.put("rollouts", "desk", spec)
+    }
+
+    /// the state of the roll-out of the service `desk`
+    pub fn rollout_state(&self) -> Option<String> {
+        let key = ("rollouts".to_owned(), "desk".to_owned());
+        let objects = self.state.objects.borrow();
+        let state = objects.get(&key)?.status.get("state")?.as_str()?;
+        Some(state.to_owned())
+    }
+
+    /// states that were written, in order
+    pub fn written_states(&self) -> Vec<String> {
+        self.state.written_states.borrow().clone()
+    }
+
+    /// makes the responses to writes of a status get lost, or arrive again
+    pub fn set_status_responses_lost(&self, are_lost: bool) {
+        self.state.status_responses_lost.set(are_lost);
+    }
+
     /// deletes an object
     pub fn delete(&self, kind: &str, name: &str) {
         let key = (kind.to_owned(), name.to_owned());
@@ -223,6 +250,7 @@
     const CONFIG_KIND: &'static str = "config";
     const CONFIG_NAME: &'static str = "main";
     const VM_KIND: &'static str = "vms";
+    const ROLLOUT_KIND: &'static str = "rollouts";
 
     fn generation(&self) -> Option<u64> {
         (self.state.calls.get() > 0).then(|| self.state.generation.get())
@@ -259,6 +287,25 @@
         })
     }
 
+    fn rollout(&self, spec: &Value) -> Result<Rollout, String> {
+        Ok(Rollout {
+            service: spec["service"].as_str().unwrap_or("desk").to_owned(),
+            to: spec["to"]
+                .as_str()
+                .ok_or("the version is missing")?
+                .to_owned(),
+            duration: Duration::from_millis(spec["duration_ms"].as_u64().unwrap_or_default()),
+        })
+    }
+
+    fn rollout_status(&self, status: &Value) -> Option<RolloutStatus> {
+        serde_json::from_value(status.clone()).ok()
+    }
+
+    fn encode_rollout_status(&self, status: &RolloutStatus) -> Value {
+        json!(status)
+    }
+
     async fn list(&self, kind: &str) -> Result<List, ObjectError> {
         self.begin_call()?;
         let objects = self.state.objects.borrow();
@@ -347,4 +394,37 @@
         }
         Ok(revision)
     }
+
+    async fn write_status(
+        &self,
+        kind: &str,
+        name: &str,
+        status: &Value,
+        base: Revision,
+    ) -> Result<Revision, ObjectError> {
+        self.begin_call()?;
+        let key = (kind.to_owned(), name.to_owned());
+        let object = self.state.objects.borrow().get(&key).cloned();
+        let mut object = object.ok_or(ObjectError::Missing)?;
+        if object.revision.number != base.number {
+            return Err(ObjectError::Conflict);
+        }
+        object.revision = Revision {
+            number: self.state.revision.get() + 1,
+            ..self.revision()
+        };
+        object.status = status.clone();
+        let state = status["state"].as_str().unwrap_or_default();
+        self.state
+            .written_states
+            .borrow_mut()
+            .push(state.to_owned());
+        let revision = object.revision;
+        self.state.objects.borrow_mut().insert(key, object.clone());
+        self.record(kind, object, false);
+        if self.state.status_responses_lost.get() {
+            return Err(ObjectError::Unknown("the response is lost".to_owned()));
+        }
+        Ok(revision)
+    }
 }
--- a/crates/gateway/tests/support/vm.rs
+++ b/crates/gateway/tests/support/vm.rs
@@ -88,6 +88,8 @@
     arrivals: Rc<RefCell<Vec<Instant>>>,
     cancelled: Rc<RefCell<u32>>,
     script: Rc<RefCell<Script>>,
+    /// script of one in so many requests
+    fault: Rc<RefCell<Option<(usize, Script)>>>,
     crashing_part: Rc<Cell<Option<u64>>>,
     crashing_body: Rc<RefCell<Option<String>>>,
     crashed: watch::Sender<bool>,
@@ -109,6 +111,7 @@
             arrivals: Rc::default(),
             cancelled: Rc::default(),
             script: Rc::new(RefCell::new(script)),
+            fault: Rc::default(),
             crashing_part: Rc::default(),
             crashing_body: Rc::default(),
             crashed: watch::Sender::new(false),
@@ -143,6 +146,11 @@
         self
     }
 
+    /// follows another script for one of `every` requests
+    pub fn set_fault(&self, every: usize, script: Script) {
+        *self.fault.borrow_mut() = Some((every, script));
+    }
+
     /// lets the process end when it begins a response to a prompt with this part
     pub fn set_crashing_part(&self, part: u64) {
         self.crashing_part.set(Some(part));
@@ -248,7 +256,10 @@
                 self.crash();
                 return;
             }
-            let script = self.script.borrow().clone();
+            let fault = self.fault.borrow().clone();
+            let count = self.requests.borrow().len();
+            let fault = fault.filter(|(every, _)| count % every == 0);
+            let script = fault.map_or_else(|| self.script.borrow().clone(), |(_, script)| script);
             for step in &script.0 {
                 let mut byte = [0; 1];
                 let result = match step {
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -12,6 +12,7 @@
 use super::plain::{self, ResponseTime};
 use super::prefix_cache::Prefill;
 use super::request::{Choice, Full, Pick, Request};
+use super::split::Split;
 
 /// largest number of prefills kept for the next report to peers
 const MAX_PENDING_PREFILLS: usize = 256;
@@ -34,6 +35,7 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Service {
     pub entries: HashMap<String, Entry>,
+    pub split: Option<Box<Split>>,
     baseline_failures: f64,
     baseline_response_time: ResponseTime,
     meter: Meter,
@@ -181,11 +183,25 @@
         let Some(state) = self.services.get(request.service) else {
             return Choice::NoVm;
         };
-        let has_version = |entry: &&Entry| {
+        if let Some(split) = &state.split {
+            return self.choose_version(state, split, request, now);
+        }
+        let has_version = |entry: &Entry| {
             let version = request.version;
             version.is_none_or(|version| version == entry.member.version)
         };
-        let entries = || state.entries.values().filter(has_version);
+        self.choose_among(state, request, has_version, now)
+    }
+
+    /// chooses a VM for a request among some of a service's
+    pub(super) fn choose_among(
+        &self,
+        state: &Service,
+        request: &Request<'_>,
+        is_candidate: impl Fn(&Entry) -> bool,
+        now: Instant,
+    ) -> Choice {
+        let entries = || state.entries.values().filter(|entry| is_candidate(entry));
         let ids = entries().map(|entry| entry.member.id.as_str());
         let preferred = preferred_vm(ids, request);
         let mut best: Option<(bool, Duration, Pick)> = None;
@@ -346,11 +362,13 @@
     ) -> Pick {
         let member = &entry.member;
         let load = self.load(entry, now);
-        let (expected, unloaded, uncached) = match member.cache_tokens {
+        let (expected, usual, unloaded, uncached) = match member.cache_tokens {
             None => {
                 let response_time = entry.response_time.estimate(baseline, now);
+                let usual_time = ResponseTime::default().estimate(baseline, now);
                 (
                     plain::expected(member.slots, &load, response_time),
+                    plain::expected(member.slots, &load, usual_time),
                     response_time,
                     0,
                 )
@@ -364,13 +382,14 @@
                 };
                 let held = uncached.saturating_add(request.output_tokens);
                 let expected = engine::expected(&capacity, &load, uncached, held);
-                (expected, engine::unloaded(uncached), uncached)
+                (expected, expected, engine::unloaded(uncached), uncached)
             }
         };
         Pick {
             id: member.id.clone(),
             expected,
             unloaded,
+            usual,
             uncached,
             distance: member.distance,
         }
--- a/crates/route/src/placement/health.rs
+++ b/crates/route/src/placement/health.rs
@@ -28,6 +28,8 @@
     paused_until: Option<Instant>,
     last_activity: Option<Instant>,
     busy_since: Option<Instant>,
+    /// first and last of the failed attempts to connect since its last response
+    unreachable: Option<(Instant, Instant)>,
 }
 
 impl Health {
@@ -38,12 +40,31 @@
             paused_until: None,
             last_activity: None,
             busy_since: None,
+            unreachable: None,
         }
     }
 
     /// records that data was received from the VM
     pub fn record_activity(&mut self, now: Instant) {
         self.last_activity = Some(now);
+        self.unreachable = None;
+    }
+
+    /// records that no connection to the VM could be made
+    pub fn record_unreachable(&mut self, now: Instant) {
+        let first = self.unreachable_since(now).unwrap_or(now);
+        self.unreachable = Some((first, now));
+    }
+
+    /// since when no connection to the VM could be made, unless it is to be tried again
+    pub fn unreachable_since(&self, now: Instant) -> Option<Instant> {
+        let (first, last) = self.unreachable?;
+        (now < last + MAX_PAUSE).then_some(first)
+    }
+
+    /// when data was last received from the VM
+    pub fn last_activity(&self) -> Option<Instant> {
+        self.last_activity
     }
 
     /// records that the VM got a request while it had none
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -28,6 +28,9 @@
 //!   its part of that ([`crate::notice::share`]), without a burst, and the rest goes to other VMs.
 //! * A VM has refused another daemon and wants no requests from it for a time. It is used less, since
 //!   it may refuse this daemon as well.
+//! * A service moves to another version of its software, which may be bad. A share of the requests goes
+//!   to some of the new VMs, the others stay at the old ones ([`Split`]). A version that is stopped gets none;
+//!   a version whose VMs all refuse connections is replaced by the other one.
 //! * Kinds with long objectives fill the VMs until urgent kinds with short objectives miss
 //!   theirs. A kind is accepted only while the more urgent ones would be in time as well.
 
@@ -43,6 +46,7 @@
 mod plain;
 mod prefix_cache;
 mod request;
+mod split;
 mod statements;
 
 pub use admission::{Kind, retry_after, time_limit};
@@ -52,3 +56,4 @@
 pub use member::Member;
 pub use prefix_cache::Prefill;
 pub use request::{Choice, Distance, Full, Pick, Request, TimeLimit};
+pub use split::{Split, Target};
--- a/crates/route/src/placement/request.rs
+++ b/crates/route/src/placement/request.rs
@@ -61,6 +61,8 @@
     pub expected: Duration,
     /// expected time on an idle VM, without queueing
     pub unloaded: Duration,
+    /// expected time to the response or the first token if this VM is as fast as the others
+    pub usual: Duration,
     /// tokens of the prompt that it has to prefill
     pub uncached: u32,
     /// network distance
