--- a/crates/gateway/src/rollout/evaluate.rs
+++ b/crates/gateway/src/rollout/evaluate.rs
@@ -14,6 +14,9 @@
 /// interval at which a roll-out in progress is decided on
 const INTERVAL: Duration = Duration::from_millis(200);
 
+/// age of a decision from which it is made anew before the next request
+const MAX_DECISION_AGE: Duration = Duration::from_millis(800);
+
 /// a VM of a service, as far as roll-outs are concerned
 struct Candidate {
     id: String,
@@ -44,6 +47,7 @@
 impl<D: Dialect> Shared<D> {
     /// decides on all roll-outs in progress, and applies the result
     pub fn evaluate_rollouts(&self) {
+        self.rollouts.evaluated_at.set(Some(self.clock.now()));
         self.record_late_attempts();
         self.refresh_stops();
         let names: Vec<String> = self.rollouts.active.borrow().keys().cloned().collect();
@@ -57,6 +61,17 @@
         }
     }
 
+    /// decides on roll-outs if that is overdue, as in a process that was suspended
+    pub(crate) fn refresh_rollouts(&self) {
+        let Some(at) = self.rollouts.evaluated_at.get() else {
+            return;
+        };
+        let age = self.clock.now().saturating_duration_since(at);
+        if age > MAX_DECISION_AGE && self.needs_evaluation() {
+            self.evaluate_rollouts();
+        }
+    }
+
     fn needs_evaluation(&self) -> bool {
         let active = self.rollouts.active.borrow();
         let is_open = |active: &Active| active.is_in_progress() || active.due_state().is_some();
@@ -164,7 +179,8 @@
         let Some(bounds) = &self.settings.rollout else {
             return;
         };
-        let now = Instant::now();
+        let now = self.clock.now();
+        active.refresh_start(now, self.wall_clock.now_ms());
         let sum = self.rollout_sum(active, |_| true, now);
         active.age = self.rollout_age(active, now);
         let order = &active.order;
@@ -183,7 +199,7 @@
             .sum();
         let is_stopped = self.is_known_bad(active);
         let view = View {
-            elapsed: active.elapsed(self.clock.now()),
+            elapsed: active.elapsed(now),
             evidence: &sum.evidence,
             old_vms: old().filter(is_reachable).count(),
             target_vms: candidates
@@ -217,7 +233,9 @@
     /// whether this daemon has seen a stop of the request as its version is bad
     fn is_known_bad(&self, active: &Active) -> bool {
         let stops = self.rollouts.stops.borrow();
-        stops.of(active.order.id).is_some_and(|stop| stop.is_bad)
+        let of_service = stops.of_service(&active.order.service);
+        let mut of_target = of_service.filter(|stop| stop.version == active.order.target);
+        of_target.any(|stop| stop.is_bad && !active.supersedes(stop))
     }
 
     /// daemons of which no current report has arrived
--- a/crates/gateway/src/rollout/exchange.rs
+++ b/crates/gateway/src/rollout/exchange.rs
@@ -12,13 +12,17 @@
 /// stops that wait to be sent to the peers
 const MAX_NEWS: usize = 64;
 
+/// receivers of this daemon's own report, and of its zone's
+const PEERS: &str = "peers";
+const ZONES: &str = "zones";
+
 /// applies what a report says of roll-outs; stops that are new are passed on if `is_forwarded`
 pub fn receive<D: Dialect>(shared: &Shared<D>, report: &Report, is_forwarded: bool) {
     shared.merge_stops(&report.stops, "a peer reports it", is_forwarded);
     if report.rollouts.is_empty() || !shared.is_report_accepted(report) {
         return;
     }
-    let (now, clock) = (Instant::now(), shared.clock.now());
+    let now = shared.clock.now();
     let mut all = shared.rollouts.active.borrow_mut();
     for progress in &report.rollouts {
         let Some(active) = all.get_mut(&progress.name) else {
@@ -28,7 +32,7 @@
         if active.order.id != progress.id {
             continue;
         }
-        active.follow_start(progress, clock);
+        active.follow_start(progress, now);
         active.sources.receive(report, progress, now);
     }
 }
@@ -45,25 +49,19 @@
         let Some(started_at) = now.checked_sub(elapsed).filter(|_| !elapsed.is_zero()) else {
             return;
         };
-        if !self.is_start_known || started_at < self.started_at {
-            self.started_at = started_at;
-            self.is_start_known = true;
-        }
+        self.seen_at = self.seen_at.min(started_at);
+        self.started_at = self.started_at.min(started_at);
     }
 
     fn progress(&self, now: Instant) -> Progress {
-        let elapsed = if self.is_start_known {
-            self.elapsed(now)
-        } else {
-            // from the time of day of one daemon, which may be wrong
-            Duration::ZERO
-        };
         Progress {
             name: self.entry.name.clone(),
             id: self.order.id,
             request: self.entry.request,
             is_certain: self.entry.is_certain,
-            elapsed_ms: millis(elapsed),
+            // a time of the request from a checkpoint is not passed on: the time of day of one daemon may
+            // be wrong
+            elapsed_ms: millis(now.saturating_duration_since(self.seen_at)),
             ..Progress::default()
         }
     }
@@ -83,7 +81,7 @@
                 bound,
                 repeatable,
                 age_ms: millis(active.age),
-                evidence: active.sources.part(&active.evidence, active.latest_s),
+                evidence: active.part(&active.evidence.clone(), PEERS, now),
                 ..active.progress(now)
             }
         });
@@ -92,20 +90,24 @@
 
     /// what this daemon's zone reports
     pub(crate) fn rollout_progress_of_zone(&self) -> Vec<Progress> {
-        self.rollout_sums(|sender| sender.scope == Scope::Daemon)
+        self.rollout_sums(ZONES, |sender| sender.scope == Scope::Daemon)
     }
 
     /// what all daemons report but one of this zone
     pub(crate) fn rollout_progress_for(&self, receiver: &Report) -> Vec<Progress> {
-        self.rollout_sums(|sender| {
+        self.rollout_sums(&receiver.from, |sender| {
             let is_receiver = sender.from == receiver.from && sender.instance == receiver.instance;
             !is_receiver
         })
     }
 
     /// this daemon's evidence and that of the senders that are included
-    fn rollout_sums(&self, is_included: impl Fn(&Sender<'_>) -> bool) -> Vec<Progress> {
-        let (now, clock) = (Instant::now(), self.clock.now());
+    fn rollout_sums(
+        &self,
+        receiver: &str,
+        is_included: impl Fn(&Sender<'_>) -> bool,
+    ) -> Vec<Progress> {
+        let now = self.clock.now();
         let mut all = self.rollouts.active.borrow_mut();
         let in_progress = all.values_mut().filter(|active| active.is_in_progress());
         let report = in_progress.map(|active| {
@@ -117,8 +119,8 @@
                 bound: sum.remaining.bound,
                 repeatable: sum.remaining.repeatable,
                 age_ms: millis(active.age),
-                evidence: active.sources.part(&sum.evidence, active.latest_s),
-                ..active.progress(clock)
+                evidence: active.part(&sum.evidence, receiver, now),
+                ..active.progress(now)
             }
         });
         report.collect()
--- a/crates/gateway/src/rollout/message.rs
+++ b/crates/gateway/src/rollout/message.rs
@@ -40,6 +40,8 @@
     pub version: String,
     /// id of the request to move to it
     pub id: u64,
+    /// generation of the store in which that request was last read
+    pub generation: u64,
     /// number of the revision at which that was requested
     pub request: u64,
     /// whether it is known to be bad, otherwise the request was withdrawn or not completed in time
--- a/crates/gateway/src/rollout/restore.rs
+++ b/crates/gateway/src/rollout/restore.rs
@@ -1,3 +1,4 @@
+use super::active::Active;
 use super::entry::Entry;
 use super::message::{Saved, Stop};
 use crate::adapter::Dialect;
@@ -20,10 +21,20 @@
         saved.collect()
     }
 
-    /// takes over the roll-outs and the stops of a checkpoint
+    /// takes over the roll-outs and the stops of a checkpoint; this daemon may have seen the requests
+    /// already
     pub(crate) fn restore_rollouts(&self, saved: Vec<Saved>, stops: &[Stop]) {
+        if self.settings.rollout.is_none() {
+            return;
+        }
         self.merge_stops(stops, "the checkpoint states it", false);
         self.rollouts.saved.borrow_mut().extend(saved);
+        for active in self.rollouts.active.borrow_mut().values_mut() {
+            if let Some(saved) = self.take_saved(&mut active.entry) {
+                active.restore(&saved);
+            }
+        }
+        self.rollouts.changed.notify_one();
     }
 
     /// what a checkpoint has of a request that this daemon sees for the first time; also sets when it
@@ -37,3 +48,12 @@
         Some(all.remove(index))
     }
 }
+
+impl Active {
+    /// takes over what a checkpoint has of the request
+    pub fn restore(&mut self, saved: &Saved) {
+        self.order = self.entry.order();
+        self.saved_ms = Some(saved.started_ms);
+        self.end = self.end.or(saved.end);
+    }
+}
--- a/crates/gateway/src/rollout/source.rs
+++ b/crates/gateway/src/rollout/source.rs
@@ -14,12 +14,6 @@
 /// about as long
 const USUAL_VIEW_AGE: Duration = Duration::from_millis(1800);
 
-/// seconds of evidence in a report between full ones
-const PART_S: u32 = 5;
-
-/// reports of which one has all evidence, for daemons that have started or lost messages
-const FULL_EVERY: u64 = 5;
-
 /// who has sent a report: a process of a daemon, or any delegate for several daemons
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Key {
@@ -44,7 +38,6 @@
 #[derive(Debug, Default)]
 pub(super) struct Sources {
     by_sender: HashMap<Key, Source>,
-    reports: u64,
 }
 
 /// sum over some daemons
@@ -141,15 +134,6 @@
         }
         Duration::MAX
     }
-
-    /// the part of some evidence for the next report
-    pub fn part(&mut self, evidence: &Evidence, latest_s: u32) -> Evidence {
-        self.reports += 1;
-        if self.reports % FULL_EVERY == 1 {
-            return evidence.clone();
-        }
-        evidence.since(latest_s.saturating_sub(PART_S))
-    }
 }
 
 impl Source {
@@ -158,10 +142,11 @@
     }
 
     fn view_age(&self, now: Instant) -> Duration {
-        let before = Duration::from_millis(self.progress.age_ms).saturating_sub(USUAL_VIEW_AGE);
+        let stated = Duration::from_millis(self.progress.age_ms).saturating_sub(USUAL_VIEW_AGE);
         let stated = match self.scope {
-            Scope::Daemon => Duration::ZERO,
-            Scope::Zone | Scope::Others => before,
+            // these count only daemons whose reports are current
+            Scope::Daemon | Scope::Zone => Duration::ZERO,
+            Scope::Others => stated,
         };
         now.saturating_duration_since(self.at)
             .saturating_add(stated)
--- a/crates/gateway/src/rollout/split.rs
+++ b/crates/gateway/src/rollout/split.rs
@@ -123,7 +123,8 @@
         let is_same_version =
             self.order.service == stop.service && self.order.target == stop.version;
         let is_completed = self.end == Some(State::Completed) && self.rejected.is_none();
-        let is_newer = self.order.id != stop.id && self.entry.request > stop.request;
+        let position = (self.entry.revision.generation, self.entry.request);
+        let is_newer = self.order.id != stop.id && position > (stop.generation, stop.request);
         let is_carried_out = self.rejected.is_none();
         is_same_version
             && is_carried_out
@@ -136,6 +137,7 @@
             service: self.order.service.clone(),
             version: self.order.target.clone(),
             id: self.order.id,
+            generation: self.entry.revision.generation,
             request: self.entry.request,
             is_bad,
         }
--- a/crates/gateway/src/rollout/state.rs
+++ b/crates/gateway/src/rollout/state.rs
@@ -32,6 +32,8 @@
     /// attempts in flight
     pub(super) open: RefCell<HashMap<u64, Open>>,
     pub(super) next_open: Cell<u64>,
+    /// time of the last decisions
+    pub(super) evaluated_at: Cell<Option<Instant>>,
     /// revision of the last object that could not be decoded
     pub(super) unreadable: Cell<Option<Revision>>,
     /// what a checkpoint has of roll-outs
@@ -109,13 +111,13 @@
     fn begin_rollout(&self, entry: Entry) {
         let mut entry = entry;
         let saved = self.take_saved(&mut entry);
-        let order = entry.order();
         let now = self.clock.now();
-        let age = saved.as_ref().map(|saved| {
-            let ms = self.wall_clock.now_ms().saturating_sub(saved.started_ms);
-            Duration::from_millis(ms)
-        });
-        let started_at = age.and_then(|age| now.checked_sub(age)).unwrap_or(now);
+        let mut begun = Active::new(entry, now);
+        if let Some(saved) = saved {
+            begun.restore(&saved);
+            begun.refresh_start(now, self.wall_clock.now_ms());
+        }
+        let (entry, order) = (&begun.entry, &begun.order);
         tracing::info!(
             event = "rollout_seen",
             name = entry.name,
@@ -125,11 +127,8 @@
             revision = entry.revision.number,
             request = entry.request,
             state = ?entry.state(),
-            age_ms = age.map(|age| age.as_millis() as u64),
+            age_ms = begun.elapsed(now).as_millis() as u64,
         );
-        let mut begun = Active::new(entry, order, started_at);
-        begun.is_start_known = age.is_none();
-        begun.end = saved.and_then(|saved| saved.end);
         self.follow_status(&mut begun);
         let mut active = self.rollouts.active.borrow_mut();
         active.insert(begun.entry.name.clone(), begun);
--- a/crates/gateway/src/rollout/stops.rs
+++ b/crates/gateway/src/rollout/stops.rs
@@ -31,12 +31,6 @@
         is_new
     }
 
-    /// the stop of a request
-    pub fn of(&self, id: u64) -> Option<&Stop> {
-        let mut stops = self.known.iter().map(|(stop, _)| stop);
-        stops.find(|stop| stop.id == id)
-    }
-
     /// the stops of a service
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Stop> {
         let stops = self.known.iter().map(|(stop, _)| stop);
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -32,6 +32,7 @@
     if let Some(failure) = quarantine::refusal(shared, request.causes()) {
         return Err(failure);
     }
+    shared.refresh_rollouts();
     let placement_request = request.placement_request(&attempts.tried, time_limit);
     let now = Instant::now();
     let mut balancer = shared.placement.borrow_mut();
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -150,8 +150,6 @@
                     return Err(lost_attempt());
                 }
                 if has_data {
-                    vm_stream.in_flight.record_response(false);
-                    vm_stream.in_flight.bind();
                     self.record_origin(vm, vm_stream.opened_at());
                 }
                 vm_stream.in_flight.record_first_token();
--- a/crates/gateway/src/serve/vm_stream.rs
+++ b/crates/gateway/src/serve/vm_stream.rs
@@ -79,6 +79,8 @@
             if let Some(batch) = batch {
                 if batch.has_data && self.first_event.is_none() {
                     self.first_event = Some(Instant::now());
+                    self.in_flight.record_response(false);
+                    self.in_flight.bind();
                 }
                 return Ok(Next::Events(batch.bytes, batch.has_data));
             }
