--- a/crates/gateway/tests/rollouts/fleet.rs
+++ b/crates/gateway/tests/rollouts/fleet.rs
@@ -46,7 +46,7 @@
     pub old: Vec<FakeVm>,
     pub new: Vec<FakeVm>,
     pub counts: Rc<Counts>,
-    callers: RefCell<Vec<JoinHandle<()>>>,
+    pub callers: RefCell<Vec<JoinHandle<()>>>,
 }
 
 /// bounds of the tests
--- a/crates/gateway/tests/rollouts/main.rs
+++ b/crates/gateway/tests/rollouts/main.rs
@@ -1,7 +1,9 @@
 //! Roll-outs over several daemons: a good version gets all requests in time, a bad one is stopped
 //! everywhere, and neither depends on one daemon.
 
+mod failures;
 mod fleet;
+mod requests;
 #[path = "../support/mod.rs"]
 mod support;
 
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -39,6 +39,7 @@
     calls: Cell<u64>,
     slow_writes: RefCell<Option<(String, Duration)>>,
     written_states: RefCell<Vec<String>>,
+    rollouts_delayed: Cell<bool>,
     status_responses_lost: Cell<bool>,
 }
 
@@ -99,6 +100,11 @@
         Some(state.to_owned())
     }
 
+    /// delays the responses to reads of requests for roll-outs, or stops doing so
+    pub fn delay_rollouts(&self, are_delayed: bool) {
+        self.state.rollouts_delayed.set(are_delayed);
+    }
+
     /// states that were written, in order
     pub fn written_states(&self) -> Vec<String> {
         self.state.written_states.borrow().clone()
@@ -238,6 +244,12 @@
         self.check_connection()
     }
 
+    async fn wait_for_rollouts(&self, kind: &str) {
+        while kind == "rollouts" && self.state.rollouts_delayed.get() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     fn check_connection(&self) -> Result<(), ObjectError> {
         if self.state.unavailable.get() || self.is_cut.get() {
             return Err(ObjectError::Unknown("the store is unavailable".to_owned()));
@@ -308,6 +320,7 @@
 
     async fn list(&self, kind: &str) -> Result<List, ObjectError> {
         self.begin_call()?;
+        self.wait_for_rollouts(kind).await;
         let objects = self.state.objects.borrow();
         let of_kind = objects.iter().filter(|((of, _), _)| of == kind);
         Ok(List {
@@ -354,6 +367,7 @@
             Ok(events) => events?,
             Err(_) => Vec::new(),
         };
+        self.wait_for_rollouts(kind).await;
         let watches_silent = self.state.watches_silent.get();
         let revision = if watches_silent {
             after
