--- a/crates/route/src/rollout/compare.rs
+++ b/crates/route/src/rollout/compare.rs
@@ -69,7 +69,7 @@
     Criterion {
         fault: Fault::Slowness,
         slow_ratio: 3.0,
-        min_rate: 0.05,
+        min_rate: 0.055,
         rates: [0.15, 0.2, 0.3, 0.45, 0.65, 0.9],
         faulty_vms: 1.0 / 7.0,
     },
--- a/crates/route/src/rollout/decide.rs
+++ b/crates/route/src/rollout/decide.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::compare::compare;
-use super::decision::{Decision, State, Verdict};
+use super::decision::{Decision, Fault, State, Verdict};
 use super::order::{Bounds, Order};
 use super::plan::Plan;
 use super::view::{Remaining, View};
@@ -13,8 +13,10 @@
 /// the same from the time at which all requests are to move: a bad version would get all of them
 const LATE_BAD_WEIGHT: f64 = 5.5;
 
-/// weight from which the share is not raised above the canary's
-const SUSPICION_WEIGHT: f64 = 3.0;
+/// weights from which the share is not raised above the canary's; times vary more among good versions
+/// than failures do
+const SUSPICION_WEIGHT_FAILURES: f64 = 2.5;
+const SUSPICION_WEIGHT_SLOWNESS: f64 = 3.5;
 
 /// age of a view up to which it is current
 const MAX_AGE: Duration = Duration::from_secs(2);
@@ -56,12 +58,16 @@
         let share = if is_old_gone { 1.0 } else { 0.0 };
         return decision(share, Verdict::Undecided, State::RolledBack);
     }
+    let is_suspicious = finding.is_some_and(|finding| match finding.fault {
+        Fault::Failures => finding.weight >= SUSPICION_WEIGHT_FAILURES,
+        Fault::Slowness => finding.weight >= SUSPICION_WEIGHT_SLOWNESS,
+    });
     let canary = canary_share(bounds, view);
     let share = if view.target_vms == 0 {
         0.0
     } else if is_old_gone {
         1.0
-    } else if !is_current || (weight >= SUSPICION_WEIGHT && view.elapsed < plan.latest) {
+    } else if !is_current || (is_suspicious && view.elapsed < plan.latest) {
         canary
     } else {
         plan.share(view.elapsed, canary)
