--- a/crates/gateway/src/relay/state.rs
+++ b/crates/gateway/src/relay/state.rs
@@ -163,7 +163,6 @@
     /// back
     pub fn confirm_rollouts(&self, revision: Revision, at: Instant) {
         self.state().rollouts.confirm(revision, at);
-        self.shared.changed.notify_waiters();
     }
 
     /// revision up to which the list of requests is complete
--- a/crates/gateway/src/rollout/evaluate.rs
+++ b/crates/gateway/src/rollout/evaluate.rs
@@ -294,6 +294,19 @@
     if is_same {
         return;
     }
+    eprintln!(
+        "STEP {} {:?} {:?} {:?} old {} new {} used {vms} {:?} age {:?} ev {} {:?}",
+        active.entry.name,
+        view.elapsed,
+        decision.share,
+        decision.verdict,
+        view.old_vms,
+        view.target_vms,
+        view.remaining,
+        view.age,
+        view.evidence.len(),
+        decision.finding
+    );
     let finding = decision.finding;
     tracing::info!(
         event = "rollout_step",
