--- a/crates/route/src/placement/split.rs
+++ b/crates/route/src/placement/split.rs
@@ -43,7 +43,7 @@
     Target,
     /// VMs of the versions in force
     InForce,
-    /// all VMs of versions that are not stopped
+    /// the other VMs of versions that are not stopped
     Rest,
 }
 
@@ -137,8 +137,13 @@
         }
         let (tiers, goes_on_if_full) = split.tiers(request.draw);
         let mut first = None;
-        for tier in tiers {
-            let in_tier = |entry: &Entry| split.contains(*tier, entry);
+        for (index, tier) in tiers.iter().enumerate() {
+            let was_tried = |entry: &Entry| {
+                tiers[..index]
+                    .iter()
+                    .any(|tier| split.contains(*tier, entry))
+            };
+            let in_tier = |entry: &Entry| split.contains(*tier, entry) && !was_tried(entry);
             let choice = self.choose_among(state, request, in_tier, now);
             let is_last = match &choice {
                 Choice::Send(_) => !is_gone(state, in_tier, now),
