--- a/crates/gateway/tests/rollouts/fleet.rs
+++ b/crates/gateway/tests/rollouts/fleet.rs
@@ -4,14 +4,16 @@
 use std::time::Duration;
 
 use gateway::checkpoint::write_checkpoints;
-use gateway::duty::Lease;
+use gateway::duty::{Lease, order_capacity};
 use gateway::peers::{Peers, exchange_reports};
 use gateway::{Settings, rollout};
 use route::rollout::Bounds;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep};
 
-use super::support::{Caller, FakeStore, FakeVm, Harness, Script, Step, config, request, settings};
+use super::support::{
+    Caller, FakeCloud, FakeStore, FakeVm, Harness, Script, Step, config, request, settings,
+};
 
 /// requests a second of all callers together, so that the load does not depend on the number of daemons
 const REQUESTS_PER_SECOND: f64 = 160.0;
@@ -149,6 +151,13 @@
         ];
     }
 
+    /// orders VMs while this daemon holds the lease
+    pub fn order_capacity(&self, cloud: &FakeCloud) {
+        let duty = (Rc::clone(&self.lease), Rc::clone(&self.peers));
+        let shared = Rc::clone(&self.harness.shared);
+        spawn_local(order_capacity(shared, Rc::new(cloud.clone()), duty));
+    }
+
     /// ends this daemon's part in the duties without a release of the lease
     pub fn end_duties(&self) {
         for task in &self.duties {
--- a/crates/gateway/tests/rollouts/main.rs
+++ b/crates/gateway/tests/rollouts/main.rs
@@ -1,6 +1,7 @@
 //! Roll-outs over several daemons: a good version gets all requests in time, a bad one is stopped
 //! everywhere, and neither depends on one daemon.
 
+mod capacity;
 mod failures;
 mod fleet;
 mod requests;
--- a/crates/route/tests/placement/main.rs
+++ b/crates/route/tests/placement/main.rs
@@ -1,6 +1,7 @@
 //! Replays of the load patterns that `route::placement` handles.
 
 mod report_interval;
+mod split;
 mod stale_reports;
 
 use std::collections::HashMap;
