--- a/crates/gateway/src/checkpoint/record.rs
+++ b/crates/gateway/src/checkpoint/record.rs
@@ -7,6 +7,7 @@
 use route::quota;
 use schema::message;
 
+use crate::rollout::{Saved, Stop};
 use crate::usage::Counts;
 
 /// checkpoint age beyond which its limits are ignored: callers' demand does not stay the same
@@ -62,6 +63,12 @@
     /// learned times of engines by service
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub engines: BTreeMap<String, Timing>,
+    /// roll-outs
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<Saved>,
+    /// versions that get no requests
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stops: Vec<Stop>,
 }
 
 impl Record {
--- a/crates/gateway/src/checkpoint/write.rs
+++ b/crates/gateway/src/checkpoint/write.rs
@@ -27,15 +27,20 @@
     let (lease, peers) = duty;
     let mut written_engines = BTreeMap::new();
     loop {
-        sleep(INTERVAL).await;
+        tokio::select! {
+            () = sleep(INTERVAL) => {}
+            () = shared.rollouts.checkpoint_due.notified() => {}
+        }
         if lease.permit().is_none() {
             continue;
         }
         let record = record(&shared, &peers);
         let has_counts = !record.windows.values().all(Counts::is_empty);
+        let has_rollouts = !record.rollouts.is_empty() || !record.stops.is_empty();
         // learned times alone are written when they change, as each write is billed
         let has_new_engines = !record.engines.keys().eq(written_engines.keys());
-        if record.limits.is_empty() && record.marks.is_empty() && !has_counts && !has_new_engines {
+        let is_empty = record.limits.is_empty() && record.marks.is_empty();
+        if is_empty && !has_counts && !has_rollouts && !has_new_engines {
             continue;
         }
         let spec = match serde_json::to_value(&record) {
@@ -78,6 +83,8 @@
             .all_learned()
             .into_iter()
             .collect(),
+        rollouts: shared.saved_rollouts(),
+        stops: shared.stops_in_force(),
         ..Record::default()
     };
     for window in (newest + 1).saturating_sub(MAX_WINDOWS)..=newest {
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -152,6 +152,7 @@
     let mut in_flight = InFlight::begin(
         shared,
         request,
+        vm,
         sending.pick,
         sending.resume_after.is_some(),
     );
@@ -163,6 +164,10 @@
                 in_flight.set_outcome(Outcome::Broken);
                 shared.pool.close_idle(vm.address);
             }
+            if matches!(error, Error::Connect(_)) {
+                let mut placement = shared.placement.borrow_mut();
+                placement.record_unreachable(&request.service, &vm.id, Instant::now());
+            }
             if matches!(error, Error::Lost(_)) {
                 quarantine::record_broken(shared, request, vm, None);
             }
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -6,6 +6,8 @@
 
 use super::request::Request;
 use crate::adapter::Dialect;
+use crate::model::Vm;
+use crate::rollout::Attempt;
 use crate::shared::Shared;
 
 /// a request in flight at a VM; removed from the balancer's load when dropped
@@ -22,6 +24,8 @@
     is_measured: bool,
     outcome: Outcome,
     latency: Option<Duration>,
+    /// the same attempt, if the deployment uses roll-outs
+    attempt: Option<Attempt<D>>,
 }
 
 impl<D: Dialect> InFlight<D> {
@@ -29,22 +33,23 @@
     pub fn begin(
         shared: &Rc<Shared<D>>,
         request: &Request,
+        vm: &Vm,
         pick: &Pick,
         is_resumed: bool,
     ) -> InFlight<D> {
-        let (id, now) = (&pick.id, Instant::now());
+        let now = Instant::now();
         let work = Work {
             prefill_tokens: pick.uncached,
             held: pick.uncached.saturating_add(request.call.output_tokens()),
         };
         let placement_request = request.placement_request(&[], TimeLimit::total(Duration::ZERO));
         let mut balancer = shared.placement.borrow_mut();
-        balancer.begin(&placement_request, id, &work, now);
+        balancer.begin(&placement_request, &vm.id, &work, now);
         drop(balancer);
         InFlight {
             shared: Rc::clone(shared),
             service: request.service.clone(),
-            id: id.to_owned(),
+            id: vm.id.clone(),
             work,
             is_prefilling: true,
             sent_at: now,
@@ -58,6 +63,13 @@
             is_measured: false,
             outcome: Outcome::Cancelled,
             latency: None,
+            attempt: Attempt::begin(
+                shared,
+                vm,
+                &request.route.name,
+                request.route.kind,
+                pick.usual,
+            ),
         }
     }
 
@@ -91,6 +103,21 @@
         balancer.record_first_token(&self.service, &self.id, &self.work);
     }
 
+    /// records the first event of a stream, or that a response is complete, as a sample of the VM's
+    /// version
+    pub fn record_response(&self, is_failed: bool) {
+        if let Some(attempt) = &self.attempt {
+            attempt.record_response(is_failed);
+        }
+    }
+
+    /// records that a stream has begun, which goes on at the version of this VM only
+    pub fn bind(&self) {
+        if let Some(attempt) = &self.attempt {
+            attempt.bind();
+        }
+    }
+
     /// sets how the request ended; without it the request counts as cancelled
     pub fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -17,6 +17,7 @@
 use super::prefix_cache::Prefill;
 use super::rank::Rank;
 use super::request::{Choice, Full, Pick, Request};
+use super::split::Split;
 
 /// largest number of prefills kept for the next report to peers
 const MAX_PENDING_PREFILLS: usize = 256;
@@ -39,6 +40,7 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Service {
     pub entries: HashMap<String, Entry>,
+    pub split: Option<Box<Split>>,
     baseline_failures: f64,
     baseline_response_time: ResponseTime,
     meter: Meter,
@@ -204,11 +206,25 @@
         let Some(state) = self.services.get(request.service) else {
             return Choice::NoVm;
         };
-        let has_version = |entry: &&Entry| {
+        if let Some(split) = &state.split {
+            return self.choose_version(state, split, request, now);
+        }
+        let has_version = |entry: &Entry| {
             let version = request.version;
             version.is_none_or(|version| version == entry.member.version)
         };
-        let entries = || state.entries.values().filter(has_version);
+        self.choose_among(state, request, has_version, now)
+    }
+
+    /// chooses a VM for a request among some of a service's
+    pub(super) fn choose_among(
+        &self,
+        state: &Service,
+        request: &Request<'_>,
+        is_candidate: impl Fn(&Entry) -> bool,
+        now: Instant,
+    ) -> Choice {
+        let entries = || state.entries.values().filter(|entry| is_candidate(entry));
         let ids = entries().map(|entry| entry.member.id.as_str());
         let timing = state.learner.timing();
         let preferred = preferred_vm(ids, request, &timing);
@@ -379,13 +395,14 @@
         let member = &entry.member;
         let timing = state.learner.timing();
         let load = self.load(entry, &timing, now);
-        let (expected, unloaded, uncached) = match member.cache_tokens {
+        let (expected, usual, unloaded, uncached) = match member.cache_tokens {
             None => {
-                let response_time = entry
-                    .response_time
-                    .estimate(state.baseline_response_time, now);
+                let baseline = state.baseline_response_time;
+                let response_time = entry.response_time.estimate(baseline, now);
+                let usual_time = ResponseTime::default().estimate(baseline, now);
                 (
                     plain::expected(member.slots, &load, response_time),
+                    plain::expected(member.slots, &load, usual_time),
                     response_time,
                     0,
                 )
@@ -399,13 +416,14 @@
                 };
                 let held = uncached.saturating_add(request.output_tokens);
                 let expected = timing.expected(&capacity, &load, uncached, held);
-                (expected, timing.unloaded(uncached), uncached)
+                (expected, expected, timing.unloaded(uncached), uncached)
             }
         };
         Pick {
             id: member.id.clone(),
             expected,
             unloaded,
+            usual,
             uncached,
             running: load.running,
             distance: member.distance,
