Account for the bytes held for callers in the gateway

One account for the process, a quarter of the machine's memory: connections, large heads, bodies and responses are charged before they are read; callers without progress lose theirs. Framing without payload ends a body on both sides. Readiness, metrics and control listeners have a maximum number of connections.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -98,6 +98,7 @@
         spawn_local(duty::order_capacity(Rc::clone(&shared), cloud, duty));
     }
     spawn_local(prune(Rc::clone(&shared)));
+    spawn_local(sweep(Rc::clone(&shared)));
     stop(&shared, &peer_state).await
 }
 
@@ -108,6 +109,14 @@
     }
 }
 
+/// compares the progress of callers' connections
+async fn sweep<D: Dialect>(shared: Rc<Shared<D>>) {
+    loop {
+        sleep(memory::TICK).await;
+        shared.memory.sweep();
+    }
+}
+
 /// waits for a termination signal, then until all caller connections have closed or the grace
 /// period is nearly over
 async fn stop<D: Dialect>(shared: &Shared<D>, peers: &Peers) -> io::Result<()> {
--- a/crates/gateway/src/listeners/admin.rs
+++ b/crates/gateway/src/listeners/admin.rs
@@ -1,5 +1,6 @@
 //! HTTP servers for readiness checks and metrics.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 
 use crate::adapter::Dialect;
@@ -24,11 +26,18 @@
 /// maximum size of the head of a request
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
+/// share of the file descriptors available to the connections of one of these listeners
+const DESCRIPTOR_SHARE: f64 = 0.02;
+
+/// fewest connections of one of these listeners
+const MIN_CONNECTIONS: usize = 16;
+
 /// pause after a failed accept
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// answers the load balancer's readiness checks
 pub async fn readiness<D: Dialect + 'static>(shared: Rc<Shared<D>>, listener: TcpListener) {
+    let owner = Rc::clone(&shared);
     let respond = move |request: &Request<Incoming>| {
         if !shared.dialect.is_readiness_check(request.uri().path()) {
             return (StatusCode::NOT_FOUND, String::new());
@@ -39,11 +48,12 @@
             (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
         }
     };
-    serve_text(listener, respond).await;
+    serve_text(&owner, "readiness", listener, respond).await;
 }
 
 /// serves the metrics in text format
 pub async fn metrics<D: Dialect>(shared: Rc<Shared<D>>, peers: Rc<Peers>, listener: TcpListener) {
+    let owner = Rc::clone(&shared);
     let respond = move |_: &Request<Incoming>| {
         let gauges = &shared.metrics.states;
         let set_gauge = |name: &str, value: u64| {
@@ -66,20 +76,34 @@
         set_gauge("vms", shared.vms.borrow().len() as u64);
         set_gauge("daemons", shared.daemons.get() as u64);
         set_gauge("connections_opened", shared.pool.opened());
+        let callers = shared.caller_connections.get();
+        set_gauge("caller_connections", callers as u64);
+        set_gauge("held_bytes", shared.memory.held() as u64);
+        let capacity = shared.memory.capacity();
+        if !capacity.is_unbounded() {
+            set_gauge("held_bytes_limit", capacity.bytes() as u64);
+        }
         let (sent, received) = peers.traffic();
         set_gauge("peer_bytes_sent", sent);
         set_gauge("peer_bytes_received", received);
         set_gauge("ready", u64::from(shared.is_ready()));
         (StatusCode::OK, shared.metrics.text())
     };
-    serve_text(listener, respond).await;
+    serve_text(&owner, "metrics", listener, respond).await;
 }
 
 /// serves a text response to each request
-async fn serve_text<F>(listener: TcpListener, respond: F)
+///
+/// There are few connections, and one more closes the oldest: a check takes milliseconds, so that
+/// clients that only stay connected don't keep the load balancer out.
+async fn serve_text<D, F>(shared: &Shared<D>, name: &'static str, listener: TcpListener, respond: F)
 where
+    D: Dialect,
     F: Fn(&Request<Incoming>) -> (StatusCode, String) + 'static,
 {
+    let share = shared.settings.descriptors as f64 * DESCRIPTOR_SHARE;
+    let max_connections = (share as usize).max(MIN_CONNECTIONS);
+    let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
     let respond = Rc::new(respond);
     loop {
         let stream = match listener.accept().await {
@@ -90,6 +114,24 @@
                 continue;
             }
         };
+        if open.len() >= max_connections {
+            open.retain(|connection| !connection.is_finished());
+        }
+        if open.len() >= max_connections
+            && let Some(oldest) = open.pop_front()
+        {
+            oldest.abort();
+            let closed = &shared.metrics.closed;
+            closed.with_label_values(&[name, "connections"]).inc();
+            if let Some(left_out) = shared.permit_log("side_connection_closed") {
+                tracing::info!(
+                    event = "side_connection_closed",
+                    listener = name,
+                    connections = max_connections,
+                    left_out,
+                );
+            }
+        }
         let respond = Rc::clone(&respond);
         let service = service_fn(move |request: Request<Incoming>| {
             let (status, text) = respond(&request);
@@ -97,7 +139,7 @@
             *response.status_mut() = status;
             async move { Ok::<_, Infallible>(response) }
         });
-        tokio::task::spawn_local(async move {
+        open.push_back(spawn_local(async move {
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
@@ -106,6 +148,6 @@
             if let Err(error) = connection.await {
                 tracing::debug!(event = "side_connection_ended", %error);
             }
-        });
+        }));
     }
 }
--- a/crates/gateway/src/listeners/callers.rs
+++ b/crates/gateway/src/listeners/callers.rs
@@ -18,6 +18,10 @@
 /// share of the file descriptors available to caller connections
 const CALLER_DESCRIPTOR_SHARE: f64 = 0.6;
 
+/// memory of a connection that waits for a request, measured with 2,400 of them; it includes the
+/// free part of a head
+const CONNECTION_BYTES: usize = 12 * 1024;
+
 /// time after which a connection with unacknowledged bytes is closed
 const TCP_USER_TIMEOUT_MS: u32 = 10_000;
 
@@ -49,8 +53,31 @@
     }
 }
 
+/// most connections of callers, by descriptors and by memory
+fn max_connections<D: Dialect>(shared: &Shared<D>) -> usize {
+    let by_descriptors = shared.settings.descriptors as f64 * CALLER_DESCRIPTOR_SHARE;
+    let by_memory = shared.memory.capacity().connections(CONNECTION_BYTES);
+    by_memory.min(by_descriptors as usize)
+}
+
+/// counts and logs a connection that is not accepted
+fn turn_away<D: Dialect>(shared: &Shared<D>, reason: &'static str) {
+    let closed = &shared.metrics.closed;
+    closed.with_label_values(&["callers", reason]).inc();
+    let Some(left_out) = shared.permit_log("caller_turned_away") else {
+        return;
+    };
+    tracing::warn!(
+        event = "caller_turned_away",
+        reason,
+        connections = shared.caller_connections.get(),
+        held_bytes = shared.memory.held(),
+        left_out,
+    );
+}
+
 async fn accept<D: Dialect>(shared: &Rc<Shared<D>>, listener: &TcpListener) {
-    let max_connections = (shared.settings.descriptors as f64 * CALLER_DESCRIPTOR_SHARE) as usize;
+    let max_connections = max_connections(shared);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -60,10 +87,17 @@
                 continue;
             }
         };
-        if shared.caller_connections.get() >= max_connections {
-            tracing::warn!(event = "caller_turned_away", connections = max_connections);
+        // a new caller takes the place of one that has sent nothing for a second
+        let is_full = shared.caller_connections.get() >= max_connections;
+        if is_full && !shared.memory.end_stalled() {
+            turn_away(shared, "connections");
             continue;
         }
+        let hold = shared.memory.open();
+        let Ok(charge) = hold.try_charge(CONNECTION_BYTES) else {
+            turn_away(shared, "no_memory");
+            continue;
+        };
         let options = [
             stream.set_nodelay(true).map_err(|error| error.to_string()),
             setsockopt(&stream, sockopt::TcpUserTimeout, &TCP_USER_TIMEOUT_MS)
@@ -77,7 +111,8 @@
             .caller_connections
             .set(shared.caller_connections.get() + 1);
         tokio::task::spawn_local(async move {
-            connection::run(Rc::clone(&shared), stream).await;
+            connection::run(Rc::clone(&shared), stream, hold).await;
+            drop(charge);
             shared
                 .caller_connections
                 .set(shared.caller_connections.get() - 1);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub attempts: IntCounterVec,
     /// time to the response or the first event of its stream, by route
     pub latency: HistogramVec,
+    /// connections that were closed or not accepted, by listener and reason
+    pub closed: IntCounterVec,
     /// calls to the platform's APIs by call and outcome
     pub calls: IntCounterVec,
     /// current values by name, such as the configuration's version and age
@@ -47,6 +49,11 @@
             "Attempts at upstream VMs by service and outcome.",
             &["service", "outcome"],
         );
+        let closed = counter(
+            "agateloom_closed_connections_total",
+            "Connections that were closed or not accepted by listener and reason.",
+            &["listener", "reason"],
+        );
         let calls = counter(
             "agateloom_platform_calls_total",
             "Calls to the platform by call and outcome.",
@@ -69,6 +76,7 @@
             requests,
             attempts,
             latency,
+            closed,
             calls,
             states,
         }
--- a/crates/gateway/src/peers/join.rs
+++ b/crates/gateway/src/peers/join.rs
@@ -43,9 +43,21 @@
 /// time for which a daemon that starts waits for the peers to write the keys
 const KEYS_TIME: Duration = Duration::from_secs(5);
 
+/// share of the file descriptors available to connections of peers without a valid key so far
+const PENDING_DESCRIPTOR_SHARE: f64 = 0.05;
+
+/// fewest of these connections
+const MIN_PENDING: usize = 32;
+
 /// pause before joining is tried again, before jitter
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// most connections of peers without a valid key so far
+fn max_pending(descriptors: usize) -> usize {
+    let share = (descriptors as f64 * PENDING_DESCRIPTOR_SHARE) as usize;
+    share.max(MIN_PENDING)
+}
+
 /// reads the other daemons from the object API and joins them; returns this daemon's node, the
 /// number of registered daemons and what this one wrote
 pub(super) async fn join<D: Dialect, S: Objects>(
@@ -72,7 +84,8 @@
             .callers(&settings.callers.to_string())
             .seeds(&seeds)
             .fleet_key(&entries.keys.fleet)
-            .operator_key(&entries.keys.operator);
+            .operator_key(&entries.keys.operator)
+            .max_pending(max_pending(settings.descriptors));
         match Node::start(node, methods(shared, sender.clone())).await {
             Ok(node) => {
                 tracing::info!(event = "peers_joined", seeds = seeds.len());
--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -3,6 +3,7 @@
 //! A connection carries one request at a time. A failure states exactly how far the request
 //! got: one of which no byte was written did not run, any other may have run.
 
+mod body;
 mod error;
 mod framing;
 #[allow(clippy::module_inception)]
@@ -10,6 +11,7 @@
 mod timeouts;
 mod transport;
 
+pub use body::Body;
 pub use error::Error;
 pub use framing::Framing;
 pub(crate) use pool::describe;
--- a/crates/gateway/src/pool/pool.rs
+++ b/crates/gateway/src/pool/pool.rs
@@ -9,7 +9,6 @@
 use http::header::{CONNECTION, HeaderMap};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use nix::sys::socket::{setsockopt, sockopt};
@@ -17,7 +16,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::transport::{Allowance, Transport};
-use super::{Error, Timeouts};
+use super::{Body, Error, Timeouts};
 use crate::clock::Clock;
 
 /// maximum number of idle connections to one address
@@ -70,7 +69,7 @@
 /// a response whose body is still to be read, and its connection
 pub struct Exchange {
     /// head and body of the response
-    pub response: Response<Incoming>,
+    pub response: Response<Body>,
     /// the connection to release after the body
     pub connection: Connection,
     /// whether no earlier request was sent on the connection
@@ -201,6 +200,8 @@
         match channel.sender.try_send_request(request).await {
             Ok(response) => {
                 channel.allowance.lift();
+                let allowance = channel.allowance.clone();
+                let response = response.map(|incoming| Body::new(incoming, allowance));
                 let max_idle = max_idle_time(response.headers());
                 let connection = Connection {
                     channel,
--- a/crates/gateway/src/pool/transport.rs
+++ b/crates/gateway/src/pool/transport.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use memory::Overhead;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -11,23 +12,56 @@
 /// interim responses included
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 
-/// bytes that may still be received; unlimited while a body is read
+/// what may still be received: bytes until a head is complete, then as much as payload justifies
 #[derive(Debug, Clone)]
-pub(super) struct Allowance(Rc<Cell<usize>>);
+pub(super) struct Allowance(Rc<State>);
+
+#[derive(Debug)]
+struct State {
+    head_bytes: Cell<usize>,
+    overhead: Overhead,
+}
 
 impl Allowance {
     pub fn new() -> Allowance {
-        Allowance(Rc::new(Cell::new(MAX_HEAD_BYTES)))
+        Allowance(Rc::new(State {
+            head_bytes: Cell::new(MAX_HEAD_BYTES),
+            overhead: Overhead::default(),
+        }))
     }
 
     /// limits what is received until the next head is complete
     pub fn limit_head(&self) {
-        self.0.set(MAX_HEAD_BYTES);
+        self.0.head_bytes.set(MAX_HEAD_BYTES);
     }
 
     /// lifts the limit for the body, which its reader limits
     pub fn lift(&self) {
-        self.0.set(usize::MAX);
+        self.0.head_bytes.set(usize::MAX);
+        self.0.overhead.reset();
+    }
+
+    /// records bytes of the decoded body
+    pub fn record_payload(&self, bytes: usize) {
+        self.0.overhead.record_payload(bytes);
+    }
+
+    /// records received bytes
+    ///
+    /// # Errors
+    /// When a body consists of framing.
+    fn record_received(&self, bytes: usize) -> io::Result<()> {
+        let left = self.0.head_bytes.get();
+        if left != usize::MAX {
+            self.0.head_bytes.set(left.saturating_sub(bytes));
+            return Ok(());
+        }
+        self.0.overhead.record_received(bytes);
+        if self.0.overhead.is_excessive() {
+            let cause = "hardly any payload in what the body consists of";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, cause));
+        }
+        Ok(())
     }
 }
 
@@ -52,18 +86,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let left = self.allowance.0.get();
-        if left == 0 {
+        if self.allowance.0.head_bytes.get() == 0 {
             let cause = format!("no response head within {MAX_HEAD_BYTES} bytes");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
         }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let count = buffer.filled().len() - before;
-        if left != usize::MAX {
-            self.allowance.0.set(left.saturating_sub(count));
-        }
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.allowance.record_received(count))
     }
 }
 
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -7,7 +7,6 @@
 use http::uri::PathAndQuery;
 use http::{Request as HttpRequest, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use route::placement::{Outcome, Pick};
 use route::retry::{self, Resend, may_resend};
 use route::verdict::{self, Progress};
@@ -20,7 +19,7 @@
 use crate::adapter::{Attempt, Dialect, Notice, Reply};
 use crate::model::{Call, Vm};
 use crate::notices;
-use crate::pool::{Connection, Error, Exchange, Timeouts};
+use crate::pool::{Body, Connection, Error, Exchange, Timeouts};
 use crate::quarantine;
 use crate::shared::Shared;
 
@@ -34,7 +33,7 @@
 /// a VM's response whose body is still to be read
 pub(super) struct VmResponse<D: Dialect> {
     pub head: Parts,
-    pub body: Incoming,
+    pub body: Body,
     pub connection: Connection,
     pub in_flight: InFlight<D>,
 }
--- a/crates/gateway/src/serve/failure.rs
+++ b/crates/gateway/src/serve/failure.rs
@@ -29,6 +29,10 @@
     BodyTooLong,
     /// the body was not received in time or was truncated
     BodyLost,
+    /// the body made no progress
+    BodyStalled,
+    /// no memory is left for the body
+    NoMemory,
     /// the service has no available VM
     NoVm,
     /// the service has no available VM of the version at which the stream began
@@ -62,12 +66,13 @@
             Reason::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             Reason::BadHead => StatusCode::BAD_REQUEST,
             Reason::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Reason::BodyLost => StatusCode::REQUEST_TIMEOUT,
+            Reason::BodyLost | Reason::BodyStalled => StatusCode::REQUEST_TIMEOUT,
             Reason::Lost => StatusCode::BAD_GATEWAY,
             Reason::Expired => StatusCode::GATEWAY_TIMEOUT,
             Reason::NotStarted
             | Reason::ConfigStale
             | Reason::ConfigBehind
+            | Reason::NoMemory
             | Reason::NoVm
             | Reason::NoVersion
             | Reason::UnknownOrigin
@@ -92,6 +97,8 @@
             Reason::BadHead => "bad_head",
             Reason::BodyTooLong => "body_too_long",
             Reason::BodyLost => "body_lost",
+            Reason::BodyStalled => "body_stalled",
+            Reason::NoMemory => "no_memory",
             Reason::NoVm => "no_vm",
             Reason::NoVersion => "no_version",
             Reason::UnknownOrigin => "unknown_origin",
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -2,23 +2,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HOST, HeaderValue};
+use http::header::{HOST, HeaderValue};
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{Request as HttpRequest, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use route::origin::Origin;
 use route::placement::{self, TimeLimit};
 use route::trust::Trust;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use super::request::Request;
-use super::{Body, Deadline, Failure, Reason, plain, stream};
+use super::{Body, Deadline, Failure, Reason, plain, stream, upload};
 use crate::adapter::Dialect;
 use crate::limits;
+use crate::listeners::Activity;
 use crate::model::{Call, Config, Limit, Route, Unit, Workspace};
 use crate::origin;
 use crate::quarantine;
@@ -39,13 +38,17 @@
 ///
 /// # Errors
 /// Never; each failure results in a response.
-pub async fn handle<D: Dialect>(
+pub(crate) async fn handle<D: Dialect>(
     shared: Rc<Shared<D>>,
     request: HttpRequest<Incoming>,
+    activity: &Activity,
 ) -> Result<Response<Body>, Infallible> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let admitted = admit(&shared, head, body, arrived);
+    if !body.is_end_stream() {
+        activity.record_unread_body();
+    }
+    let admitted = admit(&shared, activity, head, body, arrived);
     let response = match shared.unless_interrupted(admitted).await {
         Some(Ok(request)) => forward(&shared, request).await,
         Some(Err(refused)) => refused.respond(&shared),
@@ -115,6 +118,7 @@
 /// checks a request against the configuration and reads its body
 async fn admit<D: Dialect>(
     shared: &Shared<D>,
+    activity: &Activity,
     head: Parts,
     body: Incoming,
     arrived: Instant,
@@ -137,8 +141,10 @@
     };
     let refuse = |failure| Refused::new(&call, &route.name, failure);
     let workspace = authenticate(&config, &route, &call, trust).map_err(refuse)?;
-    let body = read_body(&head, body, &config, body_deadline(&call, arrived)).await;
-    let body = body.map_err(|reason| refuse(Failure::new(reason)))?;
+    let max_bytes = config.bounds.body_bytes;
+    let deadline = body_deadline(&call, arrived);
+    let upload = upload::read(activity, &call.id, body, max_bytes, deadline).await;
+    let body = upload.map_err(refuse)?;
     let timeout_at = arrived + route.time_limit(&call);
     check_drain(shared, timeout_at).map_err(refuse)?;
     let fingerprint = fingerprint(&head, &call, &body);
@@ -168,6 +174,7 @@
         parts: call.part_sizes(),
         call,
         body,
+        hold: Rc::clone(&activity.hold),
         route,
         service,
         workspace,
@@ -360,25 +367,6 @@
     arrived + call.time_limit.unwrap_or(BODY_TIMEOUT)
 }
 
-async fn read_body(
-    head: &Parts,
-    body: Incoming,
-    config: &Config,
-    deadline: Instant,
-) -> Result<Bytes, Reason> {
-    let max_bytes = config.bounds.body_bytes;
-    let length = head.headers.get(CONTENT_LENGTH);
-    let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-    if length.is_some_and(|length| length > max_bytes as u64) {
-        return Err(Reason::BodyTooLong);
-    }
-    match timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLong),
-        Ok(Err(_)) | Err(_) => Err(Reason::BodyLost),
-    }
-}
-
 impl Request {
     /// the parameters for choosing a VM
     pub fn placement_request<'a>(
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -17,11 +17,12 @@
 mod relay;
 mod request;
 mod stream;
+mod upload;
 mod vm_stream;
 
 pub use body::{Body, Chunk, Truncated};
 pub(crate) use deadline::Deadline;
 pub use events::EventBuffer;
 pub use failure::{Failure, Reason};
-pub use handle::handle;
+pub(crate) use handle::handle;
 pub(crate) use request::Request;
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -7,7 +7,8 @@
 use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::Body as _;
+use memory::{Charge, Hold, Refused};
 use route::placement::{Outcome, TimeLimit};
 use route::verdict::Progress;
 use tokio::sync::mpsc;
@@ -19,7 +20,7 @@
 use super::{Body, Chunk, Failure, Reason};
 use crate::adapter::Dialect;
 use crate::model::{Kind, Vm};
-use crate::pool::Connection;
+use crate::pool::{self, Connection};
 use crate::quarantine;
 use crate::shared::Shared;
 
@@ -29,12 +30,18 @@
 /// chunks of a long response that wait to be sent to the caller
 const CHANNEL_CAPACITY: usize = 4;
 
-/// body of a response, read up to [`MAX_BUFFERED_BYTES`]
+/// memory for the next part of a response, as large as the buffer of a connection
+const PART_BYTES: usize = 64 * 1024;
+
+/// a part of a response up to this size is not charged; connections have that much room
+const FREE_BYTES: usize = 4096;
+
+/// body of a response, read up to [`MAX_BUFFERED_BYTES`] and as far as there is memory
 enum ReadBody {
     /// the complete body
     Buffered(Bytes),
     /// the beginning of a longer body
-    Partial(BytesMut),
+    Partial(Bytes),
 }
 
 /// serves a request of a plain service
@@ -100,7 +107,7 @@
         connection,
         mut in_flight,
     } = vm_response;
-    let reading = buffer(&mut body);
+    let reading = buffer(&mut body, &request.hold);
     let read = match request.deadline.limit(reading).await {
         Ok(Ok(read)) => read,
         Ok(Err(cause)) => {
@@ -136,7 +143,8 @@
             Body::buffered(bytes)
         }
         ReadBody::Partial(start) => {
-            stream_body(start, body, connection, request.deadline.timeout_at())
+            let deadline = request.deadline.timeout_at();
+            stream_body(start, body, connection, Rc::clone(&request.hold), deadline)
         }
     };
     Ok(build_response(shared, &head, body))
@@ -170,40 +178,92 @@
     response
 }
 
-/// reads a body up to [`MAX_BUFFERED_BYTES`]
-async fn buffer(body: &mut Incoming) -> Result<ReadBody, String> {
+/// reads a body up to [`MAX_BUFFERED_BYTES`], or less if there is no memory for more
+async fn buffer(body: &mut pool::Body, hold: &Hold) -> Result<ReadBody, String> {
+    let describe = |refused: Refused| refused.to_string();
+    let length = body.size_hint().exact().map(|length| length as usize);
+    let first = length.unwrap_or(PART_BYTES).min(PART_BYTES);
+    let mut charge: Option<Charge> = None;
+    if first > FREE_BYTES {
+        charge = Some(hold.charge(first).await.map_err(describe)?);
+    }
+    let charged = |bytes: Bytes, charge: Option<Charge>| match charge {
+        Some(mut charge) if bytes.len() > FREE_BYTES => {
+            charge.shrink(bytes.len());
+            charge.attach(bytes)
+        }
+        _ => bytes,
+    };
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| crate::pool::describe(&error))?;
         if let Ok(data) = frame.into_data() {
             bytes.extend_from_slice(&data);
         }
-        if bytes.len() > MAX_BUFFERED_BYTES {
-            return Ok(ReadBody::Partial(bytes));
+        let has_memory = match &mut charge {
+            Some(charge) => grow(charge, hold, bytes.len(), length),
+            None => true,
+        };
+        if bytes.len() > MAX_BUFFERED_BYTES || !has_memory {
+            return Ok(ReadBody::Partial(charged(bytes.freeze(), charge)));
         }
     }
-    Ok(ReadBody::Buffered(bytes.freeze()))
+    Ok(ReadBody::Buffered(charged(bytes.freeze(), charge)))
 }
 
-/// streams a long body to the caller
+/// charges the next part of a response of which some bytes are read; whether there is memory for it
+fn grow(charge: &mut Charge, hold: &Hold, read: usize, length: Option<usize>) -> bool {
+    let end = (read + PART_BYTES).min(length.unwrap_or(usize::MAX));
+    let missing = end.saturating_sub(charge.bytes());
+    if missing == 0 {
+        return true;
+    }
+    match hold.try_charge(missing) {
+        Ok(more) => {
+            charge.merge(more);
+            true
+        }
+        Err(_) => false,
+    }
+}
+
+/// streams a long body to the caller; parts wait for memory
 fn stream_body(
-    start: BytesMut,
-    mut body: Incoming,
+    start: Bytes,
+    mut body: pool::Body,
     connection: Connection,
+    hold: Rc<Hold>,
     deadline: Instant,
 ) -> Body {
     let (sender, chunks) = mpsc::channel(CHANNEL_CAPACITY);
     tokio::task::spawn_local(async move {
         let streaming = async {
-            if sender.send(Chunk::Bytes(start.freeze())).await.is_err() {
+            if sender.send(Chunk::Bytes(start)).await.is_err() {
                 return;
             }
-            while let Some(frame) = body.frame().await {
+            loop {
+                let charging = hold.charge(PART_BYTES);
+                let charge = tokio::select! {
+                    biased;
+                    charge = charging => charge,
+                    () = sender.closed() => return,
+                };
+                let Ok(mut charge) = charge else {
+                    return;
+                };
+                let Some(frame) = body.frame().await else {
+                    break;
+                };
                 let Ok(frame) = frame else { return };
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
-                if sender.send(Chunk::Bytes(data)).await.is_err() {
+                charge.shrink(data.len());
+                if sender
+                    .send(Chunk::Bytes(charge.attach(data)))
+                    .await
+                    .is_err()
+                {
                     return;
                 }
             }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -17,6 +17,9 @@
 /// stream after two seconds or more
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// events up to this size are not charged; few of them wait for a caller
+const FREE_BYTES: usize = 512;
+
 /// passes a stream on to the caller and resumes it at other VMs
 pub(super) struct Relay<D: Dialect> {
     stream: Stream<D>,
@@ -43,7 +46,7 @@
 
     /// passes the stream on until it ends, resuming it where that is allowed
     pub async fn run(mut self, first: Bytes, vm_stream: VmStream<D>) {
-        if self.sender.send(Chunk::Bytes(first)).await.is_err() {
+        if !self.send(first).await {
             return;
         }
         let mut vm_stream = vm_stream;
@@ -127,10 +130,9 @@
                         let opened_at = vm_stream.opened_at();
                         self.stream.record_origin(&vm_stream.vm, opened_at);
                     }
-                    let sending = self.sender.send(Chunk::Bytes(bytes));
-                    match timeout_at(deadline, sending).await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(_)) => return StreamEnd::Cancelled,
+                    match timeout_at(deadline, self.send(bytes)).await {
+                        Ok(true) => {}
+                        Ok(false) => return StreamEnd::Cancelled,
                         Err(_) => return StreamEnd::Expired,
                     }
                     if has_data {
@@ -152,6 +154,19 @@
         }
     }
 
+    /// passes bytes on once there is memory for them; whether the caller is still there
+    async fn send(&self, bytes: Bytes) -> bool {
+        let bytes = if bytes.len() > FREE_BYTES {
+            let Ok(charge) = self.stream.request.hold.charge(bytes.len()).await else {
+                return false;
+            };
+            charge.attach(bytes)
+        } else {
+            bytes
+        };
+        self.sender.send(Chunk::Bytes(bytes)).await.is_ok()
+    }
+
     async fn is_at_origin(&self, vm_stream: &VmStream<D>) -> bool {
         let opened_at = vm_stream.opened_at();
         self.stream.is_at_origin(&vm_stream.vm, opened_at).await
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
+use memory::Hold;
 use route::origin::Origin;
 use route::placement::Kind;
 use tokio::time::Instant;
@@ -24,6 +25,8 @@
     pub call: Call,
     /// complete body
     pub body: Bytes,
+    /// memory of the caller's connection
+    pub hold: Rc<Hold>,
     /// matching route
     pub route: Rc<Route>,
     /// name of the service, one of the targets of the route
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
+use memory::Charge;
 use route::origin::{Certainty, Origin, stream_id};
 use route::placement::{Kind, Outcome, Pick, TimeLimit, time_limit};
 use route::verdict::Progress;
@@ -272,9 +273,15 @@
     } else {
         Outcome::Answered
     });
-    let reading = http_body_util::Limited::new(body, MAX_BUFFERED_BYTES).collect();
+    let held = request.hold.charge(MAX_BUFFERED_BYTES);
+    let reading = async {
+        let charge = held.await?;
+        let body = http_body_util::Limited::new(body, MAX_BUFFERED_BYTES).collect();
+        let bytes = body.await?.to_bytes();
+        Ok::<_, Box<dyn std::error::Error + Send + Sync>>(attach(charge, bytes))
+    };
     let bytes = match request.deadline.limit(reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => {
             in_flight.set_outcome(Outcome::Broken);
             quarantine::record_broken(shared, request, vm, None);
@@ -296,6 +303,12 @@
     )))
 }
 
+/// bytes whose memory is released once they have been sent
+fn attach(mut charge: Charge, bytes: Bytes) -> Bytes {
+    charge.shrink(bytes.len());
+    charge.attach(bytes)
+}
+
 /// a failed attempt whose request may have run
 pub(super) fn lost_attempt() -> AttemptError {
     AttemptError {
--- a/crates/gateway/src/serve/vm_stream.rs
+++ b/crates/gateway/src/serve/vm_stream.rs
@@ -5,7 +5,6 @@
 use http::header::CONTENT_TYPE;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use route::quarantine::BEGIN_TIME;
 use tokio::time::Instant;
 
@@ -15,7 +14,7 @@
 use super::request::Request;
 use crate::adapter::Dialect;
 use crate::model::Vm;
-use crate::pool::{Connection, Framing};
+use crate::pool::{Body, Connection, Framing};
 use crate::quarantine;
 use crate::shared::Shared;
 
@@ -30,7 +29,7 @@
     is_success_recorded: bool,
     /// whether the body consists of events, as far as its head says
     is_event_stream: bool,
-    pub body: Incoming,
+    pub body: Body,
     pub connection: Connection,
     pub in_flight: InFlight<D>,
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -95,6 +95,8 @@
     pub metrics: SocketAddr,
     /// limit of open file descriptors
     pub descriptors: usize,
+    /// memory of the machine in bytes; none if it is unknown, and callers are not limited by it
+    pub memory: Option<u64>,
     /// whether this daemon may report usage
     pub reports_usage: bool,
     /// whether this daemon may order upstream VMs
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -54,6 +54,8 @@
     pub pool: Rc<Pool>,
     /// open connections of callers
     pub caller_connections: Cell<usize>,
+    /// bytes held for callers
+    pub memory: Rc<memory::Account>,
     /// current configuration
     pub config: RefCell<Option<Rc<Config>>>,
     started: Instant,
@@ -120,6 +122,7 @@
         let clock = Clock::start();
         let freshness = Freshness::default();
         let notices = notices::State::new(&settings);
+        let memory = memory::Account::new(memory::Capacity::of_machine(settings.memory));
         Rc::new(Shared {
             settings,
             dialect,
@@ -127,6 +130,7 @@
             wall_clock: WallClock::start(clock),
             pool,
             caller_connections: Cell::default(),
+            memory,
             config: RefCell::default(),
             started: Instant::now(),
             configured: Notify::new(),
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -45,6 +45,7 @@
         peers: any,
         metrics: any,
         descriptors: 1000,
+        memory: None,
         reports_usage: false,
         orders_capacity: false,
         policy: Policy {
--- a/crates/peer/src/node/handle.rs
+++ b/crates/peer/src/node/handle.rs
@@ -15,7 +15,7 @@
 use super::inner::Inner;
 use super::methods;
 use crate::gossip::Core;
-use crate::rpc::{Keys, Meter, Pool, Server};
+use crate::rpc::{Keys, MAX_PENDING, Meter, Pool, Server};
 use crate::{Applied, CallError, Demand, Error, Load, Publication, Settings, Traffic, duty};
 
 /// capacity of a subscriber's channel; further publications are dropped and counted
@@ -72,13 +72,15 @@
         let method_error = |error: RegisterMethodError| Error::Method(error.to_string());
         let mut methods = methods::module(&inner).map_err(method_error)?;
         methods.merge(extra).map_err(method_error)?;
+        let max_pending = settings.max_pending.unwrap_or(MAX_PENDING);
         let keys = Keys::new(&settings.fleet_key, &settings.operator_key);
-        let server = Server::start(listener, methods.into(), keys, meter).map_err(|error| {
-            Error::Listen {
-                address: address.to_string(),
-                cause: error.to_string(),
-            }
-        })?;
+        let server =
+            Server::start(listener, methods.into(), keys, meter, max_pending).map_err(|error| {
+                Error::Listen {
+                    address: address.to_string(),
+                    cause: error.to_string(),
+                }
+            })?;
         tokio::spawn(inner.clone().run(broken));
         let server = Arc::new(server);
         Ok(Node { inner, server })
--- a/crates/peer/src/node/settings.rs
+++ b/crates/peer/src/node/settings.rs
@@ -11,6 +11,7 @@
     pub(crate) seeds: Vec<String>,
     pub(crate) fleet_key: String,
     pub(crate) operator_key: String,
+    pub(crate) max_pending: Option<usize>,
 }
 
 impl Settings {
@@ -53,6 +54,12 @@
         self
     }
 
+    /// most connections at the control address that have not shown a valid key yet
+    pub fn max_pending(mut self, connections: usize) -> Settings {
+        self.max_pending = Some(connections);
+        self
+    }
+
     /// key for calls of operators, different from the fleet key
     pub fn operator_key(mut self, key: &str) -> Settings {
         self.operator_key = key.to_owned();
--- a/crates/peer/src/rpc/mod.rs
+++ b/crates/peer/src/rpc/mod.rs
@@ -17,7 +17,7 @@
 pub use guard::{Keys, OPERATOR_PREFIX, UNAUTHORISED_CODE};
 pub use meter::Meter;
 pub use pool::Pool;
-pub use server::Server;
+pub use server::{MAX_PENDING, Server};
 
 /// largest size of a message, bytes
 pub const MAX_MESSAGE_BYTES: u32 = 4 * 1024 * 1024;
--- a/crates/peer/src/rpc/server.rs
+++ b/crates/peer/src/rpc/server.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use tower::Service;
 use tower::layer::util::{Identity, Stack};
@@ -25,6 +27,9 @@
 const PING_PERIOD: Duration = Duration::from_secs(60);
 /// time without a message or pong after which a connection is closed
 const INACTIVITY_TIMEOUT: Duration = Duration::from_secs(150);
+/// most connections without a valid key so far; a daemon that starts connects to all others at once,
+/// and they to it
+pub const MAX_PENDING: usize = 512;
 /// time for the first request of a connection with a valid key
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
 /// pause after a failed `accept`
@@ -44,6 +49,20 @@
     keys: Arc<Keys>,
     meter: Arc<Meter>,
     stop: StopHandle,
+    max_pending: usize,
+}
+
+/// a connection without a valid key so far
+struct Pending {
+    connection: JoinHandle<()>,
+    is_established: watch::Receiver<bool>,
+}
+
+impl Pending {
+    /// whether it is still open and without a valid key
+    fn is_current(&self) -> bool {
+        !self.connection.is_finished() && !*self.is_established.borrow()
+    }
 }
 
 impl Server {
@@ -56,6 +75,7 @@
         methods: Methods,
         keys: Keys,
         meter: Arc<Meter>,
+        max_pending: usize,
     ) -> std::io::Result<Server> {
         let address = listener.local_addr()?;
         let (stop, handle) = stop_channel();
@@ -65,6 +85,7 @@
             keys: Arc::new(keys),
             meter,
             stop,
+            max_pending,
         };
         tokio::spawn(acceptor.run(listener));
         Ok(Server { address, handle })
@@ -84,13 +105,29 @@
 
 impl Acceptor {
     async fn run(self, listener: TcpListener) {
+        let mut pending: VecDeque<Pending> = VecDeque::new();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 () = self.stop.clone().shutdown() => break,
             };
             match accepted {
-                Ok((stream, _)) => self.serve(stream),
+                Ok((stream, _)) => {
+                    if pending.len() >= self.max_pending {
+                        pending.retain(Pending::is_current);
+                    }
+                    // daemons send their key at once, so the oldest is not one of them
+                    if pending.len() >= self.max_pending
+                        && let Some(oldest) = pending.pop_front()
+                    {
+                        tracing::debug!(
+                            pending = pending.len(),
+                            "control connection closed: too many without a key"
+                        );
+                        oldest.connection.abort();
+                    }
+                    pending.push_back(self.serve(stream));
+                }
                 Err(error) => {
                     tracing::warn!(%error, "cannot accept a control connection");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -99,13 +136,14 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream) -> Pending {
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "cannot set TCP_NODELAY on an accepted connection");
         }
         let handshake = Handshake::new();
         let stream = Metered::new(stream, self.meter.clone(), handshake.clone());
         let (established, mut is_established) = watch::channel(false);
+        let is_known = is_established.clone();
         let builder = self.builder.clone();
         let methods = self.methods.clone();
         let keys = self.keys.clone();
@@ -126,7 +164,7 @@
             }
         });
         let stopped = self.stop.clone().shutdown();
-        tokio::spawn(async move {
+        let connection = tokio::spawn(async move {
             let serving = serve_with_graceful_shutdown(stream, service, stopped);
             let late = async {
                 let handshake = is_established.wait_for(|established| *established);
@@ -144,6 +182,10 @@
                 }
             }
         });
+        Pending {
+            connection,
+            is_established: is_known,
+        }
     }
 }
 
