--- a/crates/gateway/src/listeners/admin.rs
+++ b/crates/gateway/src/listeners/admin.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::task::{JoinHandle, spawn_local, yield_now};
 use tokio::time::sleep;
 
 use crate::adapter::Dialect;
@@ -131,6 +131,8 @@
                     left_out,
                 );
             }
+            // lets the aborted task close its connection before another one is accepted
+            yield_now().await;
         }
         let respond = Rc::clone(&respond);
         let service = service_fn(move |request: Request<Incoming>| {
--- a/crates/gateway/src/pool/transport.rs
+++ b/crates/gateway/src/pool/transport.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use bytes::BufMut;
 use memory::Overhead;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -12,6 +13,13 @@
 /// interim responses included
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 
+/// most bytes that are read at once
+///
+/// The HTTP library doubles its buffer after a read that fills it, and a part of a body keeps the
+/// whole buffer in memory for as long as it waits for its caller. This is one byte less than 16 KiB,
+/// the size of the buffer at which it stays.
+const MAX_READ_BYTES: usize = 16 * 1024 - 1;
+
 /// what may still be received: bytes until a head is complete, then as much as payload justifies
 #[derive(Debug, Clone)]
 pub(super) struct Allowance(Rc<State>);
@@ -78,11 +86,26 @@
     pub fn new(stream: TcpStream, allowance: Allowance) -> Transport {
         Transport { stream, allowance }
     }
+
+    /// reads at most [`MAX_READ_BYTES`]
+    fn poll_part(
+        &self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read_buf(&mut buffer.limit(MAX_READ_BYTES)) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
 }
 
 impl AsyncRead for Transport {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -90,9 +113,7 @@
             let cause = format!("no response head within {MAX_HEAD_BYTES} bytes");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
         }
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let count = buffer.filled().len() - before;
+        let count = ready!(self.poll_part(context, buffer))?;
         Poll::Ready(self.allowance.record_received(count))
     }
 }
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -30,18 +30,21 @@
 /// chunks of a long response that wait to be sent to the caller
 const CHANNEL_CAPACITY: usize = 4;
 
-/// memory for the next part of a response, as large as the buffer of a connection
-const PART_BYTES: usize = 64 * 1024;
+/// memory for the next part of a response, as much as is read from its VM at once
+const PART_BYTES: usize = 16 * 1024;
 
-/// a part of a response up to this size is not charged; connections have that much room
+/// memory of the connection to the VM while a long response is read: the next part, and a buffer
+const TRANSPORT_BYTES: usize = 2 * PART_BYTES;
+
+/// a response up to this size is not charged; connections have that much room
 const FREE_BYTES: usize = 4096;
 
 /// body of a response, read up to [`MAX_BUFFERED_BYTES`] and as far as there is memory
 enum ReadBody {
     /// the complete body
     Buffered(Bytes),
-    /// the beginning of a longer body
-    Partial(Bytes),
+    /// the beginning of a longer body, and the memory of its connection
+    Partial(Bytes, Charge),
 }
 
 /// serves a request of a plain service
@@ -142,9 +145,11 @@
             connection.release();
             Body::buffered(bytes)
         }
-        ReadBody::Partial(start) => {
+        ReadBody::Partial(start, transport) => {
             let deadline = request.deadline.timeout_at();
-            stream_body(start, body, connection, Rc::clone(&request.hold), deadline)
+            let hold = Rc::clone(&request.hold);
+            let connection = (connection, transport);
+            stream_body(start, body, connection, hold, deadline)
         }
     };
     Ok(build_response(shared, &head, body))
@@ -180,58 +185,63 @@
 
 /// reads a body up to [`MAX_BUFFERED_BYTES`], or less if there is no memory for more
 async fn buffer(body: &mut pool::Body, hold: &Hold) -> Result<ReadBody, String> {
-    let describe = |refused: Refused| refused.to_string();
     let length = body.size_hint().exact().map(|length| length as usize);
-    let first = length.unwrap_or(PART_BYTES).min(PART_BYTES);
-    let mut charge: Option<Charge> = None;
-    if first > FREE_BYTES {
-        charge = Some(hold.charge(first).await.map_err(describe)?);
+    let expected = length
+        .unwrap_or(usize::MAX)
+        .min(MAX_BUFFERED_BYTES + PART_BYTES);
+    // in one piece, as moving it when it grows would leave gaps in the heap
+    let mut bytes = BytesMut::with_capacity(length.map_or(0, |_| expected));
+    if expected <= FREE_BYTES {
+        read_up_to(body, &mut bytes, usize::MAX).await?;
+        return Ok(ReadBody::Buffered(bytes.freeze()));
     }
-    let charged = |bytes: Bytes, charge: Option<Charge>| match charge {
-        Some(mut charge) if bytes.len() > FREE_BYTES => {
-            charge.shrink(bytes.len());
-            charge.attach(bytes)
-        }
-        _ => bytes,
-    };
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| crate::pool::describe(&error))?;
-        if let Ok(data) = frame.into_data() {
-            bytes.extend_from_slice(&data);
+    let describe = |refused: Refused| refused.to_string();
+    let transport = hold.charge(TRANSPORT_BYTES).await.map_err(describe)?;
+    let mut charge = hold
+        .charge(expected.min(PART_BYTES))
+        .await
+        .map_err(describe)?;
+    loop {
+        let is_complete = read_up_to(body, &mut bytes, charge.bytes()).await?;
+        charge.shrink(bytes.len());
+        if is_complete {
+            return Ok(ReadBody::Buffered(charge.attach(bytes.freeze())));
         }
-        let has_memory = match &mut charge {
-            Some(charge) => grow(charge, hold, bytes.len(), length),
-            None => true,
-        };
-        if bytes.len() > MAX_BUFFERED_BYTES || !has_memory {
-            return Ok(ReadBody::Partial(charged(bytes.freeze(), charge)));
+        let next = PART_BYTES.min(expected.saturating_sub(bytes.len()).max(1));
+        let more = hold.try_charge_part(next);
+        match more {
+            Ok(more) if bytes.len() <= MAX_BUFFERED_BYTES => charge.merge(more),
+            _ => {
+                let start = charge.attach(bytes.freeze());
+                return Ok(ReadBody::Partial(start, transport));
+            }
         }
     }
-    Ok(ReadBody::Buffered(charged(bytes.freeze(), charge)))
 }
 
-/// charges the next part of a response of which some bytes are read; whether there is memory for it
-fn grow(charge: &mut Charge, hold: &Hold, read: usize, length: Option<usize>) -> bool {
-    let end = (read + PART_BYTES).min(length.unwrap_or(usize::MAX));
-    let missing = end.saturating_sub(charge.bytes());
-    if missing == 0 {
-        return true;
-    }
-    match hold.try_charge(missing) {
-        Ok(more) => {
-            charge.merge(more);
-            true
+/// reads a body until there are this many bytes or it is complete; whether it is
+async fn read_up_to(
+    body: &mut pool::Body,
+    bytes: &mut BytesMut,
+    limit: usize,
+) -> Result<bool, String> {
+    while bytes.len() < limit || body.is_end_stream() {
+        let Some(frame) = body.frame().await else {
+            return Ok(true);
+        };
+        let frame = frame.map_err(|error| crate::pool::describe(&error))?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
         }
-        Err(_) => false,
     }
+    Ok(false)
 }
 
 /// streams a long body to the caller; parts wait for memory
 fn stream_body(
     start: Bytes,
     mut body: pool::Body,
-    connection: Connection,
+    (connection, transport): (Connection, Charge),
     hold: Rc<Hold>,
     deadline: Instant,
 ) -> Body {
@@ -242,7 +252,7 @@
                 return;
             }
             loop {
-                let charging = hold.charge(PART_BYTES);
+                let charging = hold.charge_part(PART_BYTES);
                 let charge = tokio::select! {
                     biased;
                     charge = charging => charge,
@@ -274,6 +284,7 @@
         if timeout_at(deadline, streaming).await.is_err() {
             tracing::info!(event = "answer_cut", cause = "deadline exceeded");
         }
+        drop(transport);
     });
     Body::streamed(chunks)
 }
--- a/crates/memory/src/account.rs
+++ b/crates/memory/src/account.rs
@@ -167,8 +167,7 @@
     }
 
     /// adds bytes to the total, after connections without progress were ended if that is needed
-    fn try_add(&self, bytes: usize, id: u64) -> bool {
-        let limit = self.total.capacity.limit_for(bytes);
+    fn try_add(&self, bytes: usize, limit: usize, id: u64) -> bool {
         let after = self.total.held().saturating_add(bytes);
         if after > limit {
             let candidates =
@@ -196,10 +195,14 @@
     /// # Errors
     /// When no memory is left, or the connection has lost its memory.
     pub fn try_charge(&self, bytes: usize) -> Result<Charge, Refused> {
+        self.try_charge_up_to(bytes, self.account.capacity().limit_for(bytes))
+    }
+
+    fn try_charge_up_to(&self, bytes: usize, limit: usize) -> Result<Charge, Refused> {
         if self.holder.is_ended() {
             return Err(Refused::Ended);
         }
-        if !self.account.try_add(bytes, self.holder.id) {
+        if !self.account.try_add(bytes, limit, self.holder.id) {
             return Err(Refused::Exhausted);
         }
         self.holder.add(bytes);
@@ -224,6 +227,27 @@
         }
     }
 
+    /// charges bytes of something large at once, of which this is a part
+    ///
+    /// # Errors
+    /// As [`Hold::try_charge`].
+    pub fn try_charge_part(&self, bytes: usize) -> Result<Charge, Refused> {
+        self.try_charge_up_to(bytes, self.account.capacity().large_limit())
+    }
+
+    /// charges bytes of something large once there is memory for them
+    ///
+    /// # Errors
+    /// When the connection has lost its memory.
+    pub async fn charge_part(&self, bytes: usize) -> Result<Charge, Refused> {
+        loop {
+            match self.try_charge_part(bytes) {
+                Err(Refused::Exhausted) => self.wait_for_release(TICK).await,
+                result => return result,
+            }
+        }
+    }
+
     /// charges bytes once there is memory for them
     ///
     /// # Errors
--- a/crates/memory/src/capacity.rs
+++ b/crates/memory/src/capacity.rs
@@ -44,10 +44,15 @@
         if charge < LARGE_BYTES {
             self.0
         } else {
-            self.0 - self.0 / SMALL_FRACTION
+            self.large_limit()
         }
     }
 
+    /// most bytes that may be held after a large charge
+    pub fn large_limit(self) -> usize {
+        self.0 - self.0 / SMALL_FRACTION
+    }
+
     /// most connections, each of which holds this many bytes
     pub fn connections(self, bytes_each: usize) -> usize {
         (self.0 - self.0 / REQUEST_FRACTION) / bytes_each.max(1)
--- a/crates/peer/src/rpc/server.rs
+++ b/crates/peer/src/rpc/server.rs
@@ -125,6 +125,8 @@
                             "control connection closed: too many without a key"
                         );
                         oldest.connection.abort();
+                        // lets it close before another one is accepted
+                        tokio::task::yield_now().await;
                     }
                     pending.push_back(self.serve(stream));
                 }
