--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub attempts: IntCounterVec,
     /// time to the response or the first event of its stream, by route
     pub latency: HistogramVec,
+    /// connections that were closed or not accepted, by listener and reason
+    pub closed: IntCounterVec,
     /// calls to the platform's APIs by call and outcome
     pub calls: IntCounterVec,
     /// responses during roll-outs by service, version and outcome
@@ -49,6 +51,11 @@
             "Attempts at upstream VMs by service and outcome.",
             &["service", "outcome"],
         );
+        let closed = counter(
+            "agateloom_closed_connections_total",
+            "Connections that were closed or not accepted by listener and reason.",
+            &["listener", "reason"],
+        );
         let calls = counter(
             "agateloom_platform_calls_total",
             "Calls to the platform by call and outcome.",
@@ -76,6 +83,7 @@
             requests,
             attempts,
             latency,
+            closed,
             calls,
             versions,
             states,
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -7,7 +7,8 @@
 use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::Body as _;
+use memory::{Charge, Hold, Refused};
 use route::placement::{Outcome, TimeLimit, plain_time_limit};
 use route::verdict::Progress;
 use tokio::sync::mpsc;
@@ -19,7 +20,7 @@
 use super::{Body, Chunk, Failure, Reason};
 use crate::adapter::Dialect;
 use crate::model::{Kind, Vm};
-use crate::pool::Connection;
+use crate::pool::{self, Connection};
 use crate::quarantine;
 use crate::shared::Shared;
 
@@ -29,12 +30,21 @@
 /// chunks of a long response that wait to be sent to the caller
 const CHANNEL_CAPACITY: usize = 4;
 
-/// body of a response, read up to [`MAX_BUFFERED_BYTES`]
+/// memory for the next part of a response, as much as is read from its VM at once
+const PART_BYTES: usize = 16 * 1024;
+
+/// memory of the connection to the VM while a long response is read: the next part, and a buffer
+const TRANSPORT_BYTES: usize = 2 * PART_BYTES;
+
+/// a response up to this size is not charged; connections have that much room
+const FREE_BYTES: usize = 4096;
+
+/// body of a response, read up to [`MAX_BUFFERED_BYTES`] and as far as there is memory
 enum ReadBody {
     /// the complete body
     Buffered(Bytes),
-    /// the beginning of a longer body
-    Partial(BytesMut),
+    /// the beginning of a longer body, and the memory of its connection
+    Partial(Bytes, Charge),
 }
 
 /// serves a request of a plain service
@@ -104,7 +114,7 @@
         connection,
         mut in_flight,
     } = vm_response;
-    let reading = buffer(&mut body);
+    let reading = buffer(&mut body, &request.hold);
     let read = match request.deadline.limit(reading).await {
         Ok(Ok(read)) => read,
         Ok(Err(cause)) => {
@@ -140,8 +150,11 @@
             connection.release();
             Body::buffered(bytes)
         }
-        ReadBody::Partial(start) => {
-            stream_body(start, body, connection, request.deadline.timeout_at())
+        ReadBody::Partial(start, transport) => {
+            let deadline = request.deadline.timeout_at();
+            let hold = Rc::clone(&request.hold);
+            let connection = (connection, transport);
+            stream_body(start, body, connection, hold, deadline)
         }
     };
     Ok(build_response(shared, &head, body))
@@ -175,40 +188,97 @@
     response
 }
 
-/// reads a body up to [`MAX_BUFFERED_BYTES`]
-async fn buffer(body: &mut Incoming) -> Result<ReadBody, String> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+/// reads a body up to [`MAX_BUFFERED_BYTES`], or less if there is no memory for more
+async fn buffer(body: &mut pool::Body, hold: &Hold) -> Result<ReadBody, String> {
+    let length = body.size_hint().exact().map(|length| length as usize);
+    let expected = length
+        .unwrap_or(usize::MAX)
+        .min(MAX_BUFFERED_BYTES + PART_BYTES);
+    // in one piece, as moving it when it grows would leave gaps in the heap
+    let mut bytes = BytesMut::with_capacity(length.map_or(0, |_| expected));
+    if expected <= FREE_BYTES {
+        read_up_to(body, &mut bytes, usize::MAX).await?;
+        return Ok(ReadBody::Buffered(bytes.freeze()));
+    }
+    let describe = |refused: Refused| refused.to_string();
+    let transport = hold.charge(TRANSPORT_BYTES).await.map_err(describe)?;
+    let mut charge = hold
+        .charge(expected.min(PART_BYTES))
+        .await
+        .map_err(describe)?;
+    loop {
+        let is_complete = read_up_to(body, &mut bytes, charge.bytes()).await?;
+        charge.shrink(bytes.len());
+        if is_complete {
+            return Ok(ReadBody::Buffered(charge.attach(bytes.freeze())));
+        }
+        let next = PART_BYTES.min(expected.saturating_sub(bytes.len()).max(1));
+        let more = hold.try_charge_part(next);
+        match more {
+            Ok(more) if bytes.len() <= MAX_BUFFERED_BYTES => charge.merge(more),
+            _ => {
+                let start = charge.attach(bytes.freeze());
+                return Ok(ReadBody::Partial(start, transport));
+            }
+        }
+    }
+}
+
+/// reads a body until there are this many bytes or it is complete; whether it is
+async fn read_up_to(
+    body: &mut pool::Body,
+    bytes: &mut BytesMut,
+    limit: usize,
+) -> Result<bool, String> {
+    while bytes.len() < limit || body.is_end_stream() {
+        let Some(frame) = body.frame().await else {
+            return Ok(true);
+        };
         let frame = frame.map_err(|error| crate::pool::describe(&error))?;
         if let Ok(data) = frame.into_data() {
             bytes.extend_from_slice(&data);
         }
-        if bytes.len() > MAX_BUFFERED_BYTES {
-            return Ok(ReadBody::Partial(bytes));
-        }
     }
-    Ok(ReadBody::Buffered(bytes.freeze()))
+    Ok(false)
 }
 
-/// streams a long body to the caller
+/// streams a long body to the caller; parts wait for memory
 fn stream_body(
-    start: BytesMut,
-    mut body: Incoming,
-    connection: Connection,
+    start: Bytes,
+    mut body: pool::Body,
+    (connection, transport): (Connection, Charge),
+    hold: Rc<Hold>,
     deadline: Instant,
 ) -> Body {
     let (sender, chunks) = mpsc::channel(CHANNEL_CAPACITY);
     tokio::task::spawn_local(async move {
         let streaming = async {
-            if sender.send(Chunk::Bytes(start.freeze())).await.is_err() {
+            if sender.send(Chunk::Bytes(start)).await.is_err() {
                 return;
             }
-            while let Some(frame) = body.frame().await {
+            loop {
+                let charging = hold.charge_part(PART_BYTES);
+                let charge = tokio::select! {
+                    biased;
+                    charge = charging => charge,
+                    () = sender.closed() => return,
+                };
+                let Ok(mut charge) = charge else {
+                    return;
+                };
+                let Some(frame) = body.frame().await else {
+                    break;
+                };
                 let Ok(frame) = frame else { return };
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
-                if sender.send(Chunk::Bytes(data)).await.is_err() {
+                charge.shrink(data.len());
+                if sender
+                    .send(Chunk::Bytes(charge.attach(data)))
+                    .await
+                    .is_err()
+                {
                     return;
                 }
             }
@@ -219,6 +289,7 @@
         if timeout_at(deadline, streaming).await.is_err() {
             tracing::info!(event = "answer_cut", cause = "deadline exceeded");
         }
+        drop(transport);
     });
     Body::streamed(chunks)
 }
