--- a/crates/gateway/src/rollout/active.rs
+++ b/crates/gateway/src/rollout/active.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::entry::Entry;
-use super::source::Sources;
+use super::source::{Part, Sources};
 
 /// shortest time between two reports with evidence to the same peer
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(800);
@@ -32,8 +32,6 @@
     pub started_at: Instant,
     /// responses to this daemon
     pub evidence: Evidence,
-    /// latest second of that evidence
-    pub latest_s: u32,
     pub sources: Sources,
     /// how it ended, once that has been written or can't change any more
     pub end: Option<State>,
@@ -63,7 +61,6 @@
             saved_ms: None,
             started_at: now,
             evidence: Evidence::new(),
-            latest_s: 0,
             sources: Sources::default(),
             end: None,
             rejected: None,
@@ -108,18 +105,19 @@
         self.decision.is_none_or(|decision| decision.share < 1.0)
     }
 
-    /// the part of some evidence for the next report to a receiver: none if the last one was just
+    /// the part of the evidence for the next report to a receiver: none if the last one was just
     /// now, all of it at random, for daemons that have started or lost messages
-    pub fn part(&mut self, evidence: &Evidence, receiver: &str, now: Instant) -> Evidence {
+    pub fn next_part(&mut self, receiver: &str, now: Instant) -> Part {
         let last = self.sent_at.get(receiver);
         if last.is_some_and(|at| now.saturating_duration_since(*at) < MIN_SEND_INTERVAL) {
-            return Evidence::default();
+            return Part::None;
         }
         self.sent_at.insert(receiver.to_owned(), now);
         if rand::rng().random_ratio(1, FULL_EVERY) {
-            return evidence.clone();
+            return Part::All;
         }
-        evidence.since(self.latest_s.saturating_sub(PART_S))
+        let elapsed_s = u32::try_from(self.elapsed(now).as_secs()).unwrap_or(u32::MAX);
+        Part::Since(elapsed_s.saturating_sub(PART_S))
     }
 
     /// takes over how a peer numbers the request
--- a/crates/gateway/src/rollout/attempt.rs
+++ b/crates/gateway/src/rollout/attempt.rs
@@ -134,7 +134,6 @@
             active
                 .evidence
                 .record(second, is_target, open.route, &sample);
-            active.latest_s = active.latest_s.max(second);
             let outcome = match (is_failed, ratio >= LATE_RATIO) {
                 (true, _) => "failed",
                 (false, true) => "slow",
--- a/crates/gateway/src/rollout/evaluate.rs
+++ b/crates/gateway/src/rollout/evaluate.rs
@@ -7,12 +7,19 @@
 
 use super::active::Active;
 use super::message::Stop;
+use super::source::Part;
 use crate::adapter::Dialect;
 use crate::model::Health;
 use crate::shared::Shared;
 
-/// interval at which a roll-out in progress is decided on
-const INTERVAL: Duration = Duration::from_millis(200);
+/// interval at which a roll-out in progress is decided on: half of that at which evidence arrives
+const INTERVAL: Duration = Duration::from_millis(400);
+
+/// the same shortly before its deadline, and while a state has to be written
+const LATE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// time before the deadline from which requests move and the state is written
+const LATE_TIME: Duration = Duration::from_secs(4);
 
 /// age of a decision from which it is made anew before the next request
 const MAX_DECISION_AGE: Duration = Duration::from_millis(800);
@@ -36,7 +43,7 @@
         if shared.needs_evaluation() {
             tokio::select! {
                 () = changed => {}
-                () = sleep(INTERVAL) => {}
+                () = sleep(shared.evaluation_interval()) => {}
             }
         } else {
             changed.await;
@@ -72,6 +79,20 @@
         }
     }
 
+    fn evaluation_interval(&self) -> Duration {
+        let now = self.clock.now();
+        let active = self.rollouts.active.borrow();
+        let is_late = |active: &Active| {
+            let is_near = active.elapsed(now) + LATE_TIME >= active.order.duration;
+            active.due_state().is_some() || (active.is_in_progress() && is_near)
+        };
+        if active.values().any(is_late) {
+            LATE_INTERVAL
+        } else {
+            INTERVAL
+        }
+    }
+
     fn needs_evaluation(&self) -> bool {
         let active = self.rollouts.active.borrow();
         let is_open = |active: &Active| active.is_in_progress() || active.due_state().is_some();
@@ -181,7 +202,7 @@
         };
         let now = self.clock.now();
         active.refresh_start(now, self.wall_clock.now_ms());
-        let sum = self.rollout_sum(active, |_| true, now);
+        let sum = self.rollout_sum(active, |_| true, Part::All, now);
         active.age = self.rollout_age(active, now);
         let order = &active.order;
         let unused = self.unused_versions(active);
--- a/crates/gateway/src/rollout/exchange.rs
+++ b/crates/gateway/src/rollout/exchange.rs
@@ -1,10 +1,11 @@
 use std::time::Duration;
 
+use route::rollout::Evidence;
 use tokio::time::Instant;
 
 use super::active::Active;
 use super::message::{Progress, Stop};
-use super::source::{Sender, Sum};
+use super::source::{Part, Sender, Sum};
 use crate::adapter::Dialect;
 use crate::peers::{Report, Scope};
 use crate::shared::Shared;
@@ -75,13 +76,17 @@
         let in_progress = all.values_mut().filter(|active| active.is_in_progress());
         let report = in_progress.map(|active| {
             let (bound, repeatable) = self.in_flight_before(active);
+            let mut evidence = Evidence::new();
+            active
+                .next_part(PEERS, now)
+                .add(&active.evidence, &mut evidence);
             Progress {
                 daemons: 1,
                 sending: u32::from(active.is_sending()),
                 bound,
                 repeatable,
                 age_ms: millis(active.age),
-                evidence: active.part(&active.evidence.clone(), PEERS, now),
+                evidence,
                 ..active.progress(now)
             }
         });
@@ -111,7 +116,8 @@
         let mut all = self.rollouts.active.borrow_mut();
         let in_progress = all.values_mut().filter(|active| active.is_in_progress());
         let report = in_progress.map(|active| {
-            let mut sum = self.rollout_sum(active, &is_included, now);
+            let part = active.next_part(receiver, now);
+            let mut sum = self.rollout_sum(active, &is_included, part, now);
             sum.daemons += 1;
             Progress {
                 daemons: sum.daemons,
@@ -119,7 +125,7 @@
                 bound: sum.remaining.bound,
                 repeatable: sum.remaining.repeatable,
                 age_ms: millis(active.age),
-                evidence: active.part(&sum.evidence, receiver, now),
+                evidence: sum.evidence,
                 ..active.progress(now)
             }
         });
@@ -132,16 +138,17 @@
         &self,
         active: &Active,
         is_included: impl Fn(&Sender<'_>) -> bool,
+        part: Part,
         now: Instant,
     ) -> Sum {
         let mut sum = Sum::default();
-        sum.evidence.add(&active.evidence);
+        part.add(&active.evidence, &mut sum.evidence);
         sum.remaining.sending = u32::from(active.is_sending());
         (sum.remaining.bound, sum.remaining.repeatable) = self.in_flight_before(active);
         let topology = self.rollouts.topology.borrow();
         if let Some(topology) = topology.as_ref() {
             let accepts = |sender: &Sender<'_>| sender.is_accepted(topology) && is_included(sender);
-            active.sources.add_to(&mut sum, accepts, now);
+            active.sources.add_to(&mut sum, accepts, part, now);
         }
         sum
     }
--- a/crates/gateway/src/rollout/source.rs
+++ b/crates/gateway/src/rollout/source.rs
@@ -40,6 +40,28 @@
     by_sender: HashMap<Key, Source>,
 }
 
+/// which evidence is wanted
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Part {
+    /// none
+    None,
+    /// that of requests from a second on
+    Since(u32),
+    /// all
+    All,
+}
+
+impl Part {
+    /// adds this part of some evidence to a sum
+    pub fn add(self, evidence: &Evidence, sum: &mut Evidence) {
+        match self {
+            Part::None => {}
+            Part::Since(second) => sum.add(&evidence.since(second)),
+            Part::All => sum.add(evidence),
+        }
+    }
+}
+
 /// sum over some daemons
 #[derive(Debug, Default)]
 pub(super) struct Sum {
@@ -81,7 +103,13 @@
     }
 
     /// adds the reports that are accepted to a sum
-    pub fn add_to(&self, sum: &mut Sum, accepts: impl Fn(&Sender<'_>) -> bool, now: Instant) {
+    pub fn add_to(
+        &self,
+        sum: &mut Sum,
+        accepts: impl Fn(&Sender<'_>) -> bool,
+        part: Part,
+        now: Instant,
+    ) {
         for (key, source) in &self.by_sender {
             let sender = Sender {
                 from: &key.from,
@@ -92,7 +120,7 @@
             if !accepts(&sender) {
                 continue;
             }
-            sum.evidence.add(&source.evidence);
+            part.add(&source.evidence, &mut sum.evidence);
             let progress = &source.progress;
             if progress.daemons == 0 || source.is_old(now) {
                 continue;
--- a/crates/gateway/tests/support/vm.rs
+++ b/crates/gateway/tests/support/vm.rs
@@ -225,6 +225,14 @@
         *self.script.borrow_mut() = script;
     }
 
+    /// script of the last request
+    fn next_script(&self) -> Script {
+        let count = self.requests.borrow().len();
+        let fault = self.fault.borrow().clone();
+        let fault = fault.filter(|(every, _)| count.is_multiple_of(*every));
+        fault.map_or_else(|| self.script.borrow().clone(), |(_, script)| script)
+    }
+
     /// states when the process started
     async fn state_condition(&self, stream: &mut TcpStream) {
         self.conditions.set(self.conditions.get() + 1);
@@ -256,10 +264,7 @@
                 self.crash();
                 return;
             }
-            let fault = self.fault.borrow().clone();
-            let count = self.requests.borrow().len();
-            let fault = fault.filter(|(every, _)| count % every == 0);
-            let script = fault.map_or_else(|| self.script.borrow().clone(), |(_, script)| script);
+            let script = self.next_script();
             for step in &script.0 {
                 let mut byte = [0; 1];
                 let result = match step {
