--- a/crates/route/src/rollout/evidence.rs
+++ b/crates/route/src/rollout/evidence.rs
@@ -213,7 +213,7 @@
 /// the range that begins closest to a ratio
 pub(super) fn nearest_range(ratio: f64) -> usize {
     let above = (ratio / LOWEST_RATIO).log2() * RATIOS_PER_OCTAVE;
-    (1 + above.round().max(0.0) as usize).min(RATIOS - 1)
+    (above.round() + 1.0).clamp(1.0, (RATIOS - 1) as f64) as usize
 }
 
 /// the ratio at a part of a range
