Estimate the speed of each VM

Cause: the expected time did not account for VMs that are slow for a time. With a sixth of the engines 5 times slower for 3 s, 11.6 % of the requests were late.

Change: each first event, mean pause between events and plain response is compared with what is expected there, relative to the median of the service. Two samples of 2.5 times, or one of 3 times, mark a VM as slow; its expected time rises by that factor and its reported load is assumed to shrink more slowly. The estimate fades within the time for which the VM has been slow, steadily, so that requests return a few at a time. Reports contain the slow VMs with two numbers.

The tests fail with the previous policy.

--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -2,7 +2,7 @@
 
 use macro_rules_attribute::apply;
 use route::notice::Notice;
-use route::placement::{Load, Measurement, Prefill, Rate};
+use route::placement::{Load, Measurement, Prefill, Rate, Slowness};
 use route::quarantine::{Evidence, Mark};
 use schema::message;
 
@@ -111,6 +111,9 @@
     /// measured times of engines by service
     #[serde(default, skip_serializing_if = "HashMap::is_empty")]
     pub engines: HashMap<String, Measurement>,
+    /// VMs that are slow
+    #[serde(default, skip_serializing_if = "HashMap::is_empty")]
+    pub slow: HashMap<String, Slowness>,
     /// requests begun, by window and workspace
     pub counts: Snapshot,
     /// whether the receiver is to answer with the reports of all other daemons
@@ -137,6 +140,10 @@
         for (service, rate) in &other.rates {
             self.rates.entry(service.clone()).or_default().add(rate);
         }
+        for (vm, slowness) in &other.slow {
+            let slowest = self.slow.entry(vm.clone()).or_insert(*slowness);
+            *slowest = slowest.max(*slowness);
+        }
         for (service, measured) in &other.engines {
             let sum = self.engines.entry(service.clone()).or_default();
             sum.add(measured);
--- a/crates/gateway/src/peers/reporter.rs
+++ b/crates/gateway/src/peers/reporter.rs
@@ -240,6 +240,7 @@
         let loads = placement.loads();
         let rates = placement.rates(now);
         let engines = placement.measurements(now);
+        let slow = placement.slow_vms(now);
         let prefills = placement.take_prefills();
         drop(placement);
         let mut spending = HashMap::new();
@@ -267,6 +268,7 @@
             prefills,
             rates,
             engines,
+            slow,
             counts: Snapshot { windows },
             notices: shared.notices.table.borrow().in_force(now_ms),
             marks: shared.quarantine.parts.borrow().marks(),
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -109,6 +109,7 @@
         if let Some(report) = reports.receive(report, now) {
             placement.set_peer_loads(&report.from, report.loads.clone(), now);
             placement.add_peer_prefills(&report.prefills, now);
+            placement.set_peer_slow_vms(&report.slow, now);
         }
     }
 
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -8,6 +8,10 @@
 use crate::adapter::Dialect;
 use crate::shared::Shared;
 
+/// pauses between frames of a stream of which the mean is one sample: this process may read several
+/// frames together
+const PAUSES: u32 = 16;
+
 /// a request in flight at a VM; removed from the balancer's load when dropped
 pub(super) struct InFlight<D: Dialect> {
     shared: Rc<Shared<D>>,
@@ -20,6 +24,8 @@
     expectation: Option<Sample>,
     /// whether the time to the first event was measured
     is_measured: bool,
+    /// start and number of the events of which the mean pause is measured
+    pauses: Option<(Instant, u32)>,
     outcome: Outcome,
     latency: Option<Duration>,
 }
@@ -53,18 +59,32 @@
                 prefill_tokens: pick.uncached,
                 running: pick.running,
                 wait: pick.expected.saturating_sub(pick.unloaded),
+                expected: pick.expected,
                 took: Duration::ZERO,
             }),
             is_measured: false,
+            pauses: None,
             outcome: Outcome::Cancelled,
             latency: None,
         }
     }
 
     /// records that the VM sent something
-    pub fn record_activity(&self) {
+    pub fn record_activity(&mut self) {
+        let now = Instant::now();
         let mut balancer = self.shared.placement.borrow_mut();
-        balancer.record_activity(&self.service, &self.id, Instant::now());
+        balancer.record_activity(&self.service, &self.id, now);
+        if !self.is_measured {
+            return;
+        }
+        let (since, frames) = self.pauses.unwrap_or((now, 0));
+        if frames < PAUSES {
+            self.pauses = Some((since, frames + 1));
+            return;
+        }
+        let pause = now.saturating_duration_since(since) / PAUSES;
+        balancer.record_pause(&self.service, &self.id, pause, now);
+        self.pauses = Some((now, 1));
     }
 
     /// records that the first token was received
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -13,6 +13,7 @@
 use super::plain::{self, ResponseTime};
 use super::prefix_cache::Prefill;
 use super::request::{Choice, Full, Pick, Request};
+use super::speed::Baseline;
 
 /// largest number of prefills kept for the next report to peers
 const MAX_PENDING_PREFILLS: usize = 256;
@@ -39,6 +40,10 @@
     baseline_response_time: ResponseTime,
     meter: Meter,
     pub learner: Learner,
+    /// of first events, of pauses between events, and of plain responses
+    pub first_events: Baseline,
+    pub pauses: Baseline,
+    responses: Baseline,
 }
 
 /// last reported load of a peer, by VM
@@ -173,6 +178,7 @@
         if let Some(state) = self.services.get(service) {
             let timing = state.learner.timing();
             for entry in state.entries.values() {
+                let timing = timing.slowed(entry.speed.factor(now));
                 total.add(&self.load(entry, &timing, now));
             }
         }
@@ -312,6 +318,13 @@
             Outcome::Cancelled => {}
         }
         if let Some(took) = completion.took {
+            if let Some(expected) = state.baseline_response_time.mean() {
+                let ratio = took.as_secs_f64() / expected.as_secs_f64().max(1e-3);
+                let relative = state.responses.record(ratio);
+                if state.responses.is_known() {
+                    entry.speed.record(relative, now);
+                }
+            }
             entry.response_time.record(took, now);
             state.baseline_response_time.record(took, now);
         }
@@ -343,13 +356,21 @@
 
     fn pick(&self, state: &Service, entry: &Entry, request: &Request<'_>, now: Instant) -> Pick {
         let member = &entry.member;
-        let timing = state.learner.timing();
+        let factor = entry.speed.factor(now);
+        let usual = state.learner.timing();
+        let timing = usual.slowed(factor);
         let load = self.load(entry, &timing, now);
         let (expected, unloaded, uncached) = match member.cache_tokens {
             None => {
                 let response_time = entry
                     .response_time
                     .estimate(state.baseline_response_time, now);
+                let slowed = state.baseline_response_time.mean().unwrap_or_default();
+                let response_time = if factor > 1.0 {
+                    response_time.max(slowed.mul_f64(factor))
+                } else {
+                    response_time
+                };
                 (
                     plain::expected(member.slots, &load, response_time),
                     response_time,
@@ -365,7 +386,7 @@
                 };
                 let held = uncached.saturating_add(request.output_tokens);
                 let expected = timing.expected(&capacity, &load, uncached, held);
-                (expected, timing.unloaded(uncached), uncached)
+                (expected, usual.unloaded(uncached), uncached)
             }
         };
         Pick {
--- a/crates/route/src/placement/engine.rs
+++ b/crates/route/src/placement/engine.rs
@@ -90,6 +90,18 @@
         }
     }
 
+    /// the times of an engine that is slower by a factor
+    pub(super) fn slowed(&self, factor: f64) -> Timing {
+        if factor <= 1.0 {
+            return *self;
+        }
+        Timing {
+            tokens_per_ms: self.tokens_per_ms / factor,
+            base: self.base.mul_f64(factor),
+            slot_time: self.slot_time.mul_f64(factor),
+        }
+    }
+
     /// time to prefill prompt tokens
     pub(super) fn prefill_time(&self, tokens: u64) -> Duration {
         Duration::from_secs_f64(tokens as f64 / self.tokens_per_ms / 1000.0)
--- a/crates/route/src/placement/entry.rs
+++ b/crates/route/src/placement/entry.rs
@@ -7,6 +7,7 @@
 use super::member::Member;
 use super::plain::ResponseTime;
 use super::prefix_cache::PrefixCache;
+use super::speed::Speed;
 use crate::notice::Throttle;
 
 /// retry delay if only other daemons may send to the VM: a caller that returns gets another daemon
@@ -23,6 +24,7 @@
     pub prefix_cache: PrefixCache,
     pub health: Health,
     pub response_time: ResponseTime,
+    pub speed: Speed,
     /// until when the VM wants no requests from this daemon
     pub closed_until: Option<Instant>,
     /// until when the VM wants no requests from another daemon
@@ -39,6 +41,7 @@
             prefix_cache: PrefixCache::default(),
             health: Health::new(),
             response_time: ResponseTime::default(),
+            speed: Speed::default(),
             closed_until: None,
             avoided_until: None,
             throttle: None,
--- a/crates/route/src/placement/learner.rs
+++ b/crates/route/src/placement/learner.rs
@@ -73,6 +73,8 @@
     pub running: u32,
     /// expected queueing time when it was sent
     pub wait: Duration,
+    /// expected time when it was sent
+    pub expected: Duration,
     /// time from sending to the first event
     pub took: Duration,
 }
--- a/crates/route/src/placement/learning.rs
+++ b/crates/route/src/placement/learning.rs
@@ -1,4 +1,4 @@
-//! What responses say about a service's engines.
+//! What responses say about a service's engines and about each VM.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -9,16 +9,74 @@
 use super::engine::Timing;
 use super::learner::{Measurement, Sample};
 use super::request::Distance;
+use super::speed::Slowness;
+
+/// expected time to a first event, seconds, below which it counts as this long
+const MIN_EXPECTED_S: f64 = 0.02;
+
+/// pause between events, seconds, below which it counts as this long: shorter ones are of events
+/// that arrive together
+const MIN_PAUSE_S: f64 = 0.001;
 
 impl Balancer {
+    /// records the mean pause between some events of a stream
+    pub fn record_pause(&mut self, service: &str, id: &str, pause: Duration, now: Instant) {
+        let Some(state) = self.services.get_mut(service) else {
+            return;
+        };
+        let Some(entry) = state.entries.get_mut(id) else {
+            return;
+        };
+        let relative = state.pauses.record(pause.as_secs_f64().max(MIN_PAUSE_S));
+        if state.pauses.is_known() {
+            entry.speed.record(relative, now);
+        }
+    }
+
+    /// returns the VMs that are slow by this daemon's own samples
+    pub fn slow_vms(&self, now: Instant) -> HashMap<String, Slowness> {
+        let entries = self.services.values().flat_map(|state| &state.entries);
+        entries
+            .filter_map(|(id, entry)| Some((id.clone(), entry.speed.slowness(now)?)))
+            .collect()
+    }
+
+    /// sets the VMs that peers reported as slow
+    pub fn set_peer_slow_vms(&mut self, slow: &HashMap<String, Slowness>, now: Instant) {
+        if slow.is_empty() {
+            return;
+        }
+        for state in self.services.values_mut() {
+            for (id, slowness) in slow {
+                if let Some(entry) = state.entries.get_mut(id) {
+                    entry.speed.set_reported(*slowness, now);
+                }
+            }
+        }
+    }
+
+    /// returns the factor by which a VM is expected to be slower than the others
+    pub fn slow_factor(&self, service: &str, id: &str, now: Instant) -> f64 {
+        let state = self.services.get(service);
+        let entry = state.and_then(|state| state.entries.get(id));
+        entry.map_or(1.0, |entry| entry.speed.factor(now))
+    }
+
     /// records the first event of a request at an engine
     pub fn record_sample(&mut self, service: &str, id: &str, sample: &Sample, now: Instant) {
         let Some(state) = self.services.get_mut(service) else {
             return;
         };
-        let Some(entry) = state.entries.get(id) else {
+        let Some(entry) = state.entries.get_mut(id) else {
             return;
         };
+        let expected = sample.expected.as_secs_f64().max(MIN_EXPECTED_S);
+        let relative = state
+            .first_events
+            .record(sample.took.as_secs_f64() / expected);
+        if state.first_events.is_known() {
+            entry.speed.record(relative, now);
+        }
         // the transfer over the link takes as long as the prefill of thousands of tokens
         if entry.member.cache_tokens.is_some() && entry.member.distance != Distance::Link {
             state.learner.record(sample, now);
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -32,6 +32,8 @@
 //!   theirs. A kind is accepted only while the more urgent ones would be in time as well.
 //! * Engines prefill at three times the assumed rate, so that requests which they could serve in time
 //!   are refused while VMs are lost. Their times are learned from responses (`learner`).
+//! * A sixth of the VMs runs 2.5 times slower for 600 ms, then others do. Observed times raise the expected
+//!   time of a VM until the observation has faded (`speed`).
 
 mod admission;
 mod balancer;
@@ -47,6 +49,7 @@
 mod plain;
 mod prefix_cache;
 mod request;
+mod speed;
 mod statements;
 
 pub use admission::{Kind, retry_after, time_limit};
@@ -58,3 +61,4 @@
 pub use member::Member;
 pub use prefix_cache::Prefill;
 pub use request::{Choice, Distance, Full, Pick, Request, TimeLimit};
+pub use speed::Slowness;
--- a/crates/route/src/placement/plain.rs
+++ b/crates/route/src/placement/plain.rs
@@ -30,6 +30,11 @@
         self.mean = Some((mean, now));
     }
 
+    /// returns the average as far as it was measured; of a service before it is recorded anew
+    pub fn mean(&self) -> Option<Duration> {
+        self.mean.map(|(mean, _)| mean)
+    }
+
     /// returns the average; that of the service if there is none, or an old and slower one
     pub fn estimate(&self, baseline: ResponseTime, now: Instant) -> Duration {
         let baseline = baseline
--- a/crates/route/tests/placement/cluster.rs
+++ b/crates/route/tests/placement/cluster.rs
@@ -29,6 +29,9 @@
     pub timing: Timing,
     /// whether what the daemons measure is applied
     pub learns: bool,
+    /// slowness of a sixth of the engines, and length of its periods
+    pub slow: f64,
+    pub period_ms: u64,
     /// seconds after which two thirds of the VMs are lost
     pub loss_s: u64,
     pub end_s: u64,
@@ -148,11 +151,11 @@
         self.base + Duration::from_micros(us)
     }
 
-    /// a sixth of the engines is 2.5 times slower, others in each period of 600 ms
+    /// a sixth of the engines is slower, others in each period
     fn slowness(&self, vm: usize, us: u64) -> f64 {
-        let period = us as usize / 600_000;
+        let period = (us / 1000 / self.setup.period_ms) as usize;
         if (vm + period).is_multiple_of(6) {
-            2.5
+            self.setup.slow
         } else {
             1.0
         }
@@ -206,6 +209,7 @@
                 prefill_tokens: pick.uncached,
                 running: pick.running,
                 wait: pick.expected.saturating_sub(pick.unloaded),
+                expected: pick.expected,
                 took: Duration::from_micros(first_us - us),
             },
             sent_us: us,
@@ -222,16 +226,21 @@
         };
         let now = self.at(us);
         let job = &self.jobs[&number];
+        let slowness = self.slowness(job.vm, us);
         let balancer = &mut self.balancers[job.daemon];
         let id = format!("vm-{}", job.vm);
         balancer.record_activity(SERVICE, &id, now);
         if !is_end {
             balancer.record_sample(SERVICE, &id, &job.sample, now);
             balancer.record_first_token(SERVICE, &id, &job.work);
+            let pause = Duration::from_secs_f64(0.008 * slowness);
+            balancer.record_pause(SERVICE, &id, pause, now);
             self.events.push(Reverse((job.end_us, true, number)));
             debug_assert_eq!(job.first_us, us);
             return;
         }
+        let pause = Duration::from_secs_f64(0.008 * slowness);
+        balancer.record_pause(SERVICE, &id, pause, now);
         let took = Duration::from_micros(us - job.sent_us);
         balancer.record_stream(SERVICE, took, now);
         let completion = Completion {
@@ -251,6 +260,7 @@
         let loads: Vec<HashMap<String, Load>> =
             self.balancers.iter().map(Balancer::loads).collect();
         let total = self.measured(now);
+        let slow: Vec<_> = self.balancers.iter().map(|one| one.slow_vms(now)).collect();
         let mut prefills: Vec<Prefill> = Vec::new();
         for balancer in &mut self.balancers {
             prefills.extend(balancer.take_prefills());
@@ -266,6 +276,9 @@
             }
             balancer.set_peer_loads("others", sum, now);
             balancer.add_peer_prefills(&prefills, now);
+            for (_, slow) in slow.iter().enumerate().filter(|(other, _)| *other != index) {
+                balancer.set_peer_slow_vms(slow, now);
+            }
             if self.setup.learns {
                 balancer.apply_measurement(SERVICE, &total);
             }
--- a/crates/route/tests/placement/learned_engines.rs
+++ b/crates/route/tests/placement/learned_engines.rs
@@ -7,7 +7,7 @@
 use super::SERVICE;
 use super::cluster::{Cluster, Setup, Summary};
 
-fn setup(tokens_per_ms: f64, learns: bool, seed: u64) -> Setup {
+pub fn setup(tokens_per_ms: f64, learns: bool, seed: u64) -> Setup {
     Setup {
         daemons: 24,
         vms: 30,
@@ -18,13 +18,15 @@
             slot_time: Duration::from_millis(900),
         },
         learns,
+        slow: 2.5,
+        period_ms: 600,
         loss_s: 20,
         end_s: 30,
         seed,
     }
 }
 
-fn run(setup: Setup) -> (Summary, Option<Timing>, u32) {
+pub fn run(setup: Setup) -> (Summary, Option<Timing>, u32) {
     let mut cluster = Cluster::new(setup);
     let learned = cluster.run();
     (cluster.summary, cluster.learned(), learned)
--- a/crates/route/tests/placement/main.rs
+++ b/crates/route/tests/placement/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod learned_engines;
 mod report_interval;
+mod slow_vms;
 mod stale_reports;
 
 use std::collections::HashMap;
