Give up a long watch of roll-outs when the watch of VMs fails

A connection that is lost without a reset would hide a request for the length of the watch. Tests of the gateway: rollouts 21, relay 10, vms 8, config 15, checkpoint 4, peers 10, versions 10, duties 12 and streams 15 pass.

--- a/crates/gateway/src/follow/rollouts.rs
+++ b/crates/gateway/src/follow/rollouts.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use route::trust::Role;
 use tokio::time::sleep;
 
 use super::AGE_CHECK_INTERVAL;
@@ -8,10 +9,9 @@
 use crate::adapter::{Dialect, ObjectError, Objects, Revision};
 use crate::rollout::Entry;
 use crate::shared::Shared;
-use route::trust::Role;
 
 /// length of a watcher's watch, which returns at once on a change; each call is billed
-const WATCH_TIME: Duration = Duration::from_secs(20);
+const WATCH_TIME: Duration = Duration::from_secs(10);
 
 /// length of a watch by a daemon that its peers do not serve
 const ISOLATED_WATCH_TIME: Duration = Duration::from_secs(2);
--- a/crates/gateway/src/follow/vms.rs
+++ b/crates/gateway/src/follow/vms.rs
@@ -42,6 +42,8 @@
             Err(error) => {
                 if !backoff.is_failing() {
                     tracing::warn!(event = "store_lost", what = "vms", cause = %error);
+                    // the connection of a longer watch may be lost as well
+                    shared.rollouts.confirmation_wanted.notify_one();
                 }
                 backoff.wait().await;
             }
