--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub calls: IntCounterVec,
     /// responses during roll-outs by service, version and outcome
     pub versions: IntCounterVec,
+    /// fraction of a workspace's demand within its share, in thousandths, while capacity is short
+    pub shares: IntGaugeVec,
     /// current values by name, such as the configuration's version and age
     pub states: IntGaugeVec,
 }
@@ -78,6 +80,14 @@
         registered.expect("metric names are distinct");
         let registered = registry.register(Box::new(states.clone()));
         registered.expect("metric names are distinct");
+        let options = Opts::new(
+            "agateloom_share_permille",
+            "Part of a workspace's demand within its share of a service while capacity is short.",
+        );
+        let shares = IntGaugeVec::new(options, &["service", "workspace"]);
+        let shares = shares.expect("metric and label names are valid");
+        let registered = registry.register(Box::new(shares.clone()));
+        registered.expect("metric names are distinct");
         Metrics {
             registry,
             requests,
@@ -86,6 +96,7 @@
             closed,
             calls,
             versions,
+            shares,
             states,
         }
     }
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 
 use macro_rules_attribute::apply;
+use route::fairness::Demands;
 use route::notice::Notice;
 use route::placement::{Load, Measurement, Prefill, Rate, Slowness};
 use route::quarantine::{Evidence, Mark};
@@ -118,6 +119,9 @@
     /// VMs that are slow
     #[serde(default, skip_serializing_if = "HashMap::is_empty")]
     pub slow: HashMap<String, Slowness>,
+    /// requested and refused work by service and workspace
+    #[serde(default, skip_serializing_if = "HashMap::is_empty")]
+    pub demands: Demands,
     /// requests begun, by window and workspace
     pub counts: Snapshot,
     /// whether the receiver is to answer with the reports of all other daemons
@@ -158,6 +162,12 @@
             let sum = self.engines.entry(service.clone()).or_default();
             sum.add(measured);
         }
+        for (service, workspaces) in &other.demands {
+            let sums = self.demands.entry(service.clone()).or_default();
+            for (workspace, demand) in workspaces {
+                sums.entry(workspace.clone()).or_default().add(demand);
+            }
+        }
         for (workspace, spending) in &other.spending {
             let sum = self.spending.entry(workspace.clone()).or_default();
             sum.demand += spending.demand;
--- a/crates/gateway/src/peers/reporter.rs
+++ b/crates/gateway/src/peers/reporter.rs
@@ -274,6 +274,7 @@
             rates,
             engines,
             slow,
+            demands: shared.fairness.borrow_mut().demands(now),
             counts: Snapshot { windows },
             notices: shared.notices.table.borrow().in_force(now_ms),
             marks: shared.quarantine.parts.borrow().marks(),
