--- a/crates/gateway/src/listeners/connection.rs
+++ b/crates/gateway/src/listeners/connection.rs
@@ -189,6 +189,14 @@
     let _ = timeout(DISCARD_TIME, reading).await;
 }
 
+fn builder(bounds: &Bounds) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .max_buf_size(bounds.header_bytes.max(MIN_BUFFER_BYTES))
+        .max_headers(MAX_HEADERS);
+    builder
+}
+
 async fn serve<D: Dialect>(
     shared: &Rc<Shared<D>>,
     stream: TcpStream,
@@ -205,10 +213,7 @@
         // boxed, as the connection would reserve its size also while it is idle
         Box::pin(respond(Rc::clone(shared), request, busy))
     });
-    let connection = http1::Builder::new()
-        .max_buf_size(bounds.header_bytes.max(MIN_BUFFER_BYTES))
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(monitored), service);
+    let connection = builder(bounds).serve_connection(TokioIo::new(monitored), service);
     let mut connection = pin!(connection);
     let first_request_deadline = |stage: Stage| {
         stage
