--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,20 +74,15 @@
         );
         let latency = HistogramVec::new(options.buckets(BUCKETS.to_vec()), &["route"]);
         let latency = latency.expect("metric and label names are valid");
-        let states = IntGaugeVec::new(Opts::new("agateloom_state", "States by name."), &["name"]);
-        let states = states.expect("metric and label names are valid");
         let registered = registry.register(Box::new(latency.clone()));
         registered.expect("metric names are distinct");
-        let registered = registry.register(Box::new(states.clone()));
-        registered.expect("metric names are distinct");
-        let options = Opts::new(
+        let states = gauge(&registry, "agateloom_state", "States by name.", &["name"]);
+        let shares = gauge(
+            &registry,
             "agateloom_share_permille",
             "Part of a workspace's demand within its share of a service while capacity is short.",
+            &["service", "workspace"],
         );
-        let shares = IntGaugeVec::new(options, &["service", "workspace"]);
-        let shares = shares.expect("metric and label names are valid");
-        let registered = registry.register(Box::new(shares.clone()));
-        registered.expect("metric names are distinct");
         Metrics {
             registry,
             requests,
@@ -111,6 +106,14 @@
     }
 }
 
+fn gauge(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let gauge = IntGaugeVec::new(Opts::new(name, help), labels);
+    let gauge = gauge.expect("metric and label names are valid");
+    let registered = registry.register(Box::new(gauge.clone()));
+    registered.expect("metric names are distinct");
+    gauge
+}
+
 impl Default for Metrics {
     fn default() -> Metrics {
         Metrics::new()
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -163,13 +163,6 @@
                 in_flight.set_outcome(Outcome::Broken);
                 shared.pool.close_idle(vm.address);
             }
-            if matches!(error, Error::Connect(_)) {
-                let mut placement = shared.placement.borrow_mut();
-                placement.record_unreachable(&request.service, &vm.id, Instant::now());
-            }
-            if matches!(error, Error::Lost(_)) {
-                quarantine::record_broken(shared, request, vm, None);
-            }
             return Err(record_connection_error(shared, request, vm, &error));
         }
     };
@@ -319,11 +312,19 @@
 
 /// records an attempt that failed on its connection
 fn record_connection_error<D: Dialect>(
-    shared: &Shared<D>,
+    shared: &Rc<Shared<D>>,
     request: &Request,
     vm: &Vm,
     error: &Error,
 ) -> AttemptError {
+    match error {
+        Error::Connect(_) => {
+            let mut placement = shared.placement.borrow_mut();
+            placement.record_unreachable(&request.service, &vm.id, Instant::now());
+        }
+        Error::Lost(_) => quarantine::record_broken(shared, request, vm, None),
+        _ => {}
+    }
     let progress = error.progress();
     let reason = match progress {
         Progress::Unsent => Reason::Unreachable,
