Fetch cached prompts from busy VMs

Cause: where the VMs that hold a part of a prompt were busy, requests waited there or an idle VM prefilled the part again. The preference for a VM that holds a prompt could also choose one where the request was late while another VM was idle, and memory of running requests counted as available for cached parts.

Change: waiting at a holder, prefilling again and fetching from a holder are compared by the expected time to the first token, for each request, where the configuration states how engines transfer KV caches. A VM that would be late is chosen only if there is no other. Metrics and the log line state the choice, the tokens saved and the accepted wait.

--- a/crates/gateway/src/adapter/dialect.rs
+++ b/crates/gateway/src/adapter/dialect.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::{HeaderMap, request, response};
@@ -23,6 +24,8 @@
     pub urgency: u8,
     /// id of the last event that the caller received
     pub resume_after: Option<&'a str>,
+    /// address of the VM from which the addressed one fetches what it lacks of the prompt
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// classification of the head of a VM's response
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,12 @@
     pub attempts: IntCounterVec,
     /// time to the response or the first event of its stream, by route
     pub latency: HistogramVec,
+    /// prompts with shared parts by service and how the parts reach the VM
+    pub prompts: IntCounterVec,
+    /// their tokens that were not prefilled again
+    pub prompt_tokens_saved: IntCounterVec,
+    /// expected queueing times accepted for them, milliseconds
+    pub prompt_wait_ms: IntCounterVec,
     /// calls to the platform's APIs by call and outcome
     pub calls: IntCounterVec,
     /// current values by name, such as the configuration's version and age
@@ -47,17 +53,27 @@
             "Attempts at upstream VMs by service and outcome.",
             &["service", "outcome"],
         );
+        let prompts = counter(
+            "agateloom_prompts_total",
+            "Prompts with shared parts by service and choice: held, prefilled or fetched.",
+            &["service", "choice"],
+        );
+        let prompt_tokens_saved = counter(
+            "agateloom_prompt_tokens_saved_total",
+            "Prompt tokens that were not prefilled again, by service and choice.",
+            &["service", "choice"],
+        );
+        let prompt_wait_ms = counter(
+            "agateloom_prompt_wait_milliseconds_total",
+            "Expected queueing time of prompts with shared parts by service and choice.",
+            &["service", "choice"],
+        );
         let calls = counter(
             "agateloom_platform_calls_total",
             "Calls to the platform by call and outcome.",
             &["call", "outcome"],
         );
-        let options = HistogramOpts::new(
-            "agateloom_latency_seconds",
-            "Time to the answer or the first event by route.",
-        );
-        let latency = HistogramVec::new(options.buckets(BUCKETS.to_vec()), &["route"]);
-        let latency = latency.expect("metric and label names are valid");
+        let latency = latency();
         let states = IntGaugeVec::new(Opts::new("agateloom_state", "States by name."), &["name"]);
         let states = states.expect("metric and label names are valid");
         let registered = registry.register(Box::new(latency.clone()));
@@ -68,6 +84,9 @@
             registry,
             requests,
             attempts,
+            prompts,
+            prompt_tokens_saved,
+            prompt_wait_ms,
             latency,
             calls,
             states,
@@ -84,6 +103,16 @@
     }
 }
 
+/// the histogram of latencies by route
+fn latency() -> HistogramVec {
+    let options = HistogramOpts::new(
+        "agateloom_latency_seconds",
+        "Time to the answer or the first event by route.",
+    );
+    let latency = HistogramVec::new(options.buckets(BUCKETS.to_vec()), &["route"]);
+    latency.expect("metric and label names are valid")
+}
+
 impl Default for Metrics {
     fn default() -> Metrics {
         Metrics::new()
--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use macro_rules_attribute::apply;
-use route::placement::Kind;
+use route::placement::{Kind, Transfer};
 use schema::data;
 use sha2::{Digest, Sha256};
 
@@ -61,6 +61,8 @@
     pub slots: u32,
     /// size of the KV cache in tokens
     pub cache_tokens: u64,
+    /// how KV caches are transferred between the engines, if they can be
+    pub transfer: Option<Transfer>,
 }
 
 /// limits and prices for scaling a service
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -8,6 +8,7 @@
 mod route;
 mod vm;
 
+pub use ::route::placement::Transfer;
 pub use call::{Call, Part};
 pub use config::{Bounds, Config, Engine, KeyHash, Limit, Scaling, Service, Unit, Workspace};
 pub use route::{Kind, Route, Target};
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -155,7 +155,7 @@
         sending.pick,
         sending.resume_after.is_some(),
     );
-    let message = build_message(shared, request, vm, sending.resume_after);
+    let message = build_message(shared, request, sending);
     let exchange = match exchange(shared, request, sending, message).await {
         Ok(exchange) => exchange,
         Err(error) => {
@@ -289,18 +289,21 @@
 fn build_message<D: Dialect>(
     shared: &Shared<D>,
     request: &Request,
-    vm: &Vm,
-    resume_after: Option<&str>,
+    sending: &Sending<'_>,
 ) -> HttpRequest<Full<bytes::Bytes>> {
+    // a holder that is gone is left out: the VM prefills what it lacks
+    let fetch = sending.pick.fetch.as_ref();
+    let holder = fetch.and_then(|fetch| shared.vms.borrow().get(&fetch.from).cloned());
     let attempt = Attempt {
-        instance: &vm.id,
+        instance: &sending.vm.id,
         workspace: request
             .workspace
             .as_ref()
             .map(|workspace| workspace.name.as_str()),
         time_left: request.time_left(),
         urgency: request.urgency(),
-        resume_after,
+        resume_after: sending.resume_after,
+        fetch_from: holder.map(|holder| holder.address),
     };
     let headers = shared
         .dialect
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -51,6 +51,7 @@
             let removed = Failure::with_retry_after(Reason::NoVm, NO_VM_RETRY_AFTER);
             let vm = shared.vm(&pick).ok_or(removed)?;
             attempts.tried.push(vm.id.clone());
+            count_prompt(shared, request, &pick);
             Ok((vm, pick))
         }
         Choice::Full(full) => {
@@ -63,6 +64,35 @@
     }
 }
 
+/// how the shared parts of a prompt reach the VM
+fn prompt_choice(pick: &Pick) -> &'static str {
+    match (&pick.fetch, pick.cached) {
+        (Some(_), _) => "fetched",
+        (None, 0) => "prefilled",
+        (None, _) => "held",
+    }
+}
+
+/// counts the choice for a prompt with shared parts in the metrics
+fn count_prompt<D: Dialect>(shared: &Shared<D>, request: &Request, pick: &Pick) {
+    if request.parts.len() < 2 {
+        return;
+    }
+    let kind = prompt_choice(pick);
+    let fetched = pick.fetch.as_ref().map_or(0, |fetch| fetch.tokens);
+    let saved = u64::from(pick.cached) + u64::from(fetched);
+    let wait = pick.expected.saturating_sub(pick.unloaded);
+    let labels = [request.service.as_str(), kind];
+    let metrics = &shared.metrics;
+    metrics.prompts.with_label_values(&labels).inc();
+    let tokens = &metrics.prompt_tokens_saved;
+    tokens.with_label_values(&labels).inc_by(saved);
+    let waits = &metrics.prompt_wait_ms;
+    waits
+        .with_label_values(&labels)
+        .inc_by(wait.as_millis() as u64);
+}
+
 fn log_choice<D: Dialect>(
     shared: &Shared<D>,
     request: &Request,
@@ -80,6 +110,10 @@
         Choice::Full(full) => ("vms_full", Some(&full.id), full.expected, None),
         Choice::NoVm => ("vms_none", None, Duration::ZERO, None),
     };
+    let pick = match choice {
+        Choice::Send(pick) => Some(pick),
+        Choice::Full(_) | Choice::NoVm => None,
+    };
     let Some(left_out) = shared.permit_log(kind) else {
         return;
     };
@@ -96,6 +130,10 @@
         prompt_tokens = request.call.prompt_tokens(),
         output_tokens = request.call.output_tokens(),
         uncached_tokens = uncached,
+        cached_tokens = pick.map(|pick| pick.cached),
+        prompt = pick.map(prompt_choice),
+        fetch_from = pick.and_then(|pick| Some(&pick.fetch.as_ref()?.from)),
+        fetch_tokens = pick.and_then(|pick| Some(pick.fetch.as_ref()?.tokens)),
         priority = request.priority(),
         vms,
         left_out,
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -46,6 +46,9 @@
         let placement_request = request.placement_request(&[], TimeLimit::total(Duration::ZERO));
         let mut balancer = shared.placement.borrow_mut();
         balancer.begin(&placement_request, id, &work, now);
+        if let Some(fetch) = &pick.fetch {
+            balancer.begin_fetch(&request.service, id, fetch, now);
+        }
         drop(balancer);
         InFlight {
             shared: Rc::clone(shared),
@@ -54,8 +57,8 @@
             work,
             is_prefilling: true,
             sent_at: now,
-            // a resumed stream also recomputes its output
-            expectation: (!is_resumed).then(|| Sample {
+            // a resumed stream also recomputes its output, and a transfer is no prefill
+            expectation: (!is_resumed && pick.fetch.is_none()).then(|| Sample {
                 prefill_tokens: pick.uncached,
                 running: pick.running,
                 wait: pick.expected.saturating_sub(pick.unloaded),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -325,6 +325,7 @@
                 distance: self.distance(&vm.zone),
                 slots: vm.slots,
                 cache_tokens: service.engine.map(|engine| engine.cache_tokens),
+                transfer: service.engine.and_then(|engine| engine.transfer),
                 connections: service.max_connections,
             };
             members.entry(&service.name).or_default().push(member);
--- a/crates/gateway/tests/malformed.rs
+++ b/crates/gateway/tests/malformed.rs
@@ -325,6 +325,7 @@
         distance: Distance::Zone,
         slots: 8,
         cache_tokens: Some(100_000),
+        transfer: None,
         connections: 100,
     }
 }
--- a/crates/route/examples/choice/cost.rs
+++ b/crates/route/examples/choice/cost.rs
@@ -4,6 +4,7 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use route::placement::{self, Balancer, Choice, Distance, Load, Member, TimeLimit, Work};
 use route::table::{Location, Outcome, Request, Table};
 use schema::settings::Policy;
 use tokio::time::Instant;
@@ -12,6 +13,12 @@
 use crate::workload::{Source, Workload};
 
 const PICKS: u32 = 20_000;
+/// as of the deployment with the larger tokens
+const TRANSFER: Option<placement::Transfer> = Some(placement::Transfer {
+    token_bytes: 163_840,
+    link_bytes_per_s: 550_000.0 * 1e6 / 8.0,
+});
+const CHOICES: u64 = 5_000;
 
 /// prints the mean time of a pick and its finish for fleets of 75 and 600 VMs
 pub fn print() {
@@ -21,6 +28,61 @@
             println!("cost vms={count} policy={policy} pick_and_finish_us={micros:.1}");
         }
     }
+    for count in [75, 600] {
+        let micros = measure_placement(count);
+        println!("cost vms={count} placement choose_us={micros:.1}");
+    }
+}
+
+/// mean time of a choice by the gateway's balancer, with the loads that three peers reported
+fn measure_placement(count: usize) -> f64 {
+    let members = (0..count).map(|index| Member {
+        id: format!("vm-{index}"),
+        started_at_ms: 0,
+        version: String::new(),
+        distance: [Distance::Zone, Distance::Region, Distance::Link][index % 3],
+        slots: 32,
+        cache_tokens: Some(531_149),
+        transfer: TRANSFER,
+        connections: 400,
+    });
+    let mut balancer = Balancer::new();
+    balancer.set_members("model", members.collect());
+    let now = Instant::now();
+    for peer in ["a", "b", "c"] {
+        let loads = (0..count).map(|index| {
+            let load = Load {
+                running: 3,
+                prefill_tokens: 20_000 + index as u64 % 7 * 3_000,
+                held: 20_000,
+            };
+            (format!("vm-{index}"), load)
+        });
+        balancer.set_peer_loads(peer, loads.collect(), now);
+    }
+    let mut vms = 0;
+    let start = Clock::now();
+    for number in 0..CHOICES {
+        let parts = [(number % 50, 8_000), (1_000 + number, 2_000)];
+        let request = placement::Request {
+            service: "model",
+            parts: &parts,
+            prompt_tokens: 10_000,
+            output_tokens: 200,
+            time_limit: TimeLimit::total(Duration::from_secs(5)),
+            draw: number,
+            avoid: &[],
+            version: None,
+        };
+        if let Choice::Send(pick) = balancer.choose(&request, now) {
+            vms += usize::from(!pick.id.is_empty());
+            if number < 200 {
+                balancer.begin(&request, &pick.id, &Work::default(), now);
+            }
+        }
+    }
+    assert!(vms > 0, "no VM was chosen");
+    start.elapsed().as_secs_f64() * 1e6 / CHOICES as f64
 }
 
 fn measure(count: usize, policy: Policy) -> f64 {
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -3,16 +3,17 @@
 
 use tokio::time::Instant;
 
+use super::candidate::{Context, Fetchers};
 use super::completion::{Completion, Outcome};
-use super::cost::{MIN_RETRY_AFTER, admit, distance_penalty, jitter, preferred_vm, tokens};
-use super::engine::{Capacity, Timing};
+use super::cost::{MIN_RETRY_AFTER, admit, full, preferred_vm, tokens};
+use super::engine::Timing;
 use super::entry::Entry;
 use super::learner::Learner;
 use super::load::{Load, Meter, Rate, Work};
 use super::member::Member;
-use super::plain::{self, ResponseTime};
+use super::plain::ResponseTime;
 use super::prefix_cache::Prefill;
-use super::request::{Choice, Full, Pick, Request};
+use super::request::{Choice, Fetch, Pick, Request};
 use super::speed::Baseline;
 
 /// largest number of prefills kept for the next report to peers
@@ -36,8 +37,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Service {
     pub entries: HashMap<String, Entry>,
-    baseline_failures: f64,
-    baseline_response_time: ResponseTime,
+    pub baseline_failures: f64,
+    pub baseline_response_time: ResponseTime,
     meter: Meter,
     pub learner: Learner,
     /// of first events, of pauses between events, and of plain responses
@@ -120,11 +121,15 @@
     /// adds the prompt parts that VMs prefill for a peer
     pub fn add_peer_prefills(&mut self, prefills: &[Prefill], now: Instant) {
         for prefill in prefills {
+            let held = self.held(&prefill.service, &prefill.vm, now);
             let Some(entry) = self.entry(&prefill.service, &prefill.vm) else {
                 continue;
             };
             if let Some(capacity) = entry.member.cache_tokens {
-                entry.prefix_cache.insert(&prefill.parts, capacity, now);
+                let room = capacity.saturating_sub(held);
+                entry
+                    .prefix_cache
+                    .insert(&prefill.parts, capacity, room, now);
             }
         }
     }
@@ -198,9 +203,15 @@
         let ids = entries().map(|entry| entry.member.id.as_str());
         let timing = state.learner.timing();
         let preferred = preferred_vm(ids, request, &timing);
-        let mut best: Option<(bool, Duration, Pick)> = None;
+        let mut best: Option<((bool, bool, Duration), Pick)> = None;
         let mut at_limit = None;
         let mut opens_at: Option<(Instant, &str)> = None;
+        let context = Context {
+            state,
+            request,
+            now,
+        };
+        let mut fetchers = Fetchers::default();
         for entry in entries() {
             if let Some(until) = entry.opens_at(now) {
                 let opening = (until, entry.member.id.as_str());
@@ -213,41 +224,44 @@
             }
             let is_avoided = request.avoid.contains(&entry.member.id);
             let is_last_resort = is_avoided || entry.health.is_suspect(now);
-            let pick = self.pick(state, entry, request, now);
+            let load = self.load(entry, &context.timing(entry), now);
+            let pick = context.pick(entry, &load, None);
+            fetchers.add(entry, load, pick.cached, is_last_resort);
             let preferred = preferred.filter(|preferred| preferred.id == entry.member.id);
-            let cost = pick.expected
-                + distance_penalty(pick.distance)
-                + entry.health.penalty(state.baseline_failures)
-                + entry.refusal_penalty(now)
-                + jitter(&entry.member.id, request);
-            let cost = cost.saturating_sub(preferred.map_or(Duration::ZERO, |vm| vm.bonus));
-            let is_better = match &best {
-                Some((best_last, best_cost, _)) => {
-                    (is_last_resort, cost) < (*best_last, *best_cost)
-                }
-                None => true,
-            };
+            let bonus = preferred.map_or(Duration::ZERO, |vm| vm.bonus);
+            let cost = context.cost(entry, &pick).saturating_sub(bonus);
+            let rank = (is_last_resort, context.is_late(entry, &pick), cost);
+            let is_better = best.as_ref().is_none_or(|(least, _)| rank < *least);
             if is_better {
-                best = Some((is_last_resort, cost, pick));
+                best = Some((rank, pick));
             }
         }
-        let full = |id: &str, available_in: Duration| {
-            Choice::Full(Full {
-                available_in: available_in.max(MIN_RETRY_AFTER) + jitter(id, request),
-                expected: Duration::ZERO,
-                id: id.to_owned(),
-            })
-        };
         match (best, at_limit, opens_at) {
-            (Some((_, _, pick)), _, _) => admit(pick, request.time_limit),
-            (None, Some(id), _) => full(&id, MIN_RETRY_AFTER),
-            (None, None, Some((until, id))) => full(id, until.saturating_duration_since(now)),
+            (Some((_, pick)), _, _) => {
+                let fetching = fetchers.best(&context, &pick);
+                admit(fetching.unwrap_or(pick), request.time_limit)
+            }
+            (None, Some(id), _) => full(&id, MIN_RETRY_AFTER, request),
+            (None, None, Some((until, id))) => {
+                full(id, until.saturating_duration_since(now), request)
+            }
             (None, None, None) => Choice::NoVm,
         }
     }
 
+    /// records that a VM begins to fetch a part of a prompt
+    pub fn begin_fetch(&mut self, service: &str, id: &str, fetch: &Fetch, now: Instant) {
+        let until = now + fetch.time;
+        for vm in [id, fetch.from.as_str()] {
+            if let Some(entry) = self.entry(service, vm) {
+                entry.link.occupy(until);
+            }
+        }
+    }
+
     /// records that a request is sent to a VM
     pub fn begin(&mut self, request: &Request<'_>, id: &str, work: &Work, now: Instant) {
+        let held = self.held(request.service, id, now);
         let Some(entry) = self.entry(request.service, id) else {
             return;
         };
@@ -266,7 +280,10 @@
             .split_last()
             .map_or(&[][..], |(_, shared)| shared);
         let is_uncached = entry.prefix_cache.cached(shared) < tokens(shared);
-        entry.prefix_cache.insert(request.parts, capacity, now);
+        let room = capacity.saturating_sub(held.saturating_add(work.held.into()));
+        entry
+            .prefix_cache
+            .insert(request.parts, capacity, room, now);
         if is_uncached && self.pending_prefills.len() < MAX_PENDING_PREFILLS {
             self.pending_prefills.push(Prefill {
                 service: request.service.to_owned(),
@@ -339,6 +356,17 @@
         (member.connections / self.daemons.max(1)).max(MIN_CONNECTIONS)
     }
 
+    /// returns the tokens that running requests hold in a VM's KV cache
+    fn held(&self, service: &str, id: &str, now: Instant) -> u64 {
+        let Some(state) = self.services.get(service) else {
+            return 0;
+        };
+        let entry = state.entries.get(id);
+        entry.map_or(0, |entry| {
+            self.load(entry, &state.learner.timing(), now).held
+        })
+    }
+
     /// returns the local and reported load at a VM
     fn load(&self, entry: &Entry, timing: &Timing, now: Instant) -> Load {
         let mut load = entry.local;
@@ -353,49 +381,4 @@
         }
         load
     }
-
-    fn pick(&self, state: &Service, entry: &Entry, request: &Request<'_>, now: Instant) -> Pick {
-        let member = &entry.member;
-        let factor = entry.speed.factor(now);
-        let usual = state.learner.timing();
-        let timing = usual.slowed(factor);
-        let load = self.load(entry, &timing, now);
-        let (expected, unloaded, uncached) = match member.cache_tokens {
-            None => {
-                let response_time = entry
-                    .response_time
-                    .estimate(state.baseline_response_time, now);
-                let slowed = state.baseline_response_time.mean().unwrap_or_default();
-                let response_time = if factor > 1.0 {
-                    response_time.max(slowed.mul_f64(factor))
-                } else {
-                    response_time
-                };
-                (
-                    plain::expected(member.slots, &load, response_time),
-                    response_time,
-                    0,
-                )
-            }
-            Some(cache_tokens) => {
-                let cached = entry.prefix_cache.cached(request.parts);
-                let uncached = request.prompt_tokens.saturating_sub(cached);
-                let capacity = Capacity {
-                    slots: member.slots,
-                    cache_tokens,
-                };
-                let held = uncached.saturating_add(request.output_tokens);
-                let expected = timing.expected(&capacity, &load, uncached, held);
-                (expected, usual.unloaded(uncached), uncached)
-            }
-        };
-        Pick {
-            id: member.id.clone(),
-            expected,
-            unloaded,
-            uncached,
-            running: load.running,
-            distance: member.distance,
-        }
-    }
 }
--- a/crates/route/src/placement/cost.rs
+++ b/crates/route/src/placement/cost.rs
@@ -45,6 +45,15 @@
     })
 }
 
+/// refuses a request as no VM accepts one at the moment
+pub(super) fn full(id: &str, available_in: Duration, request: &Request<'_>) -> Choice {
+    Choice::Full(Full {
+        available_in: available_in.max(MIN_RETRY_AFTER) + jitter(id, request),
+        expected: Duration::ZERO,
+        id: id.to_owned(),
+    })
+}
+
 /// finds the preferred VM of a prompt: the one with the highest hash for its last shared part
 pub(super) fn preferred_vm<'a>(
     ids: impl Iterator<Item = &'a str>,
--- a/crates/route/src/placement/entry.rs
+++ b/crates/route/src/placement/entry.rs
@@ -8,6 +8,7 @@
 use super::plain::ResponseTime;
 use super::prefix_cache::PrefixCache;
 use super::speed::Speed;
+use super::transfer::Link;
 use crate::notice::Throttle;
 
 /// retry delay if only other daemons may send to the VM: a caller that returns gets another daemon
@@ -25,6 +26,7 @@
     pub health: Health,
     pub response_time: ResponseTime,
     pub speed: Speed,
+    pub link: Link,
     /// until when the VM wants no requests from this daemon
     pub closed_until: Option<Instant>,
     /// until when the VM wants no requests from another daemon
@@ -42,6 +44,7 @@
             health: Health::new(),
             response_time: ResponseTime::default(),
             speed: Speed::default(),
+            link: Link::default(),
             closed_until: None,
             avoided_until: None,
             throttle: None,
--- a/crates/route/src/placement/member.rs
+++ b/crates/route/src/placement/member.rs
@@ -1,4 +1,5 @@
 use super::request::Distance;
+use super::transfer::Transfer;
 
 /// a VM that may be chosen
 #[derive(Debug, Clone, PartialEq)]
@@ -15,6 +16,8 @@
     pub slots: u32,
     /// size of its KV cache in tokens, if it is an engine
     pub cache_tokens: Option<u64>,
+    /// how it transfers KV caches, if it can
+    pub transfer: Option<Transfer>,
     /// connections that it accepts from all daemons together; each request uses one
     pub connections: u32,
 }
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -32,11 +32,16 @@
 //!   theirs. A kind is accepted only while the more urgent ones would be in time as well.
 //! * Engines prefill at three times the assumed rate, so that requests which they could serve in time
 //!   are refused while VMs are lost. Their times are learned from responses (`learner`).
+//! * VMs that hold a popular part are busy while others are idle. An idle one fetches the part from
+//!   a holder where that is clearly faster than both alternatives (`transfer`).
+//! * A VM is preferred because it holds a prompt, and the request is late there while another VM would
+//!   serve it in time. A VM is preferred only while it is in time.
 //! * A sixth of the VMs runs 2.5 times slower for 600 ms, then others do. Observed times raise the expected
 //!   time of a VM until the observation has faded (`speed`).
 
 mod admission;
 mod balancer;
+mod candidate;
 mod completion;
 mod cost;
 mod engine;
@@ -51,6 +56,7 @@
 mod request;
 mod speed;
 mod statements;
+mod transfer;
 
 pub use admission::{Kind, retry_after, time_limit};
 pub use balancer::Balancer;
@@ -60,5 +66,6 @@
 pub use load::{Load, Rate, Work};
 pub use member::Member;
 pub use prefix_cache::Prefill;
-pub use request::{Choice, Distance, Full, Pick, Request, TimeLimit};
+pub use request::{Choice, Distance, Fetch, Full, Pick, Request, TimeLimit};
 pub use speed::Slowness;
+pub use transfer::Transfer;
--- a/crates/route/src/placement/prefix_cache.rs
+++ b/crates/route/src/placement/prefix_cache.rs
@@ -36,14 +36,16 @@
     }
 
     /// adds the parts of a prompt, and evicts the least recently used ones if there are too many
-    pub fn insert(&mut self, parts: &[(u64, u32)], capacity: u64, now: Instant) {
+    ///
+    /// `room` is what running requests leave of the capacity.
+    pub fn insert(&mut self, parts: &[(u64, u32)], capacity: u64, room: u64, now: Instant) {
         for (id, tokens) in parts {
             let previous = self.parts.insert(*id, (*tokens, now));
             if previous.is_none() {
                 self.tokens += u64::from(*tokens);
             }
         }
-        let max_tokens = (capacity as f64 * MAX_CACHED_FRACTION) as u64;
+        let max_tokens = ((capacity as f64 * MAX_CACHED_FRACTION) as u64).min(room);
         if self.tokens > max_tokens {
             self.evict(max_tokens);
         }
--- a/crates/route/src/placement/request.rs
+++ b/crates/route/src/placement/request.rs
@@ -52,6 +52,17 @@
     pub version: Option<&'a str>,
 }
 
+/// transfer of the KV cache of a part of a prompt
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fetch {
+    /// instance id of the VM that holds it
+    pub from: String,
+    /// tokens that are transferred
+    pub tokens: u32,
+    /// expected time of the transfer, with the wait for the links
+    pub time: Duration,
+}
+
 /// VM selected for a request
 #[derive(Debug, Clone, PartialEq)]
 pub struct Pick {
@@ -63,6 +74,10 @@
     pub unloaded: Duration,
     /// tokens of the prompt that it has to prefill
     pub uncached: u32,
+    /// tokens of the prompt that it holds already
+    pub cached: u32,
+    /// transfer of a part of the prompt from another VM
+    pub fetch: Option<Fetch>,
     /// requests in flight there
     pub running: u32,
     /// network distance
--- a/crates/route/tests/notice/fleet.rs
+++ b/crates/route/tests/notice/fleet.rs
@@ -310,6 +310,7 @@
         distance: Distance::Zone,
         slots: 64,
         cache_tokens: None,
+        transfer: None,
         connections: 10_000,
     };
     balancer.set_daemons(1);
--- a/crates/route/tests/placement/main.rs
+++ b/crates/route/tests/placement/main.rs
@@ -1,6 +1,7 @@
 //! Replays of the load patterns that `route::placement` handles.
 
 mod cluster;
+mod fetch;
 mod learned_engines;
 mod report_interval;
 mod slow_vms;
@@ -26,6 +27,7 @@
         distance,
         slots: 64,
         cache_tokens: Some(585_000),
+        transfer: None,
         connections: 400,
     }
 }
@@ -38,6 +40,7 @@
         distance,
         slots: 6,
         cache_tokens: None,
+        transfer: None,
         connections: 400,
     }
 }
