--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -225,15 +225,16 @@
             let is_avoided = request.avoid.contains(&entry.member.id);
             let is_last_resort = is_avoided || entry.health.is_suspect(now);
             let load = self.load(entry, &context.timing(entry), now);
-            let pick = context.pick(entry, &load, None);
-            fetchers.add(entry, load, pick.cached, is_last_resort);
+            let cached = entry.prefix_cache.cached(request.parts);
+            let estimate = context.estimate(entry, &load, cached, (0, Duration::ZERO));
+            fetchers.add(entry, load, cached, is_last_resort);
             let preferred = preferred.filter(|preferred| preferred.id == entry.member.id);
             let bonus = preferred.map_or(Duration::ZERO, |vm| vm.bonus);
-            let cost = context.cost(entry, &pick).saturating_sub(bonus);
-            let rank = (is_last_resort, context.is_late(entry, &pick), cost);
+            let cost = context.cost(entry, &estimate).saturating_sub(bonus);
+            let rank = (is_last_resort, context.is_late(entry, &estimate), cost);
             let is_better = best.as_ref().is_none_or(|(least, _)| rank < *least);
             if is_better {
-                best = Some((rank, pick));
+                best = Some((rank, estimate.pick(entry, &load, None)));
             }
         }
         match (best, at_limit, opens_at) {
--- a/crates/route/src/placement/candidate.rs
+++ b/crates/route/src/placement/candidate.rs
@@ -23,10 +23,20 @@
 /// VMs that may fetch a part of the prompt, with their loads, and the VM that holds most of it
 #[derive(Default)]
 pub(super) struct Fetchers<'a> {
-    entries: Vec<(&'a Entry, Load)>,
+    /// with the tokens of the prompt that they hold
+    entries: Vec<(&'a Entry, Load, u32)>,
     holder: Option<(u32, &'a Entry)>,
 }
 
+/// expected times at a VM; without the ids of a [`Pick`], which are allocated once for the chosen VM
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Estimate {
+    pub expected: Duration,
+    pub unloaded: Duration,
+    pub uncached: u32,
+    pub cached: u32,
+}
+
 impl Context<'_> {
     /// the times of a VM at its present speed
     pub fn timing(&self, entry: &Entry) -> Timing {
@@ -34,21 +44,24 @@
         usual.slowed(entry.speed.factor(self.now))
     }
 
-    /// expected times at a VM with a load, which fetches a part of the prompt
-    pub fn pick(&self, entry: &Entry, load: &Load, fetch: Option<Fetch>) -> Pick {
+    /// expected times at a VM with a load, which holds some tokens of the prompt and fetches some within
+    /// a time
+    pub fn estimate(
+        &self,
+        entry: &Entry,
+        load: &Load,
+        cached: u32,
+        fetch: (u32, Duration),
+    ) -> Estimate {
         let (member, request) = (&entry.member, self.request);
-        let (expected, unloaded, uncached, cached) = match member.cache_tokens {
+        let (fetched, time) = fetch;
+        let (expected, unloaded, uncached) = match member.cache_tokens {
             None => {
                 let response_time = self.response_time(entry);
                 let expected = plain::expected(member.slots, load, response_time);
-                (expected, response_time, 0, 0)
+                (expected, response_time, 0)
             }
             Some(cache_tokens) => {
-                let (fetched, time) = match &fetch {
-                    Some(fetch) => (fetch.tokens, fetch.time),
-                    None => (0, Duration::ZERO),
-                };
-                let cached = entry.prefix_cache.cached(request.parts);
                 let saved = cached.saturating_add(fetched);
                 let uncached = request.prompt_tokens.saturating_sub(saved);
                 let capacity = Capacity {
@@ -61,25 +74,21 @@
                 let timing = self.timing(entry);
                 let expected = timing.expected(&capacity, load, uncached, held) + time;
                 let unloaded = self.state.learner.timing().unloaded(uncached) + time;
-                (expected, unloaded, uncached, cached)
+                (expected, unloaded, uncached)
             }
         };
-        Pick {
-            id: member.id.clone(),
+        Estimate {
             expected,
             unloaded,
             uncached,
             cached,
-            fetch,
-            running: load.running,
-            distance: member.distance,
         }
     }
 
     /// expected time with what else speaks against a VM, as time
-    pub fn cost(&self, entry: &Entry, pick: &Pick) -> Duration {
-        pick.expected
-            + distance_penalty(pick.distance)
+    pub fn cost(&self, entry: &Entry, estimate: &Estimate) -> Duration {
+        estimate.expected
+            + distance_penalty(entry.member.distance)
             + entry.health.penalty(self.state.baseline_failures)
             + entry.refusal_penalty(self.now)
             + jitter(&entry.member.id, self.request)
@@ -87,9 +96,10 @@
 
     /// whether the request would be late at a VM, so that another one is chosen if there is any: a VM
     /// that holds the prompt is preferred only among those that are in time
-    pub fn is_late(&self, entry: &Entry, pick: &Pick) -> bool {
+    pub fn is_late(&self, entry: &Entry, estimate: &Estimate) -> bool {
         let penalty = entry.health.penalty(self.state.baseline_failures);
-        pick.expected + penalty + entry.refusal_penalty(self.now) > self.request.time_limit.total
+        let penalty = penalty + entry.refusal_penalty(self.now);
+        estimate.expected + penalty > self.request.time_limit.total
     }
 
     fn response_time(&self, entry: &Entry) -> Duration {
@@ -104,13 +114,29 @@
     }
 }
 
+impl Estimate {
+    /// the VM as the chosen one
+    pub fn pick(&self, entry: &Entry, load: &Load, fetch: Option<Fetch>) -> Pick {
+        Pick {
+            id: entry.member.id.clone(),
+            expected: self.expected,
+            unloaded: self.unloaded,
+            uncached: self.uncached,
+            cached: self.cached,
+            fetch,
+            running: load.running,
+            distance: entry.member.distance,
+        }
+    }
+}
+
 impl<'a> Fetchers<'a> {
     /// adds a VM that may be chosen and holds so many tokens of the prompt
     pub fn add(&mut self, entry: &'a Entry, load: Load, cached: u32, is_last_resort: bool) {
         if entry.member.transfer.is_none() || is_last_resort {
             return;
         }
-        self.entries.push((entry, load));
+        self.entries.push((entry, load, cached));
         if cached > self.holder.map_or(0, |(most, _)| most) {
             self.holder = Some((cached, entry));
         }
@@ -121,34 +147,38 @@
     pub fn best(&self, context: &Context<'_>, best: &Pick) -> Option<Pick> {
         let (held, holder) = self.holder?;
         let transfer = holder.member.transfer?;
-        let total = |pick: &Pick| pick.expected + distance_penalty(pick.distance);
-        let longest = total(best).checked_sub(MIN_SAVING)?;
-        let mut soonest: Option<(Duration, Pick)> = None;
-        for (entry, load) in &self.entries {
+        let longest = (best.expected + distance_penalty(best.distance)).checked_sub(MIN_SAVING)?;
+        let holder_wait = holder.link.wait(context.now);
+        let mut soonest: Option<(Duration, usize, Estimate, Duration)> = None;
+        for (index, (entry, load, cached)) in self.entries.iter().enumerate() {
             let is_usable = entry.member.id != holder.member.id
                 && entry.member.version == holder.member.version;
             let (from, to) = (holder.member.distance, entry.member.distance);
-            let cached = entry.prefix_cache.cached(context.request.parts);
-            let tokens = held.saturating_sub(cached);
+            let tokens = held.saturating_sub(*cached);
             let Some(time) = transfer.time(tokens, from, to) else {
                 continue;
             };
             if !is_usable || tokens == 0 || time >= longest {
                 continue;
             }
-            let wait = holder.link.wait(context.now);
-            let fetch = Fetch {
-                from: holder.member.id.clone(),
-                tokens,
-                time: time + wait.max(entry.link.wait(context.now)),
-            };
-            let pick = context.pick(entry, load, Some(fetch));
-            let cost = context.cost(entry, &pick);
-            let is_soonest = soonest.as_ref().is_none_or(|(least, _)| cost < *least);
-            if total(&pick) <= longest && is_soonest {
-                soonest = Some((cost, pick));
+            let time = time + holder_wait.max(entry.link.wait(context.now));
+            let estimate = context.estimate(entry, load, *cached, (tokens, time));
+            let total = estimate.expected + distance_penalty(entry.member.distance);
+            if total > longest {
+                continue;
+            }
+            let cost = context.cost(entry, &estimate);
+            if soonest.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                soonest = Some((cost, index, estimate, time));
             }
         }
-        soonest.map(|(_, pick)| pick)
+        let (_, index, estimate, time) = soonest?;
+        let (entry, load, cached) = self.entries.get(index)?;
+        let fetch = Fetch {
+            from: holder.member.id.clone(),
+            tokens: held.saturating_sub(*cached),
+            time,
+        };
+        Some(estimate.pick(entry, load, Some(fetch)))
     }
 }
