--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,12 @@
     pub latency: HistogramVec,
     /// connections that were closed or not accepted, by listener and reason
     pub closed: IntCounterVec,
+    /// prompts with shared parts by service and how the parts reach the VM
+    pub prompts: IntCounterVec,
+    /// their tokens that were not prefilled again
+    pub prompt_tokens_saved: IntCounterVec,
+    /// expected queueing times accepted for them, milliseconds
+    pub prompt_wait_ms: IntCounterVec,
     /// calls to the platform's APIs by call and outcome
     pub calls: IntCounterVec,
     /// responses during roll-outs by service, version and outcome
@@ -36,13 +42,7 @@
     /// Never: the names are constants and distinct.
     pub fn new() -> Metrics {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels);
-            let counter = counter.expect("metric and label names are valid");
-            let registered = registry.register(Box::new(counter.clone()));
-            registered.expect("metric names are distinct");
-            counter
-        };
+        let counter = |name, help, labels| counter(&registry, name, help, labels);
         let requests = counter(
             "agateloom_requests_total",
             "Requests of callers by route and outcome.",
@@ -58,6 +58,7 @@
             "Connections that were closed or not accepted by listener and reason.",
             &["listener", "reason"],
         );
+        let [prompts, prompt_tokens_saved, prompt_wait_ms] = prompt_counters(&registry);
         let calls = counter(
             "agateloom_platform_calls_total",
             "Calls to the platform by call and outcome.",
@@ -68,12 +69,7 @@
             "Responses during roll-outs by service, version of the VM and outcome.",
             &["service", "version", "outcome"],
         );
-        let options = HistogramOpts::new(
-            "agateloom_latency_seconds",
-            "Time to the answer or the first event by route.",
-        );
-        let latency = HistogramVec::new(options.buckets(BUCKETS.to_vec()), &["route"]);
-        let latency = latency.expect("metric and label names are valid");
+        let latency = latency();
         let registered = registry.register(Box::new(latency.clone()));
         registered.expect("metric names are distinct");
         let states = gauge(&registry, "agateloom_state", "States by name.", &["name"]);
@@ -87,6 +83,9 @@
             registry,
             requests,
             attempts,
+            prompts,
+            prompt_tokens_saved,
+            prompt_wait_ms,
             latency,
             closed,
             calls,
@@ -106,6 +105,35 @@
     }
 }
 
+/// counts of prompts with shared parts, their tokens that were not prefilled again, and the queueing
+/// times accepted for them
+fn prompt_counters(registry: &Registry) -> [IntCounterVec; 3] {
+    let labels = ["service", "choice"];
+    [
+        (
+            "agateloom_prompts_total",
+            "Prompts with shared parts by service and choice: held, prefilled or fetched.",
+        ),
+        (
+            "agateloom_prompt_tokens_saved_total",
+            "Prompt tokens that were not prefilled again, by service and choice.",
+        ),
+        (
+            "agateloom_prompt_wait_milliseconds_total",
+            "Expected queueing time of prompts with shared parts by service and choice.",
+        ),
+    ]
+    .map(|(name, help)| counter(registry, name, help, &labels))
+}
+
+fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let counter = IntCounterVec::new(Opts::new(name, help), labels);
+    let counter = counter.expect("metric and label names are valid");
+    let registered = registry.register(Box::new(counter.clone()));
+    registered.expect("metric names are distinct");
+    counter
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     let gauge = IntGaugeVec::new(Opts::new(name, help), labels);
     let gauge = gauge.expect("metric and label names are valid");
@@ -114,6 +142,16 @@
     gauge
 }
 
+/// the histogram of latencies by route
+fn latency() -> HistogramVec {
+    let options = HistogramOpts::new(
+        "agateloom_latency_seconds",
+        "Time to the answer or the first event by route.",
+    );
+    let latency = HistogramVec::new(options.buckets(BUCKETS.to_vec()), &["route"]);
+    latency.expect("metric and label names are valid")
+}
+
 impl Default for Metrics {
     fn default() -> Metrics {
         Metrics::new()
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -9,6 +9,7 @@
 mod route;
 mod vm;
 
+pub use ::route::placement::Transfer;
 pub use call::{Call, Part};
 pub use config::{Bounds, Config, Engine, KeyHash, Limit, Scaling, Service, Unit, Workspace};
 pub use rollout::{Rollout, RolloutStatus};
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -51,6 +51,9 @@
         let placement_request = request.placement_request(&[], TimeLimit::total(Duration::ZERO));
         let mut balancer = shared.placement.borrow_mut();
         balancer.begin(&placement_request, &vm.id, &work, now);
+        if let Some(fetch) = &pick.fetch {
+            balancer.begin_fetch(&request.service, &vm.id, fetch, now);
+        }
         drop(balancer);
         InFlight {
             shared: Rc::clone(shared),
@@ -59,8 +62,8 @@
             work,
             is_prefilling: true,
             sent_at: now,
-            // a resumed stream also recomputes its output
-            expectation: (!is_resumed).then(|| Sample {
+            // a resumed stream also recomputes its output, and a transfer is no prefill
+            expectation: (!is_resumed && pick.fetch.is_none()).then(|| Sample {
                 prefill_tokens: pick.uncached,
                 running: pick.running,
                 wait: pick.expected.saturating_sub(pick.unloaded),
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -4,19 +4,18 @@
 use tokio::time::Instant;
 
 use super::backlog;
+use super::candidate::{Context, Fetchers};
 use super::candidates::{Candidate, Candidates};
 use super::completion::{Completion, Outcome};
-use super::cost::{
-    MIN_RETRY_AFTER, SPREAD, distance_penalty, full, jitter, preferred_vm, spread, tokens,
-};
-use super::engine::{Capacity, Timing};
+use super::cost::{MIN_RETRY_AFTER, SPREAD, full, jitter, preferred_vm, spread, tokens};
+use super::engine::Timing;
 use super::entry::Entry;
 use super::learner::Learner;
 use super::load::{Load, Meter, Rate, Work};
 use super::member::Member;
-use super::plain::{self, ResponseTime};
+use super::plain::ResponseTime;
 use super::prefix_cache::Prefill;
-use super::request::{Choice, Full, Pick, Request};
+use super::request::{Choice, Fetch, Full, Request};
 use super::speed::Baseline;
 use super::split::Split;
 
@@ -49,8 +48,8 @@
 pub(super) struct Service {
     pub entries: HashMap<String, Entry>,
     pub split: Option<Box<Split>>,
-    baseline_failures: f64,
-    baseline_response_time: ResponseTime,
+    pub baseline_failures: f64,
+    pub baseline_response_time: ResponseTime,
     meter: Meter,
     pub learner: Learner,
     /// of first events, of pauses between events, and of plain responses
@@ -205,11 +204,15 @@
     /// adds the prompt parts that VMs prefill for a peer
     pub fn add_peer_prefills(&mut self, prefills: &[Prefill], now: Instant) {
         for prefill in prefills {
+            let held = self.held(&prefill.service, &prefill.vm, now);
             let Some(entry) = self.entry(&prefill.service, &prefill.vm) else {
                 continue;
             };
             if let Some(capacity) = entry.member.cache_tokens {
-                entry.prefix_cache.insert(&prefill.parts, capacity, now);
+                let room = capacity.saturating_sub(held);
+                entry
+                    .prefix_cache
+                    .insert(&prefill.parts, capacity, room, now);
             }
         }
     }
@@ -302,6 +305,13 @@
         let mut candidates = Candidates::new(limit);
         let mut at_limit = None;
         let mut opens_at: Option<(Instant, &str)> = None;
+        let context = Context {
+            state,
+            request,
+            spread,
+            now,
+        };
+        let mut fetchers = Fetchers::default();
         for entry in entries() {
             if let Some(until) = entry.opens_at(now) {
                 let opening = (until, entry.member.id.as_str());
@@ -314,19 +324,18 @@
             }
             let is_avoided = request.avoid.contains(&entry.member.id);
             let is_last_resort = is_avoided || entry.health.is_suspect(now);
-            let pick = self.pick(state, entry, request, now);
+            let load = self.load(request.service, entry, &context.timing(entry), now);
+            let cached = entry.prefix_cache.cached(request.parts);
+            let estimate = context.estimate(entry, &load, cached, (0, Duration::ZERO));
             let preferred = preferred.filter(|preferred| preferred.id == entry.member.id);
-            let cost = pick.expected
-                + distance_penalty(pick.distance)
-                + entry.health.penalty(state.baseline_failures)
-                + entry.refusal_penalty(now)
-                + jitter(&entry.member.id, request, spread);
-            let cost = cost.saturating_sub(preferred.map_or(Duration::ZERO, |vm| vm.bonus));
+            let bonus = preferred.map_or(Duration::ZERO, |vm| vm.bonus);
+            let cost = context.cost(entry, &estimate).saturating_sub(bonus);
             candidates.add(Candidate {
-                pick,
+                pick: estimate.pick(entry, &load, None),
                 cost,
                 is_last_resort,
             });
+            fetchers.add(entry, load, cached, is_last_resort);
         }
         let closed = |id: &str, available_in: Duration, is_stated: bool| {
             Choice::Full(Full {
@@ -337,8 +346,11 @@
             })
         };
         match (candidates.choose(), at_limit, opens_at) {
-            (Some(Ok(pick)), _, _) => Choice::Send(pick),
-            (Some(Err(pick)), _, _) => Choice::Full(full(pick, limit)),
+            (Some(Ok(pick)), _, _) => Choice::Send(fetchers.best(&context, &pick).unwrap_or(pick)),
+            (Some(Err(pick)), _, _) => match fetchers.best(&context, &pick) {
+                Some(fetching) if limit.allows(&fetching) => Choice::Send(fetching),
+                _ => Choice::Full(full(pick, limit)),
+            },
             (None, Some(id), _) => closed(&id, MIN_RETRY_AFTER, false),
             (None, None, Some((until, id))) => {
                 closed(id, until.saturating_duration_since(now), true)
@@ -347,8 +359,19 @@
         }
     }
 
+    /// records that a VM begins to fetch a part of a prompt
+    pub fn begin_fetch(&mut self, service: &str, id: &str, fetch: &Fetch, now: Instant) {
+        let until = now + fetch.time;
+        for vm in [id, fetch.from.as_str()] {
+            if let Some(entry) = self.entry(service, vm) {
+                entry.link.occupy(until);
+            }
+        }
+    }
+
     /// records that a request is sent to a VM
     pub fn begin(&mut self, request: &Request<'_>, id: &str, work: &Work, now: Instant) {
+        let held = self.held(request.service, id, now);
         let Some(state) = self.services.get_mut(request.service) else {
             return;
         };
@@ -371,7 +394,10 @@
             .split_last()
             .map_or(&[][..], |(_, shared)| shared);
         let is_uncached = entry.prefix_cache.cached(shared) < tokens(shared);
-        entry.prefix_cache.insert(request.parts, capacity, now);
+        let room = capacity.saturating_sub(held.saturating_add(work.held.into()));
+        entry
+            .prefix_cache
+            .insert(request.parts, capacity, room, now);
         if is_uncached && self.pending_prefills.len() < MAX_PENDING_PREFILLS {
             self.pending_prefills.push(Prefill {
                 service: request.service.to_owned(),
@@ -466,6 +492,17 @@
         sums.into_iter().max().unwrap_or_default()
     }
 
+    /// returns the tokens that running requests hold in a VM's KV cache
+    fn held(&self, service: &str, id: &str, now: Instant) -> u64 {
+        let Some(state) = self.services.get(service) else {
+            return 0;
+        };
+        let entry = state.entries.get(id);
+        entry.map_or(0, |entry| {
+            self.load(service, entry, &state.learner.timing(), now).held
+        })
+    }
+
     /// returns the local and reported load at a VM
     ///
     /// Load pattern: nearly all VMs are full, and reports are seconds old. The one that seemed to have
@@ -492,52 +529,4 @@
         }
         load
     }
-
-    fn pick(&self, state: &Service, entry: &Entry, request: &Request<'_>, now: Instant) -> Pick {
-        let member = &entry.member;
-        let factor = entry.speed.factor(now);
-        let usual = state.learner.timing();
-        let timing = usual.slowed(factor);
-        let load = self.load(request.service, entry, &timing, now);
-        let (expected, usual_time, unloaded, uncached) = match member.cache_tokens {
-            None => {
-                let baseline = state.baseline_response_time;
-                let usual_time = ResponseTime::default().estimate(baseline, now);
-                let response_time = entry.response_time.estimate(baseline, now);
-                let slowed = baseline.mean().unwrap_or_default();
-                let response_time = if factor > 1.0 {
-                    response_time.max(slowed.mul_f64(factor))
-                } else {
-                    response_time
-                };
-                (
-                    plain::expected(member.slots, &load, response_time),
-                    plain::expected(member.slots, &load, usual_time),
-                    response_time,
-                    0,
-                )
-            }
-            Some(cache_tokens) => {
-                let cached = entry.prefix_cache.cached(request.parts);
-                let uncached = request.prompt_tokens.saturating_sub(cached);
-                let capacity = Capacity {
-                    slots: member.slots,
-                    cache_tokens,
-                };
-                let held = uncached.saturating_add(request.output_tokens);
-                let expected = timing.expected(&capacity, &load, uncached, held);
-                let usual_time = usual.expected(&capacity, &load, uncached, held);
-                (expected, usual_time, usual.unloaded(uncached), uncached)
-            }
-        };
-        Pick {
-            id: member.id.clone(),
-            expected,
-            unloaded,
-            usual: usual_time,
-            uncached,
-            running: load.running,
-            distance: member.distance,
-        }
-    }
 }
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -39,12 +39,17 @@
 //!   requests of their kind, and what can't respond before its caller gives up is not sent.
 //! * One region has lost its VMs and the other has room. A VM within the limit is preferred to a
 //!   nearer one beyond it.
+//! * VMs that hold a popular part are busy while others are idle. An idle one fetches the part from
+//!   a holder where that is clearly faster than both alternatives (`transfer`).
+//! * A VM is preferred because it holds a prompt, and the request is late there while another VM would
+//!   serve it in time. A VM is preferred only while it is in time.
 //! * A sixth of the VMs runs 2.5 times slower for 600 ms, then others do. Observed times raise the expected
 //!   time of a VM until the observation has faded (`speed`).
 
 mod admission;
 mod backlog;
 mod balancer;
+mod candidate;
 mod candidates;
 mod completion;
 mod cost;
@@ -62,6 +67,7 @@
 mod speed;
 mod split;
 mod statements;
+mod transfer;
 
 pub use admission::{Caller, Kind, plain_time_limit, time_limit};
 pub use balancer::Balancer;
@@ -71,7 +77,8 @@
 pub use load::{Load, Rate, Work};
 pub use member::Member;
 pub use prefix_cache::Prefill;
-pub use request::{Choice, Distance, Full, Pick, Request, TimeLimit};
+pub use request::{Choice, Distance, Fetch, Full, Pick, Request, TimeLimit};
 pub use returns::{Refused, Returns};
 pub use speed::Slowness;
 pub use split::{Split, Target};
+pub use transfer::Transfer;
--- a/crates/route/tests/admission/cluster.rs
+++ b/crates/route/tests/admission/cluster.rs
@@ -243,6 +243,7 @@
                 slots: self.setup.slots,
                 cache_tokens: Some(500_000),
                 connections: 4000,
+                transfer: None,
             });
             let members = members.collect();
             let daemons = self.daemons.len();
--- a/crates/route/tests/admission/regions.rs
+++ b/crates/route/tests/admission/regions.rs
@@ -64,6 +64,7 @@
         slots: 24,
         cache_tokens: Some(500_000),
         connections: 400,
+        transfer: None,
     }
 }
 
--- a/crates/route/tests/admission/restart.rs
+++ b/crates/route/tests/admission/restart.rs
@@ -23,6 +23,7 @@
         slots: 24,
         cache_tokens: Some(500_000),
         connections: 4000,
+        transfer: None,
     });
     balancer.set_members(SERVICE, members.collect());
     balancer.set_daemons(DAEMONS);
