--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -5,9 +5,9 @@
 
 use super::backlog;
 use super::candidate::{Context, Fetchers};
-use super::candidates::{Candidate, Candidates};
+use super::candidates::{Candidate, Candidates, Selection};
 use super::completion::{Completion, Outcome};
-use super::cost::{MIN_RETRY_AFTER, SPREAD, full, jitter, preferred_vm, spread, tokens};
+use super::cost::{MIN_RETRY_AFTER, closed, full, preferred_vm, spread, tokens};
 use super::engine::Timing;
 use super::entry::Entry;
 use super::learner::Learner;
@@ -15,7 +15,7 @@
 use super::member::Member;
 use super::plain::ResponseTime;
 use super::prefix_cache::Prefill;
-use super::request::{Choice, Fetch, Full, Request};
+use super::request::{Choice, Fetch, Request};
 use super::speed::Baseline;
 use super::split::Split;
 
@@ -337,23 +337,17 @@
             });
             fetchers.add(entry, load, cached, is_last_resort);
         }
-        let closed = |id: &str, available_in: Duration, is_stated: bool| {
-            Choice::Full(Full {
-                available_in: available_in.max(MIN_RETRY_AFTER) + jitter(id, request, SPREAD),
-                expected: Duration::ZERO,
-                is_stated,
-                id: id.to_owned(),
-            })
-        };
         match (candidates.choose(), at_limit, opens_at) {
-            (Some(Ok(pick)), _, _) => Choice::Send(fetchers.best(&context, &pick).unwrap_or(pick)),
-            (Some(Err(pick)), _, _) => match fetchers.best(&context, &pick) {
+            (Some(Selection::InTime(pick)), _, _) => {
+                Choice::Send(fetchers.best(&context, &pick).unwrap_or(pick))
+            }
+            (Some(Selection::Late(pick)), _, _) => match fetchers.best(&context, &pick) {
                 Some(fetching) if limit.allows(&fetching) => Choice::Send(fetching),
                 _ => Choice::Full(full(pick, limit)),
             },
-            (None, Some(id), _) => closed(&id, MIN_RETRY_AFTER, false),
+            (None, Some(id), _) => closed(request, &id, MIN_RETRY_AFTER, false),
             (None, None, Some((until, id))) => {
-                closed(id, until.saturating_duration_since(now), true)
+                closed(request, id, until.saturating_duration_since(now), true)
             }
             (None, None, None) => Choice::NoVm,
         }
--- a/crates/route/src/placement/candidates.rs
+++ b/crates/route/src/placement/candidates.rs
@@ -26,6 +26,15 @@
     pub is_last_resort: bool,
 }
 
+/// the VM selected for a request
+#[derive(Debug)]
+pub(super) enum Selection {
+    /// one within the limit
+    InTime(Pick),
+    /// the one that responds first, as none is within the limit
+    Late(Pick),
+}
+
 impl Candidates {
     pub fn new(limit: TimeLimit) -> Candidates {
         Candidates {
@@ -58,14 +67,16 @@
         }
     }
 
-    /// the VM to use; as an error, the one that responds first if none is in time; none if there
-    /// is no VM
-    pub fn choose(self) -> Option<Result<Pick, Pick>> {
+    /// the VM to use; none if there is no VM
+    pub fn choose(self) -> Option<Selection> {
         let (_, _, cheapest) = self.cheapest?;
         let (_, _, soonest) = self.soonest?;
         if self.limit.allows(&cheapest) {
-            return Some(Ok(cheapest));
+            return Some(Selection::InTime(cheapest));
         }
-        Some(self.fallback.map_or(Err(soonest), |(_, pick)| Ok(pick)))
+        let Some((_, fallback)) = self.fallback else {
+            return Some(Selection::Late(soonest));
+        };
+        Some(Selection::InTime(fallback))
     }
 }
--- a/crates/route/src/placement/cost.rs
+++ b/crates/route/src/placement/cost.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::engine::Timing;
-use super::request::{Distance, Full, Pick, Request, TimeLimit};
+use super::request::{Choice, Distance, Full, Pick, Request, TimeLimit};
 
 /// bonus of the preferred VM, as a fraction of the prefill time of the shared tokens: other
 /// daemons send the prompt there as well, and report it later
@@ -51,6 +51,21 @@
     }
 }
 
+/// refusal of a request as no VM accepts one at the moment; `is_stated` if a VM said for how long
+pub(super) fn closed(
+    request: &Request<'_>,
+    id: &str,
+    available_in: Duration,
+    is_stated: bool,
+) -> Choice {
+    Choice::Full(Full {
+        available_in: available_in.max(MIN_RETRY_AFTER) + jitter(id, request, SPREAD),
+        expected: Duration::ZERO,
+        is_stated,
+        id: id.to_owned(),
+    })
+}
+
 /// finds the preferred VM of a prompt: the one with the highest hash for its last shared part
 pub(super) fn preferred_vm<'a>(
     ids: impl Iterator<Item = &'a str>,
