--- a/crates/gateway/src/peers/shares.rs
+++ b/crates/gateway/src/peers/shares.rs
@@ -11,6 +11,9 @@
 
 /// derives each workspace's share of each service from the demand of all daemons
 pub(super) fn update_shares<D: Dialect>(shared: &Shared<D>, now: Instant) {
+    if !shared.settings.fair_shares {
+        return;
+    }
     let config = shared.config();
     let weights = config.as_deref().and_then(weights);
     let weight = |workspace: &str| {
--- a/crates/gateway/src/serve/admission.rs
+++ b/crates/gateway/src/serve/admission.rs
@@ -4,7 +4,7 @@
 
 use route::fairness::{Attempt, Standing, work};
 use route::placement::{
-    Caller, Choice, Full, Kind, Refused, TimeLimit, plain_time_limit, time_limit,
+    Caller, Choice, Full, Kind, Refused, TimeLimit, plain_time_limit, retry_after, time_limit,
 };
 use tokio::time::Instant;
 
@@ -64,8 +64,10 @@
     let caller = request.caller(standing);
     if request.route.kind.is_stream() {
         time_limit(kind, &request.kinds, &caller)
-    } else {
+    } else if shared.settings.fair_shares {
         plain_time_limit(kind, &request.kinds, &caller)
+    } else {
+        TimeLimit::total(request.time_left())
     }
 }
 
@@ -76,6 +78,9 @@
     choice: &Choice,
     uncached: u32,
 ) {
+    if !shared.settings.fair_shares {
+        return;
+    }
     let now = Instant::now();
     let is_refused = !matches!(choice, Choice::Send(_));
     let work = work(uncached, request.call.output_tokens());
@@ -90,6 +95,9 @@
 
 /// counts a response, or the first event of one, to a request
 pub(super) fn record_response<D: Dialect>(shared: &Shared<D>, request: &Request, uncached: u32) {
+    if !shared.settings.fair_shares {
+        return;
+    }
     let work = work(uncached, request.call.output_tokens());
     let is_late = request.arrived.elapsed() > request.route.objective;
     let mut fairness = shared.fairness.borrow_mut();
@@ -102,6 +110,10 @@
     if full.is_stated {
         return Failure::with_retry_after(Reason::Full, full.available_in);
     }
+    if !shared.settings.fair_shares {
+        let wait = retry_after(request.priority(), full.available_in);
+        return Failure::with_retry_after(Reason::Full, wait);
+    }
     let standing = request.standing(shared);
     let refused = Refused {
         available_in: full.available_in,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -103,6 +103,8 @@
     pub orders_capacity: bool,
     /// time limits and budgets
     pub policy: Policy,
+    /// whether workspaces share a service's capacity fairly while it is short
+    pub fair_shares: bool,
     /// bounds of roll-outs; none if the deployment does not use them
     pub rollout: Option<rollout::Bounds>,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -132,7 +132,9 @@
         let notices = notices::State::new(&settings);
         let memory = memory::Account::new(memory::Capacity::of_machine(settings.memory));
         let mut placement = Balancer::new();
-        placement.assume_peers(Instant::now() + FIRST_REPORTS_TIME);
+        if settings.fair_shares {
+            placement.assume_peers(Instant::now() + FIRST_REPORTS_TIME);
+        }
         Rc::new(Shared {
             settings,
             dialect,
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -37,6 +37,7 @@
     Settings {
         is_alone: true,
         is_first_start: true,
+        fair_shares: true,
         name: "daemon-1".to_owned(),
         zone: "here".to_owned(),
         regions: HashMap::new(),
--- a/crates/route/src/placement/admission.rs
+++ b/crates/route/src/placement/admission.rs
@@ -27,6 +27,10 @@
 /// fraction of the limit of a more urgent kind that each step of lower urgency may use
 const PRIORITY_STEP_FRACTION: f64 = 0.65;
 
+/// addition to the retry delay for each step of lower urgency, so that refused callers retry
+/// in order of urgency
+const RETRY_AFTER_STEP: Duration = Duration::from_millis(700);
+
 /// limit of a caller that has come back and will be late, in multiples of that of a new request
 const RETURNED_FACTOR: f64 = 1.2;
 
@@ -155,3 +159,9 @@
     let shortest = objectives.min().unwrap_or(kind.objective);
     shortest.min(kind.objective).mul_f64(OBJECTIVE_FACTOR)
 }
+
+/// retry delay of a refused caller where admissions are not counted, when capacity is expected after
+/// `available_in`
+pub fn retry_after(priority: u8, available_in: Duration) -> Duration {
+    available_in + RETRY_AFTER_STEP * u32::from(priority)
+}
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -69,7 +69,7 @@
 mod statements;
 mod transfer;
 
-pub use admission::{Caller, Kind, plain_time_limit, time_limit};
+pub use admission::{Caller, Kind, plain_time_limit, retry_after, time_limit};
 pub use balancer::Balancer;
 pub use completion::{Completion, Outcome};
 pub use engine::Timing;
