Make the speeds of VMs and the transfers of prompts optional

Cause: neither serves callers better on the new deployments. Change: vm_speeds and prompt_transfers in the settings switch them on.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -105,6 +105,10 @@
     pub policy: Policy,
     /// whether workspaces share a service's capacity fairly while it is short
     pub fair_shares: bool,
+    /// whether VMs that are slow for a time get fewer requests
+    pub vm_speeds: bool,
+    /// whether an idle VM fetches a cached prompt from a busy one
+    pub prompt_transfers: bool,
     /// bounds of roll-outs; none if the deployment does not use them
     pub rollout: Option<rollout::Bounds>,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -132,6 +132,9 @@
         let notices = notices::State::new(&settings);
         let memory = memory::Account::new(memory::Capacity::of_machine(settings.memory));
         let mut placement = Balancer::new();
+        if !settings.vm_speeds {
+            placement.ignore_speeds();
+        }
         if settings.fair_shares {
             placement.assume_peers(Instant::now() + FIRST_REPORTS_TIME);
         }
@@ -344,7 +347,10 @@
                 distance: self.distance(&vm.zone),
                 slots: vm.slots,
                 cache_tokens: service.engine.map(|engine| engine.cache_tokens),
-                transfer: service.engine.and_then(|engine| engine.transfer),
+                transfer: service.engine.and_then(|engine| {
+                    let transfer = engine.transfer;
+                    transfer.filter(|_| self.settings.prompt_transfers)
+                }),
                 connections: service.max_connections,
             };
             members.entry(&service.name).or_default().push(member);
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -38,6 +38,8 @@
         is_alone: true,
         is_first_start: true,
         fair_shares: true,
+        vm_speeds: true,
+        prompt_transfers: true,
         name: "daemon-1".to_owned(),
         zone: "here".to_owned(),
         regions: HashMap::new(),
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -102,6 +102,8 @@
     report_interval: Duration,
     /// until when peers that have not reported are assumed to send as much as this daemon
     assumes_peers_until: Option<Instant>,
+    /// whether all VMs of a service count as equally fast
+    pub(super) ignores_speeds: bool,
 }
 
 impl Balancer {
@@ -421,6 +423,7 @@
 
     /// records that a request ended
     pub fn end(&mut self, completion: &Completion<'_>, now: Instant) {
+        let uses_speeds = !self.ignores_speeds;
         let Some(state) = self.services.get_mut(completion.service) else {
             return;
         };
@@ -451,7 +454,7 @@
             if let Some(expected) = state.baseline_response_time.mean() {
                 let ratio = took.as_secs_f64() / expected.as_secs_f64().max(1e-3);
                 let relative = state.responses.record(ratio);
-                if state.responses.is_known() {
+                if uses_speeds && state.responses.is_known() {
                     entry.speed.record(relative, now);
                 }
             }
--- a/crates/route/src/placement/learning.rs
+++ b/crates/route/src/placement/learning.rs
@@ -19,8 +19,16 @@
 const MIN_PAUSE_S: f64 = 0.001;
 
 impl Balancer {
+    /// counts all VMs of a service as equally fast
+    pub fn ignore_speeds(&mut self) {
+        self.ignores_speeds = true;
+    }
+
     /// records the mean pause between some events of a stream
     pub fn record_pause(&mut self, service: &str, id: &str, pause: Duration, now: Instant) {
+        if self.ignores_speeds {
+            return;
+        }
         let Some(state) = self.services.get_mut(service) else {
             return;
         };
@@ -43,7 +51,7 @@
 
     /// sets the VMs that peers reported as slow
     pub fn set_peer_slow_vms(&mut self, slow: &HashMap<String, Slowness>, now: Instant) {
-        if slow.is_empty() {
+        if slow.is_empty() || self.ignores_speeds {
             return;
         }
         for state in self.services.values_mut() {
@@ -64,6 +72,7 @@
 
     /// records the first event of a request at an engine
     pub fn record_sample(&mut self, service: &str, id: &str, sample: &Sample, now: Instant) {
+        let uses_speeds = !self.ignores_speeds;
         let Some(state) = self.services.get_mut(service) else {
             return;
         };
@@ -74,7 +83,7 @@
         let relative = state
             .first_events
             .record(sample.took.as_secs_f64() / expected);
-        if state.first_events.is_known() {
+        if uses_speeds && state.first_events.is_known() {
             entry.speed.record(relative, now);
         }
         // the transfer over the link takes as long as the prefill of thousands of tokens
