Admission: fair shares while capacity is short, retry delays over the capacity to come

Causes: while capacity is short, callers of all workspaces were refused alike, so that a surge of one took the capacity of all. What was accepted was mostly late: loads of peers are seconds old, and the VM that seemed to have room got the requests of all daemons (56 at one VM where another had 4). Callers refused together were told the same delay. After a loss of all daemons each one filled the VMs as if it were alone.

Changes: daemons report the demand of each workspace, what was refused, responded to and late. From the sums each derives max-min fair shares of what VMs respond to, and accepts requests beyond a share only at idle VMs, from 3 % of refusals until 1 % or less for 2 s. Meanwhile what more than 12 daemons have sent counts as evenly spread over the VMs. Retry delays are spread over the expected admissions, up to a third of the caller's time. For 3 s without a report, peers are assumed to send as much as this daemon.

Tests: route and platform pass. The complete run of the gateway was not repeated after the last change.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub latency: HistogramVec,
     /// calls to the platform's APIs by call and outcome
     pub calls: IntCounterVec,
+    /// fraction of a workspace's demand within its share, in thousandths, while capacity is short
+    pub shares: IntGaugeVec,
     /// current values by name, such as the configuration's version and age
     pub states: IntGaugeVec,
 }
@@ -64,12 +66,21 @@
         registered.expect("metric names are distinct");
         let registered = registry.register(Box::new(states.clone()));
         registered.expect("metric names are distinct");
+        let options = Opts::new(
+            "agateloom_share_permille",
+            "Part of a workspace's demand within its share of a service while capacity is short.",
+        );
+        let shares = IntGaugeVec::new(options, &["service", "workspace"]);
+        let shares = shares.expect("metric and label names are valid");
+        let registered = registry.register(Box::new(shares.clone()));
+        registered.expect("metric names are distinct");
         Metrics {
             registry,
             requests,
             attempts,
             latency,
             calls,
+            shares,
             states,
         }
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -15,6 +15,7 @@
 mod report;
 mod reporter;
 mod reports;
+mod shares;
 mod state;
 mod topology;
 
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 
 use macro_rules_attribute::apply;
+use route::fairness::Demands;
 use route::notice::Notice;
 use route::placement::{Load, Prefill, Rate};
 use route::quarantine::{Evidence, Mark};
@@ -108,6 +109,9 @@
     pub prefills: Vec<Prefill>,
     /// requested work per second by service
     pub rates: HashMap<String, Rate>,
+    /// requested and refused work by service and workspace
+    #[serde(default, skip_serializing_if = "HashMap::is_empty")]
+    pub demands: Demands,
     /// requests begun, by window and workspace
     pub counts: Snapshot,
     /// whether the receiver is to answer with the reports of all other daemons
@@ -134,6 +138,12 @@
         for (service, rate) in &other.rates {
             self.rates.entry(service.clone()).or_default().add(rate);
         }
+        for (service, workspaces) in &other.demands {
+            let sums = self.demands.entry(service.clone()).or_default();
+            for (workspace, demand) in workspaces {
+                sums.entry(workspace.clone()).or_default().add(demand);
+            }
+        }
         for (workspace, spending) in &other.spending {
             let sum = self.spending.entry(workspace.clone()).or_default();
             sum.demand += spending.demand;
--- a/crates/gateway/src/peers/reporter.rs
+++ b/crates/gateway/src/peers/reporter.rs
@@ -264,6 +264,7 @@
             spending,
             prefills,
             rates,
+            demands: shared.fairness.borrow_mut().demands(now),
             counts: Snapshot { windows },
             notices: shared.notices.table.borrow().in_force(now_ms),
             marks: shared.quarantine.parts.borrow().marks(),
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -9,6 +9,7 @@
 use super::interval::counts_age;
 use super::report::{Report, Scope};
 use super::reports::Reports;
+use super::shares::update_shares;
 use super::topology::{Peer, Topology};
 use crate::adapter::Dialect;
 use crate::notices;
@@ -109,6 +110,8 @@
         if let Some(report) = reports.receive(report, now) {
             placement.set_peer_loads(&report.from, report.loads.clone(), now);
             placement.add_peer_prefills(&report.prefills, now);
+            let mut fairness = shared.fairness.borrow_mut();
+            fairness.set_peer(&report.from, &report.demands, now);
         }
     }
 
@@ -131,6 +134,7 @@
         } else {
             shared.owners.disable();
         }
+        update_shares(shared, now);
         let mut ledgers = shared.ledgers.borrow_mut();
         for (workspace, quota) in shared.quotas.borrow_mut().iter_mut() {
             let peers = reports.peer_spending(workspace, elapsed, now);
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use route::placement::{Choice, Pick, TimeLimit, retry_after};
+use route::placement::{Choice, Pick, TimeLimit};
 use tokio::time::Instant;
 
+use super::admission;
 use super::attempt::Attempts;
 use super::request::Request;
 use super::{Failure, Reason};
@@ -42,6 +43,7 @@
             Choice::Full(_) | Choice::NoVm => request.unshared_tokens(),
         };
         balancer.record_demand(&request.service, uncached, now);
+        admission::record(shared, request, &choice, uncached);
     }
     let vms = balancer.vm_count(&request.service);
     drop(balancer);
@@ -53,10 +55,7 @@
             attempts.tried.push(vm.id.clone());
             Ok((vm, pick))
         }
-        Choice::Full(full) => {
-            let wait = retry_after(request.priority(), full.available_in);
-            Err(Failure::with_retry_after(Reason::Full, wait))
-        }
+        Choice::Full(full) => Err(admission::refuse(shared, request, &full)),
         // VMs of an earlier version do not return, so that the caller need not wait for one
         Choice::NoVm if request.origin.is_some() => Err(Failure::new(Reason::NoVersion)),
         Choice::NoVm => Err(Failure::with_retry_after(Reason::NoVm, NO_VM_RETRY_AFTER)),
--- a/crates/gateway/src/serve/failure.rs
+++ b/crates/gateway/src/serve/failure.rs
@@ -37,6 +37,8 @@
     UnknownOrigin,
     /// no VM has capacity in time
     Full,
+    /// no VM has capacity in time for a request beyond its workspace's share
+    BeyondShare,
     /// the prompt has a part that crashes VMs
     Quarantined,
     /// the process is stopping, and a response would take longer than it runs
@@ -72,6 +74,7 @@
             | Reason::NoVersion
             | Reason::UnknownOrigin
             | Reason::Full
+            | Reason::BeyondShare
             | Reason::Quarantined
             | Reason::Stopping
             | Reason::Refused
@@ -96,6 +99,7 @@
             Reason::NoVersion => "no_version",
             Reason::UnknownOrigin => "unknown_origin",
             Reason::Full => "full",
+            Reason::BeyondShare => "beyond_share",
             Reason::Quarantined => "quarantined",
             Reason::Stopping => "stopping",
             Reason::Refused => "refused",
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -5,6 +5,7 @@
 //! of a response that the gateway generates follows the verdict over all attempts: 429 and 503
 //! only if none of them ran the request.
 
+mod admission;
 mod attempt;
 mod body;
 mod choose;
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -8,11 +8,12 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use route::placement::{Outcome, TimeLimit, plain_time_limit};
+use route::placement::{Outcome, TimeLimit};
 use route::verdict::Progress;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
+use super::admission;
 use super::attempt::{AttemptError, Attempts, Sending, VmResponse, record_failed_attempt, send};
 use super::choose::choose;
 use super::request::Request;
@@ -46,7 +47,7 @@
     let mut fallback: Option<Response<Body>> = None;
     loop {
         let time_limit = if attempts.sent() == 0 {
-            plain_time_limit(request.kind(), &request.kinds, &request.caller())
+            admission::limit(shared, &request)
         } else {
             TimeLimit::total(request.time_left())
         };
@@ -66,7 +67,10 @@
         let attempt_error = match send(shared, &request, &sending).await {
             Ok(vm_response) => {
                 match read_response(shared, &request, &vm, vm_response, sent_at).await {
-                    Ok(response) if !is_replaceable(&request, &response) => return Ok(response),
+                    Ok(response) if !is_replaceable(&request, &response) => {
+                        admission::record_response(shared, &request, pick.uncached);
+                        return Ok(response);
+                    }
                     Ok(response) => {
                         fallback = Some(response);
                         AttemptError {
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 use route::origin::Origin;
-use route::placement::{Caller, Kind};
+use route::placement::Kind;
 use tokio::time::Instant;
 
 use super::Deadline;
@@ -62,23 +62,6 @@
         workspace_priority.unwrap_or(self.route.priority)
     }
 
-    /// kind of request of its service, by its route
-    pub fn kind(&self) -> Kind {
-        Kind {
-            priority: self.route.priority,
-            objective: self.route.objective,
-        }
-    }
-
-    /// the time of its caller
-    pub fn caller(&self) -> Caller {
-        let stated = self.call.time_limit;
-        Caller {
-            is_resuming: self.call.is_resumed(),
-            ..Caller::new(stated, self.route.timeout, self.arrived.elapsed())
-        }
-    }
-
     /// tokens of the last part of the prompt, which no other request shares
     pub fn unshared_tokens(&self) -> u32 {
         self.parts
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -11,12 +11,13 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use route::origin::{Certainty, Origin, stream_id};
-use route::placement::{Outcome, Pick, TimeLimit, time_limit};
+use route::placement::{Outcome, Pick, TimeLimit};
 use route::verdict::Progress;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+use super::admission;
 use super::attempt::{AttemptError, Attempts, Sending, VmResponse, record_failed_attempt, send};
 use super::choose::choose;
 use super::events::EventBuffer;
@@ -77,6 +78,7 @@
             Ok(Opened::Buffered(response)) => return Ok(response),
             Ok(Opened::Stream(head, first, vm_stream)) => {
                 count_usage(shared, &stream.request);
+                admission::record_response(shared, &stream.request, pick.uncached);
                 let took = stream.request.arrived.elapsed();
                 record_response(shared, &stream.request, &vm, &head, took);
                 return Ok(stream.relay(&head, first, *vm_stream));
@@ -114,7 +116,7 @@
             ..
         } = self;
         let limit = if attempts.sent() == 0 {
-            time_limit(request.kind(), &request.kinds, &request.caller())
+            admission::limit(shared, request)
         } else {
             TimeLimit::total(request.time_left())
         };
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use route::drain::Schedule;
-use route::placement::{Balancer, Distance, Member, Pick};
+use route::fairness::Fairness;
+use route::placement::{Balancer, Distance, Member, Pick, Returns};
 use route::quota::{Ledger, Quota};
 use route::retry::{Allowance, RepeatLimit};
 use route::trust::{self, Role, Trust};
@@ -85,6 +86,10 @@
     pub vms_changed: Notify,
     /// load of the VMs, from which requests are placed
     pub placement: RefCell<Balancer>,
+    /// shares of capacity for workspaces
+    pub fairness: RefCell<Fairness>,
+    /// when refused callers return
+    pub returns: RefCell<Returns>,
     /// limits by workspace
     pub quotas: RefCell<HashMap<String, Quota>>,
     /// limits that this daemon decides on for all daemons, by workspace
@@ -120,6 +125,8 @@
         let clock = Clock::start();
         let freshness = Freshness::default();
         let notices = notices::State::new(&settings);
+        let mut placement = Balancer::new();
+        placement.assume_peers(Instant::now() + FIRST_REPORTS_TIME);
         Rc::new(Shared {
             settings,
             dialect,
@@ -142,7 +149,9 @@
             followed_vms: Cell::default(),
             departed: RefCell::default(),
             vms_changed: Notify::new(),
-            placement: RefCell::new(Balancer::new()),
+            placement: RefCell::new(placement),
+            fairness: RefCell::default(),
+            returns: RefCell::new(Returns::new(Instant::now())),
             quotas: RefCell::default(),
             ledgers: RefCell::default(),
             owners: Owners::default(),
@@ -390,6 +399,9 @@
 /// process age up to which a request waits for the first configuration
 const STARTUP_TIME: Duration = Duration::from_secs(2);
 
+/// time after the start in which reports of the peers may still be missing
+const FIRST_REPORTS_TIME: Duration = Duration::from_secs(3);
+
 /// longest wait of a request for the first configuration: half of the delay that a refused
 /// caller is given
 const FIRST_CONFIG_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,6 +6,7 @@
 //! daemons and tests run the same code.
 
 pub mod drain;
+pub mod fairness;
 pub mod level;
 pub mod limit;
 pub mod notice;
--- a/crates/route/src/placement/admission.rs
+++ b/crates/route/src/placement/admission.rs
@@ -1,4 +1,4 @@
-//! Limits on the expected time with which requests are accepted, and retry delays.
+//! Limits on the expected time with which requests are accepted.
 //!
 //! Load pattern: callers that were refused come back as told while VMs are full. Part of the time
 //! to their objective is spent, so they compete with new requests that have all of theirs, and are
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use super::TimeLimit;
+use crate::fairness::Standing;
 
 /// longest expected time with which a request is accepted, in multiples of the objective
 const OBJECTIVE_FACTOR: f64 = 1.1;
@@ -26,10 +27,6 @@
 /// fraction of the limit of a more urgent kind that each step of lower urgency may use
 const PRIORITY_STEP_FRACTION: f64 = 0.65;
 
-/// addition to the retry delay for each step of lower urgency, so that refused callers retry
-/// in order of urgency
-const RETRY_AFTER_STEP: Duration = Duration::from_millis(700);
-
 /// limit of a caller that has come back and will be late, in multiples of that of a new request
 const RETURNED_FACTOR: f64 = 1.2;
 
@@ -55,6 +52,8 @@
     pub left: Duration,
     /// whether it resumes a stream of which it has events
     pub is_resuming: bool,
+    /// how its request stands to the share of its workspace
+    pub standing: Standing,
 }
 
 impl Caller {
@@ -66,6 +65,7 @@
             waited: timeout - left,
             left: left.saturating_sub(since_arrival),
             is_resuming: false,
+            standing: Standing::Usual,
         }
     }
 
@@ -79,6 +79,13 @@
 /// limit is still accepted with it
 const QUEUEING_FRACTION: f64 = 0.35;
 
+/// the same within the share of a workspace while capacity is short: long prompts would be refused
+/// more often than short ones, as most VMs have a queue
+const SHORT_QUEUEING_FRACTION: f64 = 0.6;
+
+/// expected wait up to which a VM counts as idle: that of two running requests
+const IDLE_WAIT: Duration = Duration::from_millis(3);
+
 /// the same for plain services, whose requests all take about as long: half of the VMs' response
 /// time is expected to be added when all slots are busy and nothing waits
 const PLAIN_QUEUEING_FRACTION: f64 = 0.5;
@@ -98,14 +105,21 @@
 
 fn limit(kind: Kind, kinds: &[Kind], caller: &Caller, queueing: f64) -> TimeLimit {
     let objective = kind.objective.mul_f64(OBJECTIVE_FACTOR);
-    let mut total = objective;
-    for other in kinds.iter().filter(|other| other.priority < kind.priority) {
-        let steps = i32::from(kind.priority - other.priority);
-        let limit = other
-            .objective
-            .mul_f64(OBJECTIVE_FACTOR * PRIORITY_STEP_FRACTION.powi(steps));
-        total = total.min(limit);
-    }
+    let mut queueing = queueing;
+    let mut total = match caller.standing {
+        Standing::Usual => limit_of_new(kind, kinds, i32::MAX),
+        Standing::Within => {
+            queueing = queueing.max(SHORT_QUEUEING_FRACTION);
+            limit_of_new(kind, kinds, 1).min(shortest(kind, kinds))
+        }
+        Standing::Beyond => {
+            return TimeLimit {
+                total: Duration::ZERO,
+                queueing: IDLE_WAIT,
+                patience: caller.left,
+            };
+        }
+    };
     if caller.is_resuming {
         total = total.div_f64(PRIORITY_STEP_FRACTION);
     } else if caller.has_returned() {
@@ -121,7 +135,23 @@
     }
 }
 
-/// retry delay of a refused caller, when capacity is expected after `available_in`
-pub fn retry_after(priority: u8, available_in: Duration) -> Duration {
-    available_in + RETRY_AFTER_STEP * u32::from(priority)
+/// limit of a new request; more urgent kinds count as no more than `max_steps` more urgent
+fn limit_of_new(kind: Kind, kinds: &[Kind], max_steps: i32) -> Duration {
+    let mut total = kind.objective.mul_f64(OBJECTIVE_FACTOR);
+    for other in kinds.iter().filter(|other| other.priority < kind.priority) {
+        let steps = i32::from(kind.priority - other.priority).min(max_steps);
+        let limit = other
+            .objective
+            .mul_f64(OBJECTIVE_FACTOR * PRIORITY_STEP_FRACTION.powi(steps));
+        total = total.min(limit);
+    }
+    total
+}
+
+/// limit of the kind with the shortest objective: a workspace's priority may place a kind with a long
+/// objective before it, whose backlog would make it late
+fn shortest(kind: Kind, kinds: &[Kind]) -> Duration {
+    let objectives = kinds.iter().map(|other| other.objective);
+    let shortest = objectives.min().unwrap_or(kind.objective);
+    shortest.min(kind.objective).mul_f64(OBJECTIVE_FACTOR)
 }
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -4,6 +4,7 @@
 use tokio::time::Instant;
 
 use super::backlog;
+use super::candidates::{Candidate, Candidates};
 use super::completion::{Completion, Outcome};
 use super::cost::{
     MIN_RETRY_AFTER, SPREAD, distance_penalty, full, jitter, preferred_vm, spread, tokens,
@@ -14,7 +15,6 @@
 use super::member::Member;
 use super::plain::{self, ResponseTime};
 use super::prefix_cache::Prefill;
-use super::rank::Rank;
 use super::request::{Choice, Full, Pick, Request};
 
 /// largest number of prefills kept for the next report to peers
@@ -31,6 +31,13 @@
 /// seconds old is still right on average, and without it VMs seem idle
 const PEER_LOAD_INTERVALS: f64 = 1.5;
 
+/// number of daemons up to which all report to each other directly, and loads are half a second old
+const MAX_DIRECT_DAEMONS: u32 = 12;
+
+/// most tokens that peers which have not reported are assumed to have waiting at a VM: 0.2 s of
+/// prefill, less than the shortest objectives
+const MAX_ASSUMED_PREFILL: u64 = 10_000;
+
 /// weight of a new outcome in a service's baseline failure rate
 const BASELINE_WEIGHT: f64 = 0.01;
 
@@ -41,9 +48,22 @@
     baseline_failures: f64,
     baseline_response_time: ResponseTime,
     meter: Meter,
+    /// whether its capacity is short
+    is_short: bool,
+    /// what this daemon has in flight at all VMs
+    sent: Load,
 }
 
 impl Service {
+    /// average of a load over all VMs
+    fn average(&self, loads: &HashMap<String, Load>) -> Load {
+        let mut sum = Load::default();
+        for load in self.entries.keys().filter_map(|id| loads.get(id)) {
+            sum.add(load);
+        }
+        sum.divided(self.entries.len())
+    }
+
     /// average of a load over the VMs
     fn means(&self, loads: &HashMap<String, Load>) -> backlog::Means {
         backlog::means(self.entries.iter().map(|(id, entry)| {
@@ -60,6 +80,8 @@
     loads: HashMap<String, Load>,
     /// average over the VMs, by service
     means: HashMap<String, backlog::Means>,
+    /// average over all VMs, by service
+    averages: HashMap<String, Load>,
 }
 
 /// all VMs that may be chosen, with their load
@@ -70,6 +92,8 @@
     pending_prefills: Vec<Prefill>,
     daemons: u32,
     report_interval: Duration,
+    /// until when peers that have not reported are assumed to send as much as this daemon
+    assumes_peers_until: Option<Instant>,
 }
 
 impl Balancer {
@@ -108,6 +132,42 @@
         self.report_interval = interval;
     }
 
+    /// sets whether the capacity of a service is short
+    pub fn set_short(&mut self, service: &str, is_short: bool) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.is_short = is_short;
+        }
+    }
+
+    /// assumes until a time that peers send as much as this daemon, as long as none has reported
+    ///
+    /// Load pattern: all daemons are lost, and start again with all callers returning. Without
+    /// reports VMs seem to have only what this daemon has sent, one of tens, and are flooded. The
+    /// assumption is bounded, so that VMs accept urgent requests in any case.
+    pub fn assume_peers(&mut self, until: Instant) {
+        self.assumes_peers_until = Some(until);
+    }
+
+    /// load at each VM of a service that peers are assumed to have sent
+    fn assumed_load(&self, state: &Service, member: &Member, now: Instant) -> Load {
+        let is_assumed = self.assumes_peers_until.is_some_and(|until| now < until);
+        if !is_assumed || !self.peer_loads.is_empty() {
+            return Load::default();
+        }
+        let peers = self.daemons.saturating_sub(1);
+        let sent = Load {
+            running: state.sent.running.saturating_mul(peers),
+            prefill_tokens: state.sent.prefill_tokens * u64::from(peers),
+            held: 0,
+        };
+        let each = sent.divided(state.entries.len());
+        Load {
+            running: each.running.min(member.slots / 2),
+            prefill_tokens: each.prefill_tokens.min(MAX_ASSUMED_PREFILL),
+            held: 0,
+        }
+    }
+
     /// age after which the load reported by a peer is ignored
     fn peer_load_ttl(&self) -> Duration {
         MIN_PEER_LOAD_TTL.max(self.report_interval.mul_f64(PEER_LOAD_INTERVALS))
@@ -118,10 +178,13 @@
         let loads = loads.into_iter().map(|(vm, load)| (vm, load.bounded()));
         let loads: HashMap<String, Load> = loads.collect();
         let services = self.services.iter();
+        let averages = services.clone();
+        let averages = averages.map(|(name, state)| (name.clone(), state.average(&loads)));
         let means = services.map(|(name, state)| (name.clone(), state.means(&loads)));
         let report = PeerLoads {
             received_at: now,
             means: means.collect(),
+            averages: averages.collect(),
             loads,
         };
         self.peer_loads.insert(peer.to_owned(), report);
@@ -190,7 +253,7 @@
         let mut total = Load::default();
         if let Some(state) = self.services.get(service) {
             for entry in state.entries.values() {
-                total.add(&self.load(entry, now));
+                total.add(&self.load(service, entry, now));
             }
         }
         total
@@ -209,7 +272,8 @@
         let ids = entries().map(|entry| entry.member.id.as_str());
         let preferred = preferred_vm(ids, request);
         let spread = spread(request, self.peer_backlog(request.service, now));
-        let mut best: Option<(Rank, Pick)> = None;
+        let limit = request.time_limit;
+        let mut candidates = Candidates::new(limit);
         let mut at_limit = None;
         let mut opens_at: Option<(Instant, &str)> = None;
         for entry in entries() {
@@ -232,32 +296,40 @@
                 + entry.refusal_penalty(now)
                 + jitter(&entry.member.id, request, spread);
             let cost = cost.saturating_sub(preferred.map_or(Duration::ZERO, |vm| vm.bonus));
-            let rank = Rank::new(is_last_resort, &pick, cost, &request.time_limit);
-            if best.as_ref().is_none_or(|(best, _)| rank < *best) {
-                best = Some((rank, pick));
-            }
+            candidates.add(Candidate {
+                pick,
+                cost,
+                is_last_resort,
+            });
         }
-        let closed = |id: &str, available_in: Duration| {
+        let closed = |id: &str, available_in: Duration, is_stated: bool| {
             Choice::Full(Full {
                 available_in: available_in.max(MIN_RETRY_AFTER) + jitter(id, request, SPREAD),
                 expected: Duration::ZERO,
+                is_stated,
                 id: id.to_owned(),
             })
         };
-        match (best, at_limit, opens_at) {
-            (Some((rank, pick)), _, _) if rank.is_in_time() => Choice::Send(pick),
-            (Some((_, pick)), _, _) => Choice::Full(full(pick, request.time_limit)),
-            (None, Some(id), _) => closed(&id, MIN_RETRY_AFTER),
-            (None, None, Some((until, id))) => closed(id, until.saturating_duration_since(now)),
+        match (candidates.choose(), at_limit, opens_at) {
+            (Some(Ok(pick)), _, _) => Choice::Send(pick),
+            (Some(Err(pick)), _, _) => Choice::Full(full(pick, limit)),
+            (None, Some(id), _) => closed(&id, MIN_RETRY_AFTER, false),
+            (None, None, Some((until, id))) => {
+                closed(id, until.saturating_duration_since(now), true)
+            }
             (None, None, None) => Choice::NoVm,
         }
     }
 
     /// records that a request is sent to a VM
     pub fn begin(&mut self, request: &Request<'_>, id: &str, work: &Work, now: Instant) {
-        let Some(entry) = self.entry(request.service, id) else {
+        let Some(state) = self.services.get_mut(request.service) else {
             return;
         };
+        let Some(entry) = state.entries.get_mut(id) else {
+            return;
+        };
+        state.sent.begin(work);
         if entry.local.running == 0 {
             entry.health.mark_busy(now);
         }
@@ -292,7 +364,11 @@
 
     /// records that the first token of a request was received
     pub fn record_first_token(&mut self, service: &str, id: &str, work: &Work) {
-        if let Some(entry) = self.entry(service, id) {
+        let Some(state) = self.services.get_mut(service) else {
+            return;
+        };
+        if let Some(entry) = state.entries.get_mut(id) {
+            state.sent.finish_prefill(work);
             entry.local.finish_prefill(work);
         }
     }
@@ -313,6 +389,7 @@
         let Some(entry) = state.entries.get_mut(completion.id) else {
             return;
         };
+        state.sent.end(completion.work);
         entry.local.end(completion.work);
         if entry.local.running == 0 {
             entry.health.mark_idle();
@@ -357,14 +434,26 @@
     }
 
     /// returns the local and reported load at a VM
-    fn load(&self, entry: &Entry, now: Instant) -> Load {
+    ///
+    /// Load pattern: nearly all VMs are full, and reports are seconds old. The one that seemed to have
+    /// room got the requests of all daemons until the next report, 56 at once where others had 4. So
+    /// while capacity is short, what peers have sent counts as evenly spread.
+    fn load(&self, service: &str, entry: &Entry, now: Instant) -> Load {
+        let state = self.services.get(service);
+        let is_even =
+            self.daemons > MAX_DIRECT_DAEMONS && state.is_some_and(|state| state.is_short);
         let mut load = entry.local;
+        if let Some(state) = state {
+            load.add(&self.assumed_load(state, &entry.member, now));
+        }
         for report in self.peer_loads.values() {
             let age = now.saturating_duration_since(report.received_at);
             if age >= self.peer_load_ttl() {
                 continue;
             }
-            if let Some(peer_load) = report.loads.get(&entry.member.id) {
+            if is_even {
+                load.add(&report.averages.get(service).copied().unwrap_or_default());
+            } else if let Some(peer_load) = report.loads.get(&entry.member.id) {
                 load.add(&engine::after_prefill(peer_load, age));
             }
         }
@@ -379,7 +468,7 @@
         now: Instant,
     ) -> Pick {
         let member = &entry.member;
-        let load = self.load(entry, now);
+        let load = self.load(request.service, entry, now);
         let (expected, unloaded, uncached) = match member.cache_tokens {
             None => {
                 let response_time = entry.response_time.estimate(baseline, now);
--- a/crates/route/src/placement/cost.rs
+++ b/crates/route/src/placement/cost.rs
@@ -46,6 +46,7 @@
             .saturating_sub(time_limit.longest())
             .max(MIN_RETRY_AFTER),
         expected: pick.expected,
+        is_stated: false,
         id: pick.id,
     }
 }
--- a/crates/route/src/placement/load.rs
+++ b/crates/route/src/placement/load.rs
@@ -50,6 +50,16 @@
         self.held = self.held.saturating_add(other.held);
     }
 
+    /// the part of each of several VMs
+    pub(super) fn divided(self, vms: usize) -> Load {
+        let vms = vms.max(1) as u64;
+        Load {
+            running: u32::try_from(u64::from(self.running) / vms).unwrap_or(u32::MAX),
+            prefill_tokens: self.prefill_tokens / vms,
+            held: self.held / vms,
+        }
+    }
+
     /// adds a request that is sent
     pub fn begin(&mut self, work: &Work) {
         self.running += 1;
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -38,6 +38,7 @@
 mod admission;
 mod backlog;
 mod balancer;
+mod candidates;
 mod completion;
 mod cost;
 mod engine;
@@ -47,14 +48,15 @@
 mod member;
 mod plain;
 mod prefix_cache;
-mod rank;
 mod request;
+mod returns;
 mod statements;
 
-pub use admission::{Caller, Kind, plain_time_limit, retry_after, time_limit};
+pub use admission::{Caller, Kind, plain_time_limit, time_limit};
 pub use balancer::Balancer;
 pub use completion::{Completion, Outcome};
 pub use load::{Load, Rate, Work};
 pub use member::Member;
 pub use prefix_cache::Prefill;
 pub use request::{Choice, Distance, Full, Pick, Request, TimeLimit};
+pub use returns::{Refused, Returns};
--- a/crates/route/src/placement/request.rs
+++ b/crates/route/src/placement/request.rs
@@ -90,6 +90,8 @@
     pub id: String,
     /// expected time on that VM
     pub expected: Duration,
+    /// whether the VMs themselves state that they want no requests until then
+    pub is_stated: bool,
 }
 
 /// result of selecting a VM for a request
--- a/crates/route/tests/admission/cluster.rs
+++ b/crates/route/tests/admission/cluster.rs
@@ -7,9 +7,10 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use route::fairness::{Attempt as Share, Demands, Fairness, work};
 use route::placement::{
-    Balancer, Caller, Choice, Completion, Distance, Kind, Load, Member, Outcome, Request, Work,
-    retry_after, time_limit,
+    Balancer, Caller, Choice, Completion, Distance, Kind, Load, Member, Outcome, Refused, Request,
+    Returns, Work, time_limit,
 };
 use tokio::time::Instant;
 
@@ -33,6 +34,7 @@
 
 /// requests of one kind that callers of a workspace send
 pub struct Source {
+    pub workspace: &'static str,
     pub kind: Kind,
     pub timeout_ms: u64,
     pub tokens: u32,
@@ -54,6 +56,8 @@
     pub losses: Vec<(u64, usize, usize)>,
     /// by how much reports are older than usual
     pub extra_age_ms: u64,
+    /// daemons of a zone that stop reporting and serving at a time
+    pub dead: Option<(u64, usize)>,
     pub duration_ms: u64,
     pub seed: u64,
 }
@@ -109,8 +113,10 @@
     zone: usize,
     first_at: u64,
     number: u32,
-    /// daemon, VM and work, once it has been sent
-    sent: Option<(usize, String, Work)>,
+    /// the same at each attempt
+    draw: u64,
+    /// daemon, VM, work and time, once it has been sent
+    sent: Option<(usize, String, Work, u64)>,
 }
 
 struct Vm {
@@ -122,7 +128,9 @@
 struct Daemon {
     zone: usize,
     balancer: Balancer,
-    snapshots: Vec<(u64, HashMap<String, Load>)>,
+    fairness: Fairness,
+    returns: Returns,
+    snapshots: Vec<(u64, HashMap<String, Load>, Demands)>,
 }
 
 pub struct Cluster {
@@ -139,6 +147,7 @@
 
 impl Cluster {
     pub fn new(setup: Setup) -> Cluster {
+        let start = Instant::now();
         let mut vms = BTreeMap::new();
         for (zone, count) in setup.vms.iter().enumerate() {
             for number in 0..*count {
@@ -153,12 +162,14 @@
         let daemons = (0..setup.vms.len() * setup.daemons_per_zone).map(|number| Daemon {
             zone: number / setup.daemons_per_zone,
             balancer: Balancer::new(),
+            fairness: Fairness::new(),
+            returns: Returns::new(start),
             snapshots: Vec::new(),
         });
         let daemons = daemons.collect();
         Cluster {
             rng: ChaCha8Rng::seed_from_u64(setup.seed),
-            start: Instant::now(),
+            start,
             now_us: 0,
             vms,
             daemons,
@@ -234,7 +245,10 @@
                 connections: 4000,
             });
             let members = members.collect();
-            self.daemons[index].balancer.set_members(SERVICE, members);
+            let daemons = self.daemons.len();
+            let balancer = &mut self.daemons[index].balancer;
+            balancer.set_members(SERVICE, members);
+            balancer.set_daemons(daemons);
         }
     }
 
@@ -253,6 +267,7 @@
                             zone,
                             first_at: (first_at * 1000.0) as u64,
                             number: 1,
+                            draw: self.rng.random(),
                             sent: None,
                         });
                         self.push(first_at, Event::Attempt(self.attempts.len() - 1));
@@ -264,9 +279,16 @@
     }
 
     fn snapshot(&mut self) {
-        let at = self.now_us / 1000;
+        let (at, now) = (self.now_us / 1000, self.now());
+        let dead = self.setup.dead.filter(|(dead_at, _)| *dead_at <= at);
         for daemon in &mut self.daemons {
-            daemon.snapshots.push((at, daemon.balancer.loads()));
+            if dead.is_some_and(|(_, zone)| zone == daemon.zone) {
+                daemon.snapshots.clear();
+                continue;
+            }
+            let demands = daemon.fairness.demands(now);
+            let snapshot = (at, daemon.balancer.loads(), demands);
+            daemon.snapshots.push(snapshot);
         }
     }
 
@@ -274,6 +296,7 @@
         let now = self.now();
         let zone = self.daemons[index].zone;
         let mut others: HashMap<String, Load> = HashMap::new();
+        let mut demands = Demands::new();
         for (other, daemon) in self.daemons.iter().enumerate() {
             let age = if daemon.zone == zone {
                 ZONE_AGE_MS
@@ -283,16 +306,28 @@
             let at = (self.now_us / 1000).checked_sub(age + self.setup.extra_age_ms);
             let known = at.and_then(|at| {
                 let mut known = daemon.snapshots.iter().rev();
-                known.find(|(taken, _)| *taken <= at)
+                known.find(|(taken, ..)| *taken <= at)
             });
-            if let (true, Some((_, loads))) = (other != index, known) {
+            if let (true, Some((_, loads, reported))) = (other != index, known) {
                 for (vm, load) in loads {
                     others.entry(vm.clone()).or_default().add(load);
                 }
+                for (service, workspaces) in reported {
+                    let sums = demands.entry(service.clone()).or_default();
+                    for (workspace, demand) in workspaces {
+                        sums.entry(workspace.clone()).or_default().add(demand);
+                    }
+                }
             }
         }
-        let balancer = &mut self.daemons[index].balancer;
-        balancer.set_peer_loads("others", others, now);
+        let vms = self.vms.len();
+        let daemon = &mut self.daemons[index];
+        daemon.balancer.set_peer_loads("others", others, now);
+        daemon.fairness.set_peer("others", &demands, now);
+        daemon.fairness.update(|_| vms, |_| 1.0, now);
+        for (service, state) in daemon.fairness.states() {
+            daemon.balancer.set_short(service, state.is_short);
+        }
     }
 
     fn lose(&mut self, index: usize) {
@@ -310,21 +345,35 @@
             .or_default()
     }
 
+    /// a daemon of a zone, or of the next one if those of the zone are dead
+    fn daemon(&mut self, zone: usize) -> usize {
+        let in_zone = self.rng.random_range(0..self.setup.daemons_per_zone);
+        let dead = self.setup.dead;
+        let zone = match dead.filter(|(at, _)| *at <= self.now_us / 1000) {
+            Some((_, dead)) if dead == zone => (zone + 1) % self.setup.vms.len(),
+            _ => zone,
+        };
+        zone * self.setup.daemons_per_zone + in_zone
+    }
+
     fn attempt(&mut self, id: usize) {
         let attempt = self.attempts[id].clone();
+        if attempt.number == 1 {
+            self.count(id).callers += 1;
+        }
+        let index = self.daemon(attempt.zone);
+        let draw: u64 = self.rng.random();
         let source = &self.setup.sources[attempt.source];
         let (kind, tokens) = (source.kind, source.tokens);
         let kinds: Vec<Kind> = self.setup.sources.iter().map(|other| other.kind).collect();
         let timeout = Duration::from_millis(source.timeout_ms);
         let waited = Duration::from_micros(self.now_us - attempt.first_at);
         let left = timeout.saturating_sub(waited);
-        let caller = Caller::new(Some(left), timeout, Duration::ZERO);
-        if attempt.number == 1 {
-            self.count(id).callers += 1;
-        }
-        let in_zone = self.rng.random_range(0..self.setup.daemons_per_zone);
-        let index = attempt.zone * self.setup.daemons_per_zone + in_zone;
-        let draw: u64 = self.rng.random();
+        let share = share(source, &attempt);
+        let caller = Caller {
+            standing: self.daemons[index].fairness.standing(&share, attempt.draw),
+            ..Caller::new(Some(left), timeout, Duration::ZERO)
+        };
         let parts = [(draw, tokens)];
         let request = Request {
             service: SERVICE,
@@ -337,24 +386,36 @@
             version: None,
         };
         let now = self.now();
-        let balancer = &mut self.daemons[index].balancer;
-        match balancer.choose(&request, now) {
-            Choice::Send(pick) => {
-                let work = Work {
-                    prefill_tokens: pick.uncached,
-                    held: pick.uncached + 100,
-                };
-                balancer.begin(&request, &pick.id, &work, now);
-                let distance = pick.distance;
-                self.attempts[id].sent = Some((index, pick.id.clone(), work));
-                self.run_request(id, &pick.id, tokens, distance);
-            }
+        let Daemon {
+            balancer,
+            fairness,
+            returns,
+            ..
+        } = &mut self.daemons[index];
+        let choice = balancer.choose(&request, now);
+        let is_refused = !matches!(choice, Choice::Send(_));
+        fairness.record(&share, work(tokens, 100), is_refused, now);
+        let pick = match choice {
+            Choice::Send(pick) => pick,
             Choice::Full(full) => {
-                let wait = retry_after(kind.priority, full.available_in);
-                self.refuse(id, wait, left);
+                let refused = Refused {
+                    available_in: full.available_in,
+                    left,
+                    draw,
+                };
+                let delay = returns.delay(SERVICE, kind.priority, &refused, now);
+                return self.refuse(id, delay, left);
             }
-            Choice::NoVm => self.refuse(id, Duration::from_secs(1), left),
-        }
+            Choice::NoVm => return self.refuse(id, Some(Duration::from_secs(1)), left),
+        };
+        returns.record_admitted(SERVICE, kind.priority, now);
+        let work = Work {
+            prefill_tokens: pick.uncached,
+            held: pick.uncached + 100,
+        };
+        balancer.begin(&request, &pick.id, &work, now);
+        self.attempts[id].sent = Some((index, pick.id.clone(), work, self.now_us));
+        self.run_request(id, &pick.id, tokens, pick.distance);
     }
 
     fn run_request(&mut self, id: usize, vm: &str, tokens: u32, distance: Distance) {
@@ -384,29 +445,36 @@
     }
 
     /// the caller comes back, or gives up
-    fn refuse(&mut self, id: usize, wait: Duration, left: Duration) {
+    fn refuse(&mut self, id: usize, wait: Option<Duration>, left: Duration) {
         let number = self.attempts[id].number;
         if number > 1 {
             self.count(id).refused_again += 1;
         }
-        let wait = wait.min(left / 3).as_secs_f64() * 1000.0;
-        if number >= MAX_ATTEMPTS || left < Duration::from_millis(100) {
+        let Some(wait) = wait.filter(|_| number < MAX_ATTEMPTS) else {
             self.count(id).refused += 1;
             return;
-        }
+        };
+        let wait = wait.min(left / 3).as_secs_f64() * 1000.0;
         self.attempts[id].number += 1;
         self.push(self.now_ms() + wait, Event::Attempt(id));
     }
 
     fn first_token(&mut self, id: usize) {
         let attempt = self.attempts[id].clone();
-        let Some((daemon, vm, work)) = &attempt.sent else {
+        let Some((daemon, vm, sent, sent_at)) = &attempt.sent else {
             return;
         };
         let balancer = &mut self.daemons[*daemon].balancer;
-        balancer.record_first_token(SERVICE, vm, work);
+        balancer.record_first_token(SERVICE, vm, sent);
         let took = Duration::from_micros(self.now_us - attempt.first_at);
-        let objective = self.setup.sources[attempt.source].kind.objective;
+        let now = self.now();
+        let source = &self.setup.sources[attempt.source];
+        let objective = source.kind.objective;
+        let is_late = Duration::from_micros(self.now_us - sent_at) > objective;
+        let share = share(source, &attempt);
+        let work = work(source.tokens, 100);
+        let fairness = &mut self.daemons[*daemon].fairness;
+        fairness.record_response(&share, work, is_late, now);
         let count = self.count(id);
         if took <= objective {
             count.in_time += 1;
@@ -417,7 +485,7 @@
 
     fn end(&mut self, id: usize) {
         let now = self.now();
-        let Some((daemon, vm, work)) = self.attempts[id].sent.clone() else {
+        let Some((daemon, vm, work, _)) = self.attempts[id].sent.clone() else {
             return;
         };
         let completion = Completion {
@@ -430,3 +498,13 @@
         self.daemons[daemon].balancer.end(&completion, now);
     }
 }
+
+/// an attempt as the shares see it
+fn share<'a>(source: &Source, attempt: &Attempt) -> Share<'a> {
+    Share {
+        service: SERVICE,
+        workspace: source.workspace,
+        priority: source.kind.priority,
+        is_repeated: attempt.number > 1,
+    }
+}
--- a/crates/route/tests/admission/main.rs
+++ b/crates/route/tests/admission/main.rs
@@ -2,4 +2,7 @@
 
 mod cluster;
 mod regions;
+mod restart;
 mod returning;
+mod shares;
+mod surge;
--- a/crates/route/tests/admission/regions.rs
+++ b/crates/route/tests/admission/regions.rs
@@ -14,6 +14,7 @@
 /// remaining VMs can prefill, and in the other one
 fn replay(seed: u64) -> (Count, Count) {
     let chat = Source {
+        workspace: "w",
         kind: Kind {
             priority: 0,
             objective: Duration::from_millis(400),
@@ -31,6 +32,7 @@
         sources: vec![chat],
         losses: vec![(4000, 0, 6), (4000, 1, 6)],
         extra_age_ms: 0,
+        dead: None,
         duration_ms: 16_000,
         seed,
     };
--- a/crates/route/tests/admission/returning.rs
+++ b/crates/route/tests/admission/returning.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use route::placement::{Caller, Kind, time_limit};
+use route::placement::{Caller, Kind, Refused, Returns, time_limit};
+use tokio::time::Instant;
+
+use super::cluster::SERVICE;
 
 const CHAT: Kind = Kind {
     priority: 0,
@@ -57,3 +60,73 @@
     let limit = time_limit(CHAT, &[CHAT, BATCH], &caller);
     assert_eq!(limit.patience, Duration::from_millis(200));
 }
+
+/// delays of callers that are refused at the same time, in milliseconds
+fn delays(admitted_per_second: u64, refused: u64, left: Duration) -> Vec<u128> {
+    let available_in = Duration::from_millis(300);
+    delays_from(available_in, admitted_per_second, refused, left)
+}
+
+fn delays_from(
+    available_in: Duration,
+    admitted_per_second: u64,
+    refused: u64,
+    left: Duration,
+) -> Vec<u128> {
+    let start = Instant::now();
+    let mut returns = Returns::new(start);
+    let mut now = start;
+    for _ in 0..admitted_per_second * 6 {
+        now += Duration::from_secs(1) / u32::try_from(admitted_per_second).expect("a small rate");
+        returns.record_admitted(SERVICE, 0, now);
+    }
+    let delays = (0..refused).filter_map(|number| {
+        let refused = Refused {
+            available_in,
+            left,
+            draw: xxhash_rust::xxh3::xxh3_64(&number.to_le_bytes()),
+        };
+        returns.delay(SERVICE, 0, &refused, now)
+    });
+    delays.map(|delay| delay.as_millis()).collect()
+}
+
+/// guards against callers that all return at once, to be refused again
+#[test]
+fn callers_refused_together_return_over_the_capacity_that_will_be_there() {
+    // in the 2.4 s after the first capacity, half of 40 a second may return
+    let delays = delays(40, 45, TIMEOUT);
+    assert_eq!(delays.len(), 45);
+    for from_ms in (0..3000).step_by(500) {
+        let returning = delays
+            .iter()
+            .filter(|ms| (from_ms..from_ms + 500).contains(*ms));
+        let returning = returning.count();
+        assert!(returning <= 13, "{returning} return from {from_ms} ms on");
+    }
+}
+
+/// guards against delays that clients do not follow
+#[test]
+fn no_delay_is_longer_than_a_third_of_the_time_left() {
+    let left = Duration::from_millis(3000);
+    let delays = delays(2, 200, left);
+    assert!(delays.iter().all(|ms| *ms <= 1000), "{delays:?}");
+    let early = delays.iter().filter(|ms| **ms < 650).count();
+    assert!(
+        (50..150).contains(&early),
+        "{early} of 200 in the first half"
+    );
+}
+
+/// guards against a short delay that promises what can't be kept
+#[test]
+fn a_caller_without_enough_time_is_told_no_delay() {
+    assert!(delays(40, 1, Duration::from_millis(200)).is_empty());
+    let late = Duration::from_millis(5000);
+    assert!(delays_from(late, 40, 1, Duration::from_millis(5000)).is_empty());
+    assert_eq!(
+        delays_from(late, 40, 1, Duration::from_millis(9000)),
+        [3000]
+    );
+}
