Sum likelihoods of versions by a generic method instead of a trait object

Cause: finding() passed closures as dyn Fn, which the house rules exclude; it also held three steps in one function. Change: Groups holds the tallies, ln_likelihood is generic over the closure.

--- a/crates/route/src/rollout/compare.rs
+++ b/crates/route/src/rollout/compare.rs
@@ -196,21 +196,20 @@
     best
 }
 
-fn finding(criterion: &Criterion, tallies: &BTreeMap<u8, Tally>, expected: f64) -> Option<Finding> {
-    let samples: u64 = tallies.values().map(|tally| tally.samples).sum();
-    let affected: u64 = tallies.values().map(|tally| tally.affected).sum();
-    if affected < MIN_AFFECTED || affected as f64 <= expected {
-        return None;
-    }
-    let is_sound = (1.0 - criterion.faulty_vms).ln();
-    let tallies: Vec<(&Tally, f64)> = tallies
-        .values()
-        .map(|tally| (tally, tally.if_faulty(criterion)))
-        .collect();
-    // a faulty VM affects more responses than a sound one, not fewer
-    let sum = |rate: f64, likelihood: &dyn Fn(&Tally) -> f64| -> f64 {
-        let tallies = tallies.iter().map(|(tally, if_faulty)| {
-            let if_sound = is_sound + likelihood(tally);
+/// groups of VMs, each with the log-likelihood of its responses if its VMs are faulty
+struct Groups<'a> {
+    /// log-probability that the VMs of a group are sound
+    is_sound: f64,
+    tallies: Vec<(&'a Tally, f64)>,
+}
+
+impl Groups<'_> {
+    /// log-likelihood of all responses if sound VMs affect them at a rate, with that of each group if its
+    /// VMs are sound
+    fn ln_likelihood(&self, rate: f64, if_sound: impl Fn(&Tally) -> f64) -> f64 {
+        let tallies = self.tallies.iter().map(|(tally, if_faulty)| {
+            let if_sound = self.is_sound + if_sound(tally);
+            // a faulty VM affects more responses than a sound one, not fewer
             if tally.affected as f64 > rate * tally.samples as f64 {
                 ln_add(*if_faulty, if_sound)
             } else {
@@ -218,12 +217,29 @@
             }
         });
         tallies.sum()
+    }
+}
+
+fn finding(criterion: &Criterion, tallies: &BTreeMap<u8, Tally>, expected: f64) -> Option<Finding> {
+    let samples: u64 = tallies.values().map(|tally| tally.samples).sum();
+    let affected: u64 = tallies.values().map(|tally| tally.affected).sum();
+    if affected < MIN_AFFECTED || affected as f64 <= expected {
+        return None;
+    }
+    let groups = Groups {
+        is_sound: (1.0 - criterion.faulty_vms).ln(),
+        tallies: tallies
+            .values()
+            .map(|tally| (tally, tally.if_faulty(criterion)))
+            .collect(),
     };
-    let mixed = sum(0.0, &|tally| ln_add(tally.good[0], tally.good[1]) - LN_2);
-    let good = (0..2).map(|base| sum(0.0, &|tally| tally.good[base]));
+    let mixed = groups.ln_likelihood(0.0, |tally| ln_add(tally.good[0], tally.good[1]) - LN_2);
+    let good = (0..2).map(|base| groups.ln_likelihood(0.0, |tally| tally.good[base]));
     let good = good.reduce(ln_add).map(|good| ln_add(good, mixed))?;
     let bad = (0..2).flat_map(|base| (0..RATES).map(move |rate| (base, rate)));
-    let bad = bad.map(|(base, rate)| sum(criterion.rates[rate], &|tally| tally.bad[base][rate]));
+    let bad = bad.map(|(base, rate)| {
+        groups.ln_likelihood(criterion.rates[rate], |tally| tally.bad[base][rate])
+    });
     let bad = bad.reduce(ln_add)? - (RATES as f64).ln();
     Some(Finding {
         fault: criterion.fault,
