Split the balancer's loads and the roll-out comparison into files of their own

A sample of a roll-out counts in the second of the response, as route::rollout expects: by the second of sending the latest seconds held fast responses only.

--- a/crates/gateway/src/rollout/attempt.rs
+++ b/crates/gateway/src/rollout/attempt.rs
@@ -120,11 +120,13 @@
         let mut all = self.rollouts.active.borrow_mut();
         let in_progress = all.values_mut().filter(|active| active.is_in_progress());
         for active in in_progress.filter(|active| active.order.service == open.service) {
-            // one that was sent before the request says nothing of it
-            let Some(sent) = open.sent_at.checked_duration_since(active.started_at) else {
+            // an attempt that was sent before the request says nothing of it
+            if open.sent_at < active.started_at {
                 continue;
-            };
-            let second = u32::try_from(sent.as_secs()).unwrap_or(u32::MAX);
+            }
+            // by the second of sending, the latest seconds would hold the fast responses only
+            let elapsed = now.saturating_duration_since(active.started_at);
+            let second = u32::try_from(elapsed.as_secs()).unwrap_or(u32::MAX);
             let is_target = open.version == active.order.target;
             let sample = Sample {
                 vm: &open.vm,
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -60,6 +60,7 @@
 mod learning;
 mod load;
 mod member;
+mod peer_loads;
 mod plain;
 mod prefix_cache;
 mod request;
--- a/crates/route/src/rollout/mod.rs
+++ b/crates/route/src/rollout/mod.rs
@@ -22,8 +22,10 @@
 mod decide;
 mod decision;
 mod evidence;
+mod likelihood;
 mod order;
 mod plan;
+mod rate;
 mod sample;
 mod view;
 
