Confirm new versions of VMs by the revision of the store

A daemon that follows another one compared the time at which it saw a version with the time of the watcher's list of requests, which was read just before: it held the version back until the watcher's next watch ended, up to 10 s. Change: a version is confirmed once the list of requests is complete up to the revision of the list of VMs in which it was first seen; revisions are the same at all daemons. The age of the list is no longer sent.

--- a/crates/gateway/src/follow/relayed.rs
+++ b/crates/gateway/src/follow/relayed.rs
@@ -33,7 +33,7 @@
         shared.relay.set_config_revision(revision);
     }
     if let Some(update) = reply.rollouts {
-        apply_rollouts(shared, update, written_at);
+        apply_rollouts(shared, update);
     }
     reply
         .vms
@@ -47,15 +47,12 @@
     }
 }
 
-fn apply_rollouts<D: Dialect>(shared: &Shared<D>, update: RolloutUpdate, written_at: Instant) {
+fn apply_rollouts<D: Dialect>(shared: &Shared<D>, update: RolloutUpdate) {
     let is_restored = update.revision.generation < shared.generation.current();
     if is_restored || Some(update.revision) < shared.relay.rollouts_revision() {
         return;
     }
-    let age = Duration::from_millis(update.age_ms);
-    if let Some(at) = written_at.checked_sub(age) {
-        shared.relay.confirm_rollouts(update.revision, at);
-    }
+    shared.relay.confirm_rollouts(update.revision);
     if let Some(entries) = update.entries {
         shared.set_rollouts(entries);
     }
@@ -66,33 +63,37 @@
     if is_restored || Some(update.revision) < shared.relay.vm_revision() {
         return false;
     }
-    match update.change {
-        VmChange::None => {}
-        VmChange::Some { listed, removed } => {
-            for id in removed {
-                shared.remove_vm(&id);
-            }
-            for vm in listed {
-                shared.insert_vm(&Rc::new(shared.with_departure(vm)));
-            }
-            shared.update_candidates();
-        }
+    let complete = match &update.change {
         VmChange::Complete(encoded) => match encoded.decode::<Vec<Vm>>() {
-            Ok(vms) => replace_vms(shared, vms),
+            Ok(vms) => Some(vms),
             Err(cause) => {
                 tracing::error!(event = "vms_not_decoded", cause);
                 return false;
             }
         },
+        VmChange::None | VmChange::Some { .. } => None,
+    };
+    // before the update of the candidates, which records at which revision a version was first listed
+    let age = Duration::from_millis(update.age_ms);
+    if let Some(at) = written_at.checked_sub(age) {
+        shared.relay.confirm_vms(update.revision, at);
+    }
+    if let VmChange::Some { listed, removed } = update.change {
+        for id in removed {
+            shared.remove_vm(&id);
+        }
+        for vm in listed {
+            shared.insert_vm(&Rc::new(shared.with_departure(vm)));
+        }
+        shared.update_candidates();
+    }
+    if let Some(vms) = complete {
+        replace_vms(shared, vms);
     }
     shared.followed_vms.set(Some(update.position));
     if shared.listed_at.get().is_none() {
         shared.listed_at.set(Some(Instant::now()));
     }
-    let age = Duration::from_millis(update.age_ms);
-    if let Some(at) = written_at.checked_sub(age) {
-        shared.relay.confirm_vms(update.revision, at);
-    }
     true
 }
 
--- a/crates/gateway/src/follow/rollouts.rs
+++ b/crates/gateway/src/follow/rollouts.rs
@@ -74,7 +74,6 @@
 }
 
 async fn list<D: Dialect, S: Objects>(shared: &Shared<D>, store: &S) -> Result<(), ObjectError> {
-    let requested_at = shared.clock.now();
     let list = store.list(S::ROLLOUT_KIND).await?;
     if list.revision.generation < shared.generation.current() {
         return Err(ObjectError::Expired);
@@ -88,7 +87,7 @@
     let entries: Vec<Entry> = objects
         .filter_map(|object| shared.rollout_entry(store, object))
         .collect();
-    shared.relay.confirm_rollouts(list.revision, requested_at);
+    shared.relay.confirm_rollouts(list.revision);
     shared.set_rollouts(entries);
     Ok(())
 }
@@ -99,7 +98,6 @@
     store: &S,
     after: Revision,
 ) -> Result<bool, ObjectError> {
-    let requested_at = shared.clock.now();
     let wait = match shared.store_role() {
         Role::Watcher => WATCH_TIME,
         Role::Standby | Role::Follower => ISOLATED_WATCH_TIME,
@@ -123,12 +121,7 @@
             None => shared.remove_rollout(&object.name),
         }
     }
-    let confirmed_at = if watch.events.is_empty() {
-        super::confirmed_until(requested_at, shared.clock.now(), wait)
-    } else {
-        requested_at
-    };
-    shared.relay.confirm_rollouts(watch.revision, confirmed_at);
+    shared.relay.confirm_rollouts(watch.revision);
     if !watch.events.is_empty() {
         shared.publish_rollouts();
     }
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -82,8 +82,6 @@
 pub struct RolloutUpdate {
     /// revision of the store up to which the list is complete
     pub revision: Revision,
-    /// how long ago the list was known to be complete, milliseconds, rounded up
-    pub age_ms: u64,
     /// the list, if the follower has another one
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub entries: Option<Vec<Entry>>,
--- a/crates/gateway/src/relay/rollouts.rs
+++ b/crates/gateway/src/relay/rollouts.rs
@@ -1,6 +1,5 @@
 use std::hash::{Hash, Hasher};
 
-use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::message::RolloutUpdate;
@@ -12,9 +11,8 @@
 pub(super) struct Rollouts {
     entries: Vec<Entry>,
     hash: u64,
-    /// revision of the store up to which the list is complete, and when it was known to be; none
-    /// before the first list
-    confirmed: Option<(Revision, Instant)>,
+    /// revision of the store up to which the list is complete; none before the first list
+    revision: Option<Revision>,
 }
 
 impl Rollouts {
@@ -28,15 +26,14 @@
         true
     }
 
-    /// records that the list was complete up to a revision and at a time; neither moves back
-    pub fn confirm(&mut self, revision: Revision, at: Instant) {
-        let (last, last_at) = self.confirmed.unwrap_or((revision, at));
-        self.confirmed = Some((last.max(revision), last_at.max(at)));
+    /// records that the list was complete up to a revision, which never decreases
+    pub fn confirm(&mut self, revision: Revision) {
+        self.revision = self.revision.max(Some(revision));
     }
 
-    /// revision up to which the list is complete, and when it was known to be
-    pub fn confirmed(&self) -> Option<(Revision, Instant)> {
-        self.confirmed
+    /// revision up to which the list is complete
+    pub fn revision(&self) -> Option<Revision> {
+        self.revision
     }
 
     /// hash of the list; none before the first one
@@ -45,14 +42,10 @@
     }
 
     /// the update for a follower that has a list with this hash; none before the first list
-    pub fn update(&self, known: Option<u64>, now: Instant) -> Option<RolloutUpdate> {
-        let (revision, at) = self.confirmed?;
-        let age = now.saturating_duration_since(at);
-        let age_ms = age.as_nanos().div_ceil(1_000_000);
+    pub fn update(&self, known: Option<u64>) -> Option<RolloutUpdate> {
         let is_known = known == self.hash();
         Some(RolloutUpdate {
-            revision,
-            age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
+            revision: self.revision?,
             entries: (!is_known).then(|| self.entries.clone()),
         })
     }
--- a/crates/gateway/src/relay/state.rs
+++ b/crates/gateway/src/relay/state.rs
@@ -159,22 +159,14 @@
         }
     }
 
-    /// records that the list of requests was complete up to a revision and at a time; neither moves
-    /// back
-    pub fn confirm_rollouts(&self, revision: Revision, at: Instant) {
-        self.state().rollouts.confirm(revision, at);
+    /// records that the list of requests was complete up to a revision, which never decreases
+    pub fn confirm_rollouts(&self, revision: Revision) {
+        self.state().rollouts.confirm(revision);
     }
 
     /// revision up to which the list of requests is complete
     pub fn rollouts_revision(&self) -> Option<Revision> {
-        let (revision, _) = self.state().rollouts.confirmed()?;
-        Some(revision)
-    }
-
-    /// when the list of requests was last known to be complete
-    pub fn rollouts_confirmed_at(&self) -> Option<Instant> {
-        let (_, at) = self.state().rollouts.confirmed()?;
-        Some(at)
+        self.state().rollouts.revision()
     }
 
     /// what this daemon would ask another one for
@@ -226,7 +218,7 @@
             confirmation,
             config_revision: state.config_revision,
             vms: state.vms.update(known.vms, now),
-            rollouts: state.rollouts.update(known.rollouts, now),
+            rollouts: state.rollouts.update(known.rollouts),
         }
     }
 
--- a/crates/gateway/src/rollout/split.rs
+++ b/crates/gateway/src/rollout/split.rs
@@ -18,7 +18,7 @@
         let vms = self.vms.borrow();
         let listed = vms.values().map(|vm| &**vm);
         let mut versions = self.rollouts.versions.borrow_mut();
-        let has_new = versions.record(listed, self.clock.now());
+        let has_new = versions.record(listed, self.relay.vm_revision());
         drop(versions);
         drop(vms);
         self.rollouts.changed.notify_one();
@@ -42,11 +42,11 @@
     }
 
     fn unconfirmed_versions(&self, service: &str) -> Vec<String> {
-        let confirmed_at = self.relay.rollouts_confirmed_at();
+        let confirmed = self.relay.rollouts_revision();
         let vms = self.vms.borrow();
         let listed = vms.values().map(|vm| &**vm);
         let versions = self.rollouts.versions.borrow();
-        versions.unconfirmed(service, listed, confirmed_at)
+        versions.unconfirmed(service, listed, confirmed)
     }
 
     /// versions that get no requests, or only if there is no other, besides the target of a request
--- a/crates/gateway/src/rollout/versions.rs
+++ b/crates/gateway/src/rollout/versions.rs
@@ -1,29 +1,33 @@
 use std::collections::{BTreeMap, HashMap};
 
-use tokio::time::Instant;
-
+use crate::adapter::Revision;
 use crate::model::Vm;
 
-/// versions of the listed VMs, and when each was first seen
+/// versions of the listed VMs, and the revision of the list in which each was first seen
 ///
 /// Load pattern: VMs of a new version are started together with the request to move to it, and a daemon
 /// may learn of them first. It uses a version that it has not known before only once the list of requests is
-/// known to be newer than that.
+/// complete up to that revision. Revisions are those of the store, the same at all daemons: by the time at
+/// which a daemon saw the version, one that follows another one would wait for the end of its next watch.
 #[derive(Debug, Default)]
 pub(super) struct Versions {
-    first_seen: BTreeMap<(String, String), Instant>,
+    first_seen: BTreeMap<(String, String), Option<Revision>>,
 }
 
 impl Versions {
     /// records the listed VMs; true if there is a version that was not known
-    pub fn record<'a>(&mut self, vms: impl Iterator<Item = &'a Vm>, now: Instant) -> bool {
+    pub fn record<'a>(
+        &mut self,
+        vms: impl Iterator<Item = &'a Vm>,
+        revision: Option<Revision>,
+    ) -> bool {
         let mut listed = BTreeMap::new();
         let mut has_new = false;
         for vm in vms {
             let key = (vm.service.clone(), vm.version.clone());
             let known = self.first_seen.get(&key);
             has_new |= known.is_none();
-            listed.insert(key, known.copied().unwrap_or(now));
+            listed.insert(key, known.copied().unwrap_or(revision));
         }
         self.first_seen = listed;
         has_new
@@ -35,20 +39,20 @@
         self.first_seen.contains_key(&key)
     }
 
-    /// the versions of a service that were first seen after the list of requests was known to be
-    /// complete; if none was known before, all but that of the VM that started first
+    /// the versions of a service that were first seen at a revision up to which the list of requests is
+    /// not known to be complete; if none was known before, all but that of the VM that started first
     pub fn unconfirmed<'a>(
         &self,
         service: &str,
         vms: impl Iterator<Item = &'a Vm>,
-        confirmed_at: Option<Instant>,
+        confirmed: Option<Revision>,
     ) -> Vec<String> {
-        let is_confirmed = |seen: Instant| confirmed_at.is_some_and(|at| at >= seen);
+        let is_confirmed = |seen: Option<Revision>| confirmed.is_some() && confirmed >= seen;
         let of_service = self
             .first_seen
             .iter()
             .filter(|((name, _), _)| name == service);
-        let seen: HashMap<&str, Instant> = of_service
+        let seen: HashMap<&str, Option<Revision>> = of_service
             .map(|((_, version), at)| (version.as_str(), *at))
             .collect();
         let mut unconfirmed: Vec<String> = seen
