Use 200 seeds in all builds of the roll-out tests, and split test support

Change: SEEDS is 200; naive.rs, outcome.rs and setup.rs are files of their own; one millis in gateway::clock.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -42,3 +42,8 @@
         }
     }
 }
+
+/// whole milliseconds of a time, as in messages
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/gateway/src/notices/exchange.rs
+++ b/crates/gateway/src/notices/exchange.rs
@@ -4,6 +4,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::{self, Dialect};
+use crate::clock::millis;
 use crate::model::Vm;
 use crate::shared::Shared;
 
@@ -97,7 +98,3 @@
         None => tracing::info!(event = "vm_limit_ended", vm, cause),
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/origin/state.rs
+++ b/crates/gateway/src/origin/state.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::Dialect;
+use crate::clock::millis;
 use crate::model::Vm;
 use crate::peers::Topology;
 use crate::shared::Shared;
@@ -142,7 +143,3 @@
         }
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/rollout/exchange.rs
+++ b/crates/gateway/src/rollout/exchange.rs
@@ -7,6 +7,7 @@
 use super::message::{Progress, Stop};
 use super::source::{Part, Sender, Sum};
 use crate::adapter::Dialect;
+use crate::clock::millis;
 use crate::peers::{Report, Scope};
 use crate::shared::Shared;
 
@@ -216,7 +217,3 @@
         }
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/route/tests/admission/main.rs
+++ b/crates/route/tests/admission/main.rs
@@ -4,5 +4,6 @@
 mod regions;
 mod restart;
 mod returning;
+mod setup;
 mod shares;
 mod surge;
--- a/crates/route/tests/admission/regions.rs
+++ b/crates/route/tests/admission/regions.rs
@@ -5,7 +5,8 @@
 use route::placement::{Balancer, Choice, Distance, Kind, Load, Member, Request, TimeLimit, Work};
 use tokio::time::Instant;
 
-use super::cluster::{Cluster, Count, SERVICE, Setup, Source, sum};
+use super::cluster::{Cluster, SERVICE};
+use super::setup::{Count, Setup, Source, sum};
 
 /// largest share of late responses: the objective is 3.4 times the time on an idle VM
 const MAX_LATE: f64 = 0.05;
--- a/crates/route/tests/admission/surge.rs
+++ b/crates/route/tests/admission/surge.rs
@@ -4,7 +4,8 @@
 
 use route::placement::Kind;
 
-use super::cluster::{Cluster, Count, Counts, Setup, Source, sum};
+use super::cluster::Cluster;
+use super::setup::{Count, Counts, Setup, Source, sum};
 
 const CHAT: Kind = Kind {
     priority: 0,
--- a/crates/route/tests/rollout/main.rs
+++ b/crates/route/tests/rollout/main.rs
@@ -4,14 +4,17 @@
 //! table in `docs/MEASUREMENTS.md`.
 
 mod evidence;
+mod naive;
+mod outcome;
 mod plan;
 mod service;
 
+use outcome::{Outcome, ROLLBACK_MS};
 use route::rollout::{State, Verdict};
-use service::{Fault, Noise, Outcome, ROLLBACK_MS, Service, Shape};
+use service::{Fault, Noise, Service, Shape};
 
-/// seeds of each kind; without optimisation 200 take seven minutes
-const SEEDS: u64 = if cfg!(debug_assertions) { 25 } else { 200 };
+/// seeds of each kind
+const SEEDS: u64 = 200;
 
 const LARGE: Shape = Shape {
     per_s: 730.0,
--- a/crates/route/tests/rollout/service.rs
+++ b/crates/route/tests/rollout/service.rs
@@ -6,10 +6,12 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use route::rollout::{
-    Bounds, Evidence, Finding, MAX_RATIO, Order, Remaining, Sample, State, Verdict, View, canaries,
-    decide,
+    Bounds, Evidence, MAX_RATIO, Order, Remaining, Sample, State, View, canaries, decide,
 };
 
+use super::naive::{self, Naive};
+use super::outcome::{BAD_BEFORE_STOP, Outcome, ROLLBACK_MS};
+
 /// time from a response until all daemons count it
 const EVIDENCE_MS: u64 = 2500;
 
@@ -37,15 +39,6 @@
 /// responses of a VM for which its caches are cold
 const COLD_RESPONSES: u64 = 30;
 
-/// own bad responses after which a daemon with the naive policy stops
-const NAIVE_LIMIT: u32 = 3;
-
-/// time after these bad responses within which all daemons stop
-pub const ROLLBACK_MS: u64 = 5000;
-
-/// largest number of bad responses before the time of the stop counts
-const BAD_BEFORE_STOP: usize = 50;
-
 /// load and size of a service
 #[derive(Debug, Clone, Copy)]
 pub struct Shape {
@@ -95,62 +88,14 @@
     SlowDaemons,
 }
 
-/// result of a roll-out
-#[derive(Debug, Clone)]
-pub struct Outcome {
-    pub state: State,
-    pub verdict: Verdict,
-    pub requests: u64,
-    pub exposed: u64,
-    /// time of the last request to the new version after its 50th bad response
-    pub late_ms: u64,
-    pub ended_ms: u64,
-    pub finding: Option<Finding>,
-    /// naive policy: requests at the new version, the same time, and daemons that stopped
-    pub naive_exposed: u64,
-    pub naive_late_ms: u64,
-    pub naive_stopped: usize,
-}
-
-impl Outcome {
-    fn new(duration_ms: u64) -> Outcome {
-        Outcome {
-            state: State::InProgress,
-            verdict: Verdict::Undecided,
-            requests: 0,
-            exposed: 0,
-            late_ms: 0,
-            ended_ms: duration_ms,
-            finding: None,
-            naive_exposed: 0,
-            naive_late_ms: 0,
-            naive_stopped: 0,
-        }
-    }
-
-    /// exposure in multiples of its bound
-    pub fn exposure(&self) -> f64 {
-        self.exposed as f64 / self.bound()
-    }
-
-    /// whether the naive policy breaks a bound for a bad version
-    pub fn is_naive_broken(&self) -> bool {
-        self.naive_exposed as f64 > self.bound() || self.naive_late_ms > ROLLBACK_MS
-    }
-
-    fn bound(&self) -> f64 {
-        0.1 * self.requests as f64 + 50.0
-    }
-}
-
 /// what a daemon records of a response
-struct Response {
-    end_ms: u64,
+pub struct Response {
+    pub end_ms: u64,
     is_target: bool,
     route: usize,
     vm: String,
-    is_failed: bool,
-    ratio: f64,
+    pub is_failed: bool,
+    pub ratio: f64,
 }
 
 pub struct Service {
@@ -181,9 +126,9 @@
 }
 
 /// a request on its way to a VM
-struct Sent {
-    at_ms: u64,
-    daemon: usize,
+pub struct Sent {
+    pub at_ms: u64,
+    pub daemon: usize,
     is_target: bool,
     vm: usize,
     /// load of the VM in multiples of that of an old one
@@ -327,7 +272,7 @@
             let known_ms = (response.end_ms + EVIDENCE_MS).next_multiple_of(STEP_MS);
             self.news.entry(known_ms).or_default().push(response);
         }
-        let share = elapsed_ms.map_or(0.0, |at_ms| naive_share(at_ms, self.shape.duration_ms));
+        let share = elapsed_ms.map_or(0.0, |at_ms| naive::share(at_ms, self.shape.duration_ms));
         if draw < share && self.naive.is_running(daemon, at_ms) {
             let sent = Sent {
                 is_target: true,
@@ -460,62 +405,3 @@
     let second = (elapsed_ms / 1000) as u32;
     evidence.record(second, response.is_target, response.route as u64, &sample);
 }
-
-/// a threshold on one daemon's own count, with the shares of a roll-out that is not stopped
-struct Naive {
-    /// bad responses of each daemon: times
-    bad_ms: Vec<Vec<u64>>,
-    sent_ms: Vec<u64>,
-    ends_ms: Vec<u64>,
-}
-
-impl Naive {
-    fn new(daemons: usize) -> Naive {
-        Naive {
-            bad_ms: vec![Vec::new(); daemons],
-            sent_ms: Vec::new(),
-            ends_ms: Vec::new(),
-        }
-    }
-
-    fn is_running(&self, daemon: usize, now_ms: u64) -> bool {
-        let known = self.bad_ms[daemon].iter().filter(|at_ms| **at_ms <= now_ms);
-        known.count() < NAIVE_LIMIT as usize
-    }
-
-    /// counts errors, breaks and times of three times the expected one
-    fn record(&mut self, sent: &Sent, response: Option<(Response, bool)>) {
-        self.sent_ms.push(sent.at_ms);
-        let Some((response, is_bad)) = response else {
-            self.bad_ms[sent.daemon].push(sent.at_ms);
-            return;
-        };
-        if response.is_failed || response.ratio >= 3.0 {
-            self.bad_ms[sent.daemon].push(response.end_ms);
-        }
-        if is_bad {
-            self.ends_ms.push(response.end_ms);
-        }
-    }
-
-    fn finish(mut self, outcome: &mut Outcome) {
-        self.ends_ms.sort_unstable();
-        let last = self.sent_ms.iter().max().copied().unwrap_or(0);
-        let at_ms = self.ends_ms.get(BAD_BEFORE_STOP - 1);
-        outcome.naive_late_ms = at_ms.map_or(0, |at_ms| last.saturating_sub(*at_ms));
-        outcome.naive_exposed = self.sent_ms.len() as u64;
-        let daemons = 0..self.bad_ms.len();
-        outcome.naive_stopped = daemons
-            .filter(|daemon| !self.is_running(*daemon, u64::MAX))
-            .count();
-    }
-}
-
-/// canary, then all requests for the last third
-fn naive_share(now_ms: u64, duration_ms: u64) -> f64 {
-    if now_ms < duration_ms * 2 / 3 {
-        0.07
-    } else {
-        1.0
-    }
-}
