--- a/crates/fleet/src/zones/mod.rs
+++ b/crates/fleet/src/zones/mod.rs
@@ -11,6 +11,8 @@
 //!   there, or anywhere, for a while.
 //! * Those of a second zone are reclaimed while the first zone is still short of VMs, before
 //!   on-demand VMs have started.
+//! * On-demand VMs start while none are reclaimable. Seconds before they are ready, reclaimable ones are
+//!   available again, and take as long to start.
 //! * The load rises to a multiple within seconds and falls again.
 //! * The cloud refuses orders, or does not respond.
 //! * Engines prefill at three times the assumed rate, so that three times the VMs are ordered that their
--- a/crates/fleet/src/zones/order.rs
+++ b/crates/fleet/src/zones/order.rs
@@ -165,12 +165,14 @@
     }
     let live: u32 = zones.iter().map(|zone| zone.live.reclaimable).sum();
     let mut missing = needed.saturating_sub(covered);
-    // running on-demand VMs are kept until reclaimable ones are live, not just ordered
+    // on-demand VMs that run or start are kept until reclaimable ones are live, not just ordered
     let max_kept = needed.saturating_sub(live);
     let mut counts = vec![0; zones.len()];
     let mut kept = 0;
     for (index, zone) in zones.iter().enumerate() {
-        let keep = zone.live.on_demand.min(max_kept.saturating_sub(kept));
+        let pool = zone.on_demand();
+        let present = pool.live + history.pending(&pool, constraints.boot_time, now);
+        let keep = present.min(max_kept.saturating_sub(kept));
         counts[index] = keep;
         kept += keep;
     }
--- a/crates/gateway/src/peers/report.rs
+++ b/crates/gateway/src/peers/report.rs
@@ -116,6 +116,9 @@
     /// measured times of engines by service
     #[serde(default, skip_serializing_if = "HashMap::is_empty")]
     pub engines: HashMap<String, Measurement>,
+    /// the same, with times that contain queueing
+    #[serde(default, skip_serializing_if = "HashMap::is_empty")]
+    pub rough_engines: HashMap<String, Measurement>,
     /// VMs that are slow
     #[serde(default, skip_serializing_if = "HashMap::is_empty")]
     pub slow: HashMap<String, Slowness>,
@@ -158,10 +161,8 @@
             let slowest = self.slow.entry(vm.clone()).or_insert(*slowness);
             *slowest = slowest.max(*slowness);
         }
-        for (service, measured) in &other.engines {
-            let sum = self.engines.entry(service.clone()).or_default();
-            sum.add(measured);
-        }
+        add_measurements(&mut self.engines, &other.engines);
+        add_measurements(&mut self.rough_engines, &other.rough_engines);
         for (service, workspaces) in &other.demands {
             let sums = self.demands.entry(service.clone()).or_default();
             for (workspace, demand) in workspaces {
@@ -196,3 +197,13 @@
         }
     }
 }
+
+/// adds measurements to sums by service
+pub(super) fn add_measurements(
+    sums: &mut HashMap<String, Measurement>,
+    measurements: &HashMap<String, Measurement>,
+) {
+    for (service, measured) in measurements {
+        sums.entry(service.clone()).or_default().add(measured);
+    }
+}
--- a/crates/gateway/src/peers/reporter.rs
+++ b/crates/gateway/src/peers/reporter.rs
@@ -244,7 +244,7 @@
         let mut placement = shared.placement.borrow_mut();
         let loads = placement.loads();
         let rates = placement.rates(now);
-        let engines = placement.measurements(now);
+        let [engines, rough_engines] = placement.measurements(now);
         let slow = placement.slow_vms(now);
         let prefills = placement.take_prefills();
         drop(placement);
@@ -273,6 +273,7 @@
             prefills,
             rates,
             engines,
+            rough_engines,
             slow,
             demands: shared.fairness.borrow_mut().demands(now),
             counts: Snapshot { windows },
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -5,7 +5,7 @@
 use route::quota::PeerSpending;
 use tokio::time::Instant;
 
-use super::report::{Report, Scope, Spending};
+use super::report::{Report, Scope, Spending, add_measurements};
 use super::topology::{Peer, Topology};
 use crate::usage::{self, Counts};
 
@@ -154,15 +154,15 @@
         sum
     }
 
-    /// what all daemons measured of engines, by service
-    pub fn measurements(&self, now: Instant) -> HashMap<String, Measurement> {
-        let mut sums: HashMap<String, Measurement> = self.local.engines.clone();
+    /// what all daemons measured of engines, by service: without queueing, and in any case
+    pub fn measurements(&self, now: Instant) -> [HashMap<String, Measurement>; 2] {
+        let mut sums = self.local.engines.clone();
+        let mut rough = self.local.rough_engines.clone();
         for received in self.current(now) {
-            for (service, measured) in &received.report.engines {
-                sums.entry(service.clone()).or_default().add(measured);
-            }
+            add_measurements(&mut sums, &received.report.engines);
+            add_measurements(&mut rough, &received.report.rough_engines);
         }
-        sums
+        [sums, rough]
     }
 
     /// units per second that callers of the peers request for a workspace
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -1,9 +1,10 @@
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use peer::Node;
-use route::placement::Rate;
+use route::placement::{Measurement, Rate};
 use tokio::time::Instant;
 
 use super::interval::counts_age;
@@ -137,10 +138,16 @@
     /// applies what all daemons measured of engines
     pub(super) fn apply_measurements<D: Dialect>(&self, shared: &Shared<D>) {
         let now = Instant::now();
-        let totals = self.reports.borrow().measurements(now);
+        let [totals, rough] = self.reports.borrow().measurements(now);
+        let none = Measurement::default();
         let mut placement = shared.placement.borrow_mut();
-        for (service, total) in totals {
-            if let Some(timing) = placement.apply_measurement(&service, &total) {
+        for service in rough
+            .keys()
+            .chain(totals.keys().filter(|name| !rough.contains_key(*name)))
+        {
+            let of =
+                |sums: &HashMap<String, Measurement>| sums.get(service).copied().unwrap_or(none);
+            if let Some(timing) = placement.apply_measurement(service, &of(&totals), &of(&rough)) {
                 tracing::info!(
                     event = "engines_measured",
                     service,
@@ -166,6 +173,7 @@
             shared.owners.disable();
         }
         update_shares(shared, now);
+        set_peer_rates(shared, &reports, now);
         let mut ledgers = shared.ledgers.borrow_mut();
         for (workspace, quota) in shared.quotas.borrow_mut().iter_mut() {
             let peers = reports.peer_spending(workspace, elapsed, now);
@@ -176,3 +184,14 @@
         }
     }
 }
+
+/// tells placement the demand of the peers' callers
+fn set_peer_rates<D: Dialect>(shared: &Shared<D>, reports: &Reports, now: Instant) {
+    let Some(config) = shared.config() else {
+        return;
+    };
+    let mut placement = shared.placement.borrow_mut();
+    for service in config.services.keys() {
+        placement.set_peer_rate(service, reports.rate(service, now), now);
+    }
+}
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -66,8 +66,9 @@
             expectation: (!is_resumed && pick.fetch.is_none()).then(|| Sample {
                 prefill_tokens: pick.uncached,
                 running: pick.running,
-                wait: pick.expected.saturating_sub(pick.unloaded),
+                wait: pick.expected.saturating_sub(pick.unloaded + pick.excess),
                 expected: pick.expected,
+                excess: pick.excess,
                 took: Duration::ZERO,
             }),
             is_measured: false,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -135,6 +135,9 @@
         if !settings.vm_speeds {
             placement.ignore_speeds();
         }
+        if settings.is_first_start {
+            placement.trust_first_samples();
+        }
         if settings.fair_shares {
             placement.assume_peers(Instant::now() + FIRST_REPORTS_TIME);
         }
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -3,19 +3,19 @@
 
 use tokio::time::Instant;
 
-use super::candidate::{Context, Fetchers};
-use super::candidates::{Candidate, Candidates, Selection};
 use super::completion::{Completion, Outcome};
-use super::cost::{MIN_RETRY_AFTER, closed, full, preferred_vm, spread, tokens};
+use super::cost::{MIN_RETRY_AFTER, tokens};
 use super::entry::Entry;
+use super::excess::Excess;
 use super::learner::Learner;
 use super::load::{Load, Meter, Rate, Work};
 use super::member::Member;
 use super::peer_loads::PeerLoads;
 use super::plain::ResponseTime;
 use super::prefix_cache::Prefill;
-use super::request::{Choice, Fetch, Request};
+use super::request::{Fetch, Request};
 use super::speed::Baseline;
+use super::spill::Spill;
 use super::split::Split;
 
 /// largest number of prefills kept for the next report to peers
@@ -41,6 +41,11 @@
     pub first_events: Baseline,
     pub pauses: Baseline,
     responses: Baseline,
+    /// waits beyond the expected ones, at VMs of this region and across the link
+    pub excess_here: Excess,
+    pub excess_there: Excess,
+    /// requests that leave this region
+    pub spill: Spill,
     /// whether its capacity is short
     pub is_short: bool,
     /// what this daemon has in flight at all VMs
@@ -55,8 +60,12 @@
     pending_prefills: Vec<Prefill>,
     pub(super) daemons: u32,
     pub(super) report_interval: Duration,
+    /// demand of the peers' callers by service
+    pub(super) peer_rates: HashMap<String, Rate>,
     /// until when peers that have not reported are assumed to send as much as this daemon
     pub(super) assumes_peers_until: Option<Instant>,
+    /// whether VMs hold no prompts that this daemon does not know of
+    pub(super) has_cold_vms: bool,
     /// whether all VMs of a service count as equally fast
     pub(super) ignores_speeds: bool,
 }
@@ -176,86 +185,6 @@
         total
     }
 
-    /// chooses a VM for a request
-    pub fn choose(&self, request: &Request<'_>, now: Instant) -> Choice {
-        let Some(state) = self.services.get(request.service) else {
-            return Choice::NoVm;
-        };
-        if let Some(split) = &state.split {
-            return self.choose_version(state, split, request, now);
-        }
-        let has_version = |entry: &Entry| {
-            let version = request.version;
-            version.is_none_or(|version| version == entry.member.version)
-        };
-        self.choose_among(state, request, has_version, now)
-    }
-
-    /// chooses a VM for a request among some of a service's
-    pub(super) fn choose_among(
-        &self,
-        state: &Service,
-        request: &Request<'_>,
-        is_candidate: impl Fn(&Entry) -> bool,
-        now: Instant,
-    ) -> Choice {
-        let entries = || state.entries.values().filter(|entry| is_candidate(entry));
-        let ids = entries().map(|entry| entry.member.id.as_str());
-        let timing = state.learner.timing();
-        let preferred = preferred_vm(ids, request, &timing);
-        let spread = spread(request, self.peer_backlog(request.service, now), &timing);
-        let limit = request.time_limit;
-        let mut candidates = Candidates::new(limit);
-        let mut at_limit = None;
-        let mut opens_at: Option<(Instant, &str)> = None;
-        let context = Context {
-            state,
-            request,
-            spread,
-            now,
-        };
-        let mut fetchers = Fetchers::default();
-        for entry in entries() {
-            if let Some(until) = entry.opens_at(now) {
-                let opening = (until, entry.member.id.as_str());
-                opens_at = Some(opens_at.map_or(opening, |first| first.min(opening)));
-                continue;
-            }
-            if entry.local.running >= self.connections(&entry.member) {
-                at_limit = Some(entry.member.id.clone());
-                continue;
-            }
-            let is_avoided = request.avoid.contains(&entry.member.id);
-            let is_last_resort = is_avoided || entry.health.is_suspect(now);
-            let load = self.load(request.service, entry, &context.timing(entry), now);
-            let cached = entry.prefix_cache.cached(request.parts);
-            let estimate = context.estimate(entry, &load, cached, (0, Duration::ZERO));
-            let preferred = preferred.filter(|preferred| preferred.id == entry.member.id);
-            let bonus = preferred.map_or(Duration::ZERO, |vm| vm.bonus);
-            let cost = context.cost(entry, &estimate).saturating_sub(bonus);
-            candidates.add(Candidate {
-                pick: estimate.pick(entry, &load, None),
-                cost,
-                is_last_resort,
-            });
-            fetchers.add(entry, load, cached, is_last_resort);
-        }
-        match (candidates.choose(), at_limit, opens_at) {
-            (Some(Selection::InTime(pick)), _, _) => {
-                Choice::Send(fetchers.best(&context, &pick).unwrap_or(pick))
-            }
-            (Some(Selection::Late(pick)), _, _) => match fetchers.best(&context, &pick) {
-                Some(fetching) if limit.allows(&fetching) => Choice::Send(fetching),
-                _ => Choice::Full(full(pick, limit)),
-            },
-            (None, Some(id), _) => closed(request, &id, MIN_RETRY_AFTER, false),
-            (None, None, Some((until, id))) => {
-                closed(request, id, until.saturating_duration_since(now), true)
-            }
-            (None, None, None) => Choice::NoVm,
-        }
-    }
-
     /// records that a VM begins to fetch a part of a prompt
     pub fn begin_fetch(&mut self, service: &str, id: &str, fetch: &Fetch, now: Instant) {
         let until = now + fetch.time;
@@ -369,7 +298,7 @@
     }
 
     /// returns the number of connections that this daemon may open to a VM
-    fn connections(&self, member: &Member) -> u32 {
+    pub(super) fn connections(&self, member: &Member) -> u32 {
         (member.connections / self.daemons.max(1)).max(MIN_CONNECTIONS)
     }
 }
--- a/crates/route/src/placement/candidate.rs
+++ b/crates/route/src/placement/candidate.rs
@@ -5,12 +5,14 @@
 use tokio::time::Instant;
 
 use super::balancer::Service;
-use super::cost::{distance_penalty, jitter};
+use super::candidates::Candidate;
+use super::cost::{distance_penalty, jitter, spill_draw};
 use super::engine::{Capacity, Timing};
 use super::entry::Entry;
+use super::levels::Level;
 use super::load::Load;
 use super::plain::{self, ResponseTime};
-use super::request::{Fetch, Pick, Request};
+use super::request::{Distance, Fetch, Pick, Request};
 use super::transfer::MIN_SAVING;
 
 /// a request and the service for which a VM is chosen
@@ -19,6 +21,8 @@
     pub request: &'a Request<'a>,
     /// difference in expected time within which VMs count as equivalent
     pub spread: Duration,
+    /// whether the reported loads are old, as those of tens of daemons
+    pub are_reports_old: bool,
     pub now: Instant,
 }
 
@@ -34,6 +38,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Estimate {
     pub expected: Duration,
+    /// part of the expected time that was measured beyond what reports show
+    pub excess: Duration,
     pub unloaded: Duration,
     /// expected time without what slows down this VM alone
     pub usual: Duration,
@@ -41,13 +47,43 @@
     pub cached: u32,
 }
 
-impl Context<'_> {
+impl Service {
     /// the times of a VM at its present speed
-    pub fn timing(&self, entry: &Entry) -> Timing {
-        let usual = self.state.learner.timing();
-        usual.slowed(entry.speed.factor(self.now))
+    pub fn timing(&self, entry: &Entry, now: Instant) -> Timing {
+        self.learner.timing().slowed(entry.speed.factor(now))
+    }
+
+    /// wait for other requests at a VM with a load
+    pub fn wait(&self, entry: &Entry, load: &Load, now: Instant) -> Duration {
+        match entry.member.cache_tokens {
+            None => {
+                let response_time = self.response_time(entry, now);
+                plain::expected(entry.member.slots, load, response_time) - response_time
+            }
+            Some(cache_tokens) => {
+                let capacity = Capacity {
+                    slots: entry.member.slots,
+                    cache_tokens,
+                };
+                let timing = self.timing(entry, now);
+                timing.expected(&capacity, load, 0, 0) - timing.base
+            }
+        }
     }
 
+    fn response_time(&self, entry: &Entry, now: Instant) -> Duration {
+        let baseline = self.baseline_response_time;
+        let measured = entry.response_time.estimate(baseline, now);
+        let factor = entry.speed.factor(now);
+        if factor <= 1.0 {
+            return measured;
+        }
+        let usual = baseline.mean().unwrap_or_default();
+        measured.max(usual.mul_f64(factor))
+    }
+}
+
+impl Context<'_> {
     /// expected times at a VM with a load, which holds some tokens of the prompt and fetches some within
     /// a time
     pub fn estimate(
@@ -61,7 +97,7 @@
         let (fetched, time) = fetch;
         let (expected, usual, unloaded, uncached) = match member.cache_tokens {
             None => {
-                let response_time = self.response_time(entry);
+                let response_time = self.state.response_time(entry, self.now);
                 let expected = plain::expected(member.slots, load, response_time);
                 let baseline = self.state.baseline_response_time;
                 let usual = ResponseTime::default().estimate(baseline, self.now);
@@ -78,15 +114,17 @@
                 let held = uncached
                     .saturating_add(fetched)
                     .saturating_add(request.output_tokens);
-                let timing = self.timing(entry);
+                let timing = self.state.timing(entry, self.now);
                 let expected = timing.expected(&capacity, load, uncached, held) + time;
                 let timing = self.state.learner.timing();
                 let usual = timing.expected(&capacity, load, uncached, held) + time;
                 (expected, usual, timing.unloaded(uncached) + time, uncached)
             }
         };
+        let excess = self.excess(entry);
         Estimate {
-            expected,
+            expected: expected + excess,
+            excess,
             unloaded,
             usual,
             uncached,
@@ -97,21 +135,33 @@
     /// expected time with what else speaks against a VM, as time
     pub fn cost(&self, entry: &Entry, estimate: &Estimate) -> Duration {
         estimate.expected
-            + distance_penalty(entry.member.distance)
+            + self.penalty(entry)
+            + jitter(&entry.member.id, self.request, self.spread)
+    }
+
+    /// the same where the reported loads are old: only the wait beyond the level speaks against a VM
+    pub fn level_cost(&self, vm: &Candidate<'_>, level: &Level) -> Duration {
+        let region = match vm.entry.member.distance {
+            Distance::Zone | Distance::Region => self.state.spill.penalty(spill_draw(self.request)),
+            Distance::Link => Duration::ZERO,
+        };
+        let excess = level.excess(vm.reported_wait);
+        vm.estimate.unloaded + excess + region + self.penalty(vm.entry)
+    }
+
+    /// distance and failures of a VM, as time
+    fn penalty(&self, entry: &Entry) -> Duration {
+        distance_penalty(entry.member.distance)
             + entry.health.penalty(self.state.baseline_failures)
             + entry.refusal_penalty(self.now)
-            + jitter(&entry.member.id, self.request, self.spread)
     }
 
-    fn response_time(&self, entry: &Entry) -> Duration {
-        let baseline = self.state.baseline_response_time;
-        let measured = entry.response_time.estimate(baseline, self.now);
-        let factor = entry.speed.factor(self.now);
-        if factor <= 1.0 {
-            return measured;
+    /// time beyond the expected one that requests wait in a VM's region, if the reports are old
+    fn excess(&self, entry: &Entry) -> Duration {
+        if !self.are_reports_old || entry.member.cache_tokens.is_none() {
+            return Duration::ZERO;
         }
-        let usual = baseline.mean().unwrap_or_default();
-        measured.max(usual.mul_f64(factor))
+        self.state.excess(entry.member.distance).current(self.now)
     }
 }
 
@@ -121,6 +171,7 @@
         Pick {
             id: entry.member.id.clone(),
             expected: self.expected,
+            excess: self.excess,
             unloaded: self.unloaded,
             usual: self.usual,
             uncached: self.uncached,
@@ -146,10 +197,11 @@
 
     /// the VM that serves the request soonest if it fetches from the holder what it lacks of the
     /// prompt, if that saves clearly more than it costs
-    pub fn best(&self, context: &Context<'_>, best: &Pick) -> Option<Pick> {
+    pub fn best(&self, context: &Context<'_>, best: &Candidate<'_>) -> Option<Pick> {
         let (held, holder) = self.holder?;
         let transfer = holder.member.transfer?;
-        let longest = (best.expected + distance_penalty(best.distance)).checked_sub(MIN_SAVING)?;
+        let distance = distance_penalty(best.entry.member.distance);
+        let longest = (best.estimate.expected + distance).checked_sub(MIN_SAVING)?;
         let holder_wait = holder.link.wait(context.now);
         let mut soonest: Option<(Duration, usize, Estimate, Duration)> = None;
         for (index, (entry, load, cached)) in self.entries.iter().enumerate() {
--- a/crates/route/src/placement/candidates.rs
+++ b/crates/route/src/placement/candidates.rs
@@ -1,82 +1,84 @@
 use std::time::Duration;
 
-use super::request::{Pick, TimeLimit};
+use super::candidate::{Context, Estimate};
+use super::cost::{order, tolerance};
+use super::entry::Entry;
+use super::levels::Level;
+use super::load::Load;
+use super::request::{Fetch, Pick};
 
-/// VMs that are considered for a request
-///
-/// Load pattern: VMs in one region are lost. Its daemons find the VM of the least cost over the limit,
-/// and those of the other region within it, yet at a higher cost by the price of the link, a
-/// preference or the spread. So a VM within the limit stands in for one beyond it, whatever its cost;
-/// otherwise one region refuses what the other one could serve.
+/// a VM that may be chosen, and what that depends on
 #[derive(Debug)]
-pub(super) struct Candidates {
-    limit: TimeLimit,
-    cheapest: Option<(bool, Duration, Pick)>,
-    fallback: Option<(Duration, Pick)>,
-    soonest: Option<(bool, Duration, Pick)>,
-}
-
-/// a VM and what its selection depends on
-#[derive(Debug)]
-pub(super) struct Candidate {
-    pub pick: Pick,
-    /// cost, in which the expected time is included
-    pub cost: Duration,
+pub(super) struct Candidate<'a> {
+    pub entry: &'a Entry,
+    pub load: Load,
+    pub estimate: Estimate,
+    /// wait for other requests when loads were reported
+    pub reported_wait: Duration,
+    /// time by which it is preferred to others
+    pub bonus: Duration,
     /// whether it is used only if there is no other
     pub is_last_resort: bool,
 }
 
 /// the VM selected for a request
 #[derive(Debug)]
-pub(super) enum Selection {
+pub(super) enum Selection<'a> {
     /// one within the limit
-    InTime(Pick),
+    InTime(Candidate<'a>),
     /// the one that responds first, as none is within the limit
-    Late(Pick),
+    Late(Candidate<'a>),
 }
 
-impl Candidates {
-    pub fn new(limit: TimeLimit) -> Candidates {
-        Candidates {
-            limit,
-            cheapest: None,
-            fallback: None,
-            soonest: None,
-        }
+impl Candidate<'_> {
+    /// this VM as the chosen one
+    pub fn pick(&self, fetch: Option<Fetch>) -> Pick {
+        self.estimate.pick(self.entry, &self.load, fetch)
     }
+}
 
-    pub fn add(&mut self, candidate: Candidate) {
-        let Candidate {
-            pick,
-            cost,
-            is_last_resort,
-        } = candidate;
-        let may_stand_in = !is_last_resort && self.limit.allows(&pick);
-        if may_stand_in && self.fallback.as_ref().is_none_or(|(best, _)| cost < *best) {
-            self.fallback = Some((cost, pick.clone()));
+impl Context<'_> {
+    /// selects a VM: the one of the least cost among those within the limit, or one that is about as
+    /// good if the reported loads are old; none if there is no VM
+    ///
+    /// Load pattern: VMs in one region are lost. Its daemons find the VM of the least cost over the limit,
+    /// and those of the other region within it, yet at a higher cost by the price of the link, a
+    /// preference or the spread. So a VM within the limit is selected before one beyond it, whatever its
+    /// cost; otherwise one region refuses what the other one could serve.
+    pub fn select<'a>(
+        &self,
+        candidates: Vec<Candidate<'a>>,
+        level: Option<Level>,
+    ) -> Option<Selection<'a>> {
+        let limit = self.request.time_limit;
+        let has_other = candidates.iter().any(|vm| !vm.is_last_resort);
+        let usable = candidates
+            .into_iter()
+            .filter(|vm| !(has_other && vm.is_last_resort));
+        let (in_time, late): (Vec<Candidate<'a>>, Vec<Candidate<'a>>) =
+            usable.partition(|vm| limit.allows(vm.estimate.expected, vm.estimate.unloaded));
+        if in_time.is_empty() {
+            let soonest = late.into_iter().min_by_key(|vm| vm.estimate.expected);
+            return soonest.map(Selection::Late);
         }
-        let is_before = |best: &Option<(bool, Duration, Pick)>, order: Duration| {
-            let best = best.as_ref();
-            best.is_none_or(|(last, best, _)| (is_last_resort, order) < (*last, *best))
+        let Some(level) = level else {
+            let cheapest = in_time
+                .into_iter()
+                .min_by_key(|vm| self.cost(vm.entry, &vm.estimate).saturating_sub(vm.bonus));
+            return cheapest.map(Selection::InTime);
         };
-        if is_before(&self.soonest, pick.expected) {
-            self.soonest = Some((is_last_resort, pick.expected, pick.clone()));
-        }
-        if is_before(&self.cheapest, cost) {
-            self.cheapest = Some((is_last_resort, cost, pick));
-        }
-    }
-
-    /// the VM to use; none if there is no VM
-    pub fn choose(self) -> Option<Selection> {
-        let (_, _, cheapest) = self.cheapest?;
-        let (_, _, soonest) = self.soonest?;
-        if self.limit.allows(&cheapest) {
-            return Some(Selection::InTime(cheapest));
-        }
-        let Some((_, fallback)) = self.fallback else {
-            return Some(Selection::Late(soonest));
+        let cost = |vm: &Candidate<'a>| {
+            let cost = self.level_cost(vm, &level);
+            cost.saturating_sub(vm.bonus)
+        };
+        let least = in_time.iter().map(cost).min()?;
+        let longest = least + tolerance(&self.state.learner.timing());
+        let equivalent = in_time.into_iter().filter(|vm| cost(vm) <= longest);
+        let order = |vm: &Candidate<'a>| {
+            let room = level.room(vm.reported_wait);
+            order(&vm.entry.member.id, self.request, room)
         };
-        Some(Selection::InTime(fallback))
+        let chosen = equivalent.min_by(|one, other| order(one).total_cmp(&order(other)));
+        chosen.map(Selection::InTime)
     }
 }
--- a/crates/route/src/placement/cost.rs
+++ b/crates/route/src/placement/cost.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::engine::Timing;
-use super::request::{Choice, Distance, Full, Pick, Request, TimeLimit};
+use super::request::{Choice, Distance, Full, Request, TimeLimit};
 
 /// bonus of the preferred VM, as a fraction of the prefill time of the shared tokens: other
 /// daemons send the prompt there as well, and report it later
@@ -24,6 +24,9 @@
 /// a prompt of usual length, which peers may have sent there without having reported it yet
 pub(super) const SPREAD: Duration = Duration::from_millis(60);
 
+/// prompt tokens whose prefill time is no reason to prefer a VM
+const EQUIVALENT_TOKENS: u64 = 2000;
+
 /// what peers have sent to a VM since their last reports, in multiples of what VMs had waiting: with
 /// 0.5, a tenth of the requests is late where 1 and 2 leave under a fiftieth (`tests/admission`)
 const BACKLOG_FACTOR: f64 = 1.5;
@@ -39,15 +42,14 @@
 }
 
 /// refusal of a request for which this VM is expected to respond first
-pub(super) fn full(pick: Pick, time_limit: TimeLimit) -> Full {
+pub(super) fn full(id: &str, expected: Duration, time_limit: TimeLimit) -> Full {
     Full {
-        available_in: pick
-            .expected
+        available_in: expected
             .saturating_sub(time_limit.longest())
             .max(MIN_RETRY_AFTER),
-        expected: pick.expected,
+        expected,
         is_stated: false,
-        id: pick.id,
+        id: id.to_owned(),
     }
 }
 
@@ -117,3 +119,22 @@
     let draw = xxh3_64_with_seed(id.as_bytes(), request.draw);
     spread.mul_f64(draw as f64 / u64::MAX as f64)
 }
+
+/// order of a VM among those of equivalent cost: a VM comes first with a probability in proportion to
+/// its room, independently for each request
+pub(super) fn order(id: &str, request: &Request<'_>, room: Duration) -> f64 {
+    let draw = xxh3_64_with_seed(id.as_bytes(), request.draw);
+    let uniform = (draw as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -uniform.ln() / room.as_secs_f64()
+}
+
+/// number from 0 to 1 that decides whether a request leaves its region
+pub(super) fn spill_draw(request: &Request<'_>) -> f64 {
+    xxh3_64_with_seed(b"region", request.draw) as f64 / u64::MAX as f64
+}
+
+/// difference in cost within which VMs are equivalent where the reported loads are old: smaller than
+/// what a held prompt of usual length saves
+pub(super) fn tolerance(timing: &Timing) -> Duration {
+    timing.prefill_time(EQUIVALENT_TOKENS)
+}
--- a/crates/route/src/placement/learner.rs
+++ b/crates/route/src/placement/learner.rs
@@ -35,7 +35,7 @@
 
 /// time after the first request in which nothing is learned: VMs may hold prompts that a daemon
 /// which has just started does not know of, which makes them look fast
-const WARM_UP: Duration = Duration::from_secs(3);
+pub(super) const WARM_UP: Duration = Duration::from_secs(3);
 
 /// smallest difference between the prompts of two requests that are compared, tokens
 const MIN_DIFFERENCE: u32 = 2000;
@@ -44,8 +44,8 @@
 /// queueing is behind requests of other daemons that are not known yet
 const MAX_WAIT: Duration = Duration::from_millis(20);
 
-/// median deviation of the times from the estimate above which queueing dominates them, so that
-/// nothing is learned: an overload of engines that match the assumption looks like slow engines
+/// median deviation of the times from the estimate above which queueing dominates them, so that the
+/// estimate is a rough one: an overload of engines that match the assumption looks like slow engines
 const MAX_DEVIATION_MS: f64 = 25.0;
 
 /// samples of all daemons below which nothing changes
@@ -75,6 +75,8 @@
     pub wait: Duration,
     /// expected time when it was sent
     pub expected: Duration,
+    /// part of it that was measured beyond what reports show
+    pub excess: Duration,
     /// time from sending to the first event
     pub took: Duration,
 }
@@ -143,10 +145,15 @@
         self.learned = self.learned.saturating_add(other.learned);
     }
 
-    /// the mean over all daemons; none with too few samples
+    /// the mean over all daemons; none with too few samples, or if most daemons have none
     fn timing(&self, current: &Timing) -> Option<Timing> {
         let is_fair = f64::from(self.samples) >= f64::from(self.streams) * MIN_SAMPLES_PER_STREAM;
-        if self.samples < MIN_TOTAL_SAMPLES || !is_fair {
+        is_fair.then(|| self.mean(current)).flatten()
+    }
+
+    /// the mean over all daemons; none with too few samples
+    fn mean(&self, current: &Timing) -> Option<Timing> {
+        if self.samples < MIN_TOTAL_SAMPLES {
             return None;
         }
         let samples = f64::from(self.samples);
@@ -198,10 +205,10 @@
     }
 
     /// records a first event
-    pub fn record(&mut self, sample: &Sample, now: Instant) {
+    pub fn record(&mut self, sample: &Sample, warm_up: Duration, now: Instant) {
         let first_at = *self.first_at.get_or_insert(now);
         let decoding = FIRST_TOKEN_PER_RUNNING * sample.running.min(u32::from(u16::MAX));
-        if now < first_at + WARM_UP || sample.wait > MAX_WAIT + decoding {
+        if now < first_at + warm_up || sample.wait > MAX_WAIT + decoding {
             return;
         }
         let took = sample.took.saturating_sub(decoding);
@@ -220,8 +227,8 @@
         self.streams.push_back((now, took.as_secs_f64() * 1000.0));
     }
 
-    /// what this daemon has measured lately
-    pub fn measured(&mut self, now: Instant) -> Measurement {
+    /// what this daemon has measured lately: as long as queueing is short, and in any case
+    pub fn measured(&mut self, now: Instant) -> [Measurement; 2] {
         let is_old = |at: Instant| now.saturating_duration_since(at) > SAMPLE_TTL;
         while self.samples.front().is_some_and(|(at, ..)| is_old(*at)) {
             self.samples.pop_front();
@@ -230,21 +237,40 @@
             self.streams.pop_front();
         }
         let mut measured = Measurement::default();
-        if let Some((ns_per_token, base_us)) = self.prefill() {
-            measured.samples = self.samples.len() as u32;
-            measured.ns_per_token = ns_per_token * f64::from(measured.samples);
-            measured.base_us = base_us * f64::from(measured.samples);
+        let mut rough = Measurement::default();
+        if let Some((ns_per_token, base_us, deviation_ms)) = self.prefill() {
+            let of = |samples: u32| Measurement {
+                samples,
+                ns_per_token: ns_per_token * f64::from(samples),
+                base_us: base_us * f64::from(samples),
+                ..Measurement::default()
+            };
+            if deviation_ms <= MAX_DEVIATION_MS {
+                measured = of(self.samples.len() as u32);
+            }
+            // the error of a slope grows with the deviation, and as many times more samples, squared, make up
+            // for it
+            let weight = (MAX_DEVIATION_MS / deviation_ms.max(MAX_DEVIATION_MS)).powi(2);
+            rough = of((self.samples.len() as f64 * weight).round() as u32);
         }
         measured.streams = self.streams.len() as u32;
         measured.stream_ms = self.stream_ms() * f64::from(measured.streams);
+        (rough.streams, rough.stream_ms) = (measured.streams, measured.stream_ms);
         measured.learned = u32::from(self.learned.is_some());
-        measured
+        [measured, rough]
     }
 
-    /// applies the sum of what all daemons measured; returns whether other times are in effect now
-    pub fn apply(&mut self, total: &Measurement) -> bool {
-        let assumed = Timing::default();
-        let Some(timing) = total.timing(&self.timing()) else {
+    /// applies the sums of what all daemons measured; returns whether other times are in effect now
+    ///
+    /// Load pattern: fast engines are overloaded from the first second on, so that no daemon measures them
+    /// without queueing. Queueing makes engines look slow, so a rough measurement of faster ones is
+    /// believed.
+    pub fn apply(&mut self, total: &Measurement, rough: &Measurement) -> bool {
+        let (assumed, current) = (Timing::default(), self.timing());
+        let is_faster =
+            |timing: &Timing| timing.tokens_per_ms >= current.tokens_per_ms * ENTER_RATIO;
+        let roughly = || rough.mean(&current).filter(is_faster);
+        let Some(timing) = total.timing(&current).or_else(roughly) else {
             return false;
         };
         let ratio = timing.tokens_per_ms / assumed.tokens_per_ms;
@@ -264,8 +290,9 @@
         was_learned != self.learned.is_some()
     }
 
-    /// nanoseconds of prefill for a token, and the base time in microseconds
-    fn prefill(&self) -> Option<(f64, f64)> {
+    /// nanoseconds of prefill for a token, the base time in microseconds, and the median deviation from both
+    /// in milliseconds
+    fn prefill(&self) -> Option<(f64, f64, f64)> {
         if self.samples.len() < MIN_SAMPLES {
             return None;
         }
@@ -291,10 +318,7 @@
         let base = weighted_median(&mut bases);
         let deviation = |(ms, _): &(f64, u32)| ((ms - base).abs(), 1);
         let mut deviations: Vec<(f64, u32)> = bases.iter().map(deviation).collect();
-        if weighted_median(&mut deviations) > MAX_DEVIATION_MS {
-            return None;
-        }
-        Some((slope * 1e6, base * 1e3))
+        Some((slope * 1e6, base * 1e3, weighted_median(&mut deviations)))
     }
 
     /// mean duration of the streams; a few that last for a multiple of the median count as that
--- a/crates/route/src/placement/learning.rs
+++ b/crates/route/src/placement/learning.rs
@@ -7,7 +7,7 @@
 
 use super::balancer::Balancer;
 use super::engine::Timing;
-use super::learner::{Measurement, Sample};
+use super::learner::{Measurement, Sample, WARM_UP};
 use super::request::Distance;
 use super::speed::Slowness;
 
@@ -19,6 +19,11 @@
 const MIN_PAUSE_S: f64 = 0.001;
 
 impl Balancer {
+    /// takes VMs to hold no prompts that this daemon does not know of, as at the first start of all daemons
+    pub fn trust_first_samples(&mut self) {
+        self.has_cold_vms = true;
+    }
+
     /// counts all VMs of a service as equally fast
     pub fn ignore_speeds(&mut self) {
         self.ignores_speeds = true;
@@ -79,6 +84,12 @@
         let Some(entry) = state.entries.get_mut(id) else {
             return;
         };
+        let excess = match entry.member.distance {
+            Distance::Zone | Distance::Region => &mut state.excess_here,
+            Distance::Link => &mut state.excess_there,
+        };
+        let expected = sample.expected.saturating_sub(sample.excess);
+        excess.record(expected, sample.took, now);
         let expected = sample.expected.as_secs_f64().max(MIN_EXPECTED_S);
         let relative = state
             .first_events
@@ -88,7 +99,12 @@
         }
         // the transfer over the link takes as long as the prefill of thousands of tokens
         if entry.member.cache_tokens.is_some() && entry.member.distance != Distance::Link {
-            state.learner.record(sample, now);
+            let warm_up = if self.has_cold_vms {
+                Duration::ZERO
+            } else {
+                WARM_UP
+            };
+            state.learner.record(sample, warm_up, now);
         }
     }
 
@@ -99,20 +115,31 @@
         }
     }
 
-    /// returns what this daemon has measured lately, by service
-    pub fn measurements(&mut self, now: Instant) -> HashMap<String, Measurement> {
-        let services = self.services.iter_mut();
-        let measured = services.map(|(name, state)| (name.clone(), state.learner.measured(now)));
-        measured
-            .filter(|(_, measured)| !measured.is_empty())
-            .collect()
+    /// returns what this daemon has measured lately, by service: as long as queueing is short, and in any
+    /// case
+    pub fn measurements(&mut self, now: Instant) -> [HashMap<String, Measurement>; 2] {
+        let mut measurements = [HashMap::new(), HashMap::new()];
+        for (name, state) in &mut self.services {
+            let measured = state.learner.measured(now);
+            for (by_service, measured) in measurements.iter_mut().zip(measured) {
+                if !measured.is_empty() {
+                    by_service.insert(name.clone(), measured);
+                }
+            }
+        }
+        measurements
     }
 
-    /// applies the sum of what all daemons measured; returns the times in effect if they are learned
+    /// applies the sums of what all daemons measured; returns the times in effect if they are learned
     /// from now on, or assumed again
-    pub fn apply_measurement(&mut self, service: &str, total: &Measurement) -> Option<Timing> {
+    pub fn apply_measurement(
+        &mut self,
+        service: &str,
+        total: &Measurement,
+        rough: &Measurement,
+    ) -> Option<Timing> {
         let state = self.services.get_mut(service)?;
-        let is_changed = state.learner.apply(total);
+        let is_changed = state.learner.apply(total, rough);
         is_changed.then(|| state.learner.timing())
     }
 
--- a/crates/route/src/placement/load.rs
+++ b/crates/route/src/placement/load.rs
@@ -131,7 +131,19 @@
     }
 }
 
+/// largest demand that is believed of the peers
+const MAX_REQUESTS_PER_S: f64 = 1e6;
+const MAX_TOKENS_PER_S: f64 = 1e12;
+
 impl Rate {
+    /// the demand, no larger than any deployment can have: a peer may have stated it wrongly
+    pub fn bounded(self) -> Rate {
+        Rate {
+            requests: self.requests.min(MAX_REQUESTS_PER_S),
+            prefill_tokens: self.prefill_tokens.min(MAX_TOKENS_PER_S),
+        }
+    }
+
     /// adds another rate
     pub fn add(&mut self, other: &Rate) {
         self.requests += other.requests;
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -20,6 +20,10 @@
 //!   busy in the last report, all would choose the same one and avoid those that have become
 //!   idle since. So the prefill of reported load is assumed to continue, and requests are spread
 //!   over VMs whose expected times hardly differ.
+//! * The same between tens of daemons, whose reports are a second old: what all of them send meanwhile is
+//!   assumed to fill the VMs up evenly (`levels`).
+//! * Requests wait longer than the reports show. What they wait beyond the expected time is measured and
+//!   added to it (`excess`).
 //! * The load exceeds what the VMs can serve in time. A request whose expected time exceeds
 //!   its limit is refused at once, with the time until capacity is expected.
 //! * A VM refuses requests and states for how long it wants none. It gets none for that time, and
@@ -38,7 +42,7 @@
 //! * Callers that were refused come back as told, and are refused again. They go ahead of new
 //!   requests of their kind, and what can't respond before its caller gives up is not sent.
 //! * One region has lost its VMs and the other has room. A VM within the limit is preferred to a
-//!   nearer one beyond it.
+//!   nearer one beyond it, and a part of the requests goes to the other region (`spill`).
 //! * VMs that hold a popular part are busy while others are idle. An idle one fetches the part from
 //!   a holder where that is clearly faster than both alternatives (`transfer`).
 //! * A VM is preferred because it holds a prompt, and the request is late there while another VM would
@@ -51,13 +55,16 @@
 mod balancer;
 mod candidate;
 mod candidates;
+mod choose;
 mod completion;
 mod cost;
 mod engine;
 mod entry;
+mod excess;
 mod health;
 mod learner;
 mod learning;
+mod levels;
 mod load;
 mod member;
 mod peer_loads;
@@ -66,6 +73,7 @@
 mod request;
 mod returns;
 mod speed;
+mod spill;
 mod split;
 mod statements;
 mod transfer;
--- a/crates/route/src/placement/peer_loads.rs
+++ b/crates/route/src/placement/peer_loads.rs
@@ -10,8 +10,10 @@
 use super::balancer::{Balancer, Service};
 use super::engine::Timing;
 use super::entry::Entry;
+use super::excess::Excess;
 use super::load::Load;
 use super::member::Member;
+use super::request::Distance;
 
 /// age after which the load reported by a peer is ignored, if peers report more often
 const MIN_PEER_LOAD_TTL: Duration = Duration::from_millis(2500);
@@ -20,8 +22,11 @@
 /// seconds old is still right on average, and without it VMs seem idle
 const PEER_LOAD_INTERVALS: f64 = 1.5;
 
+/// age of a load when it arrives, in report intervals: reports of other zones pass two delegates
+const REPORT_DELAY_INTERVALS: f64 = 1.4;
+
 /// number of daemons up to which all report to each other directly, and loads are half a second old
-const MAX_DIRECT_DAEMONS: u32 = 12;
+pub(super) const MAX_DIRECT_DAEMONS: u32 = 12;
 
 /// most tokens that peers which have not reported are assumed to have waiting at a VM: 0.2 s of
 /// prefill, less than the shortest objectives
@@ -39,6 +44,14 @@
 }
 
 impl Service {
+    /// time beyond the expected one that requests wait at VMs of a distance
+    pub(super) fn excess(&self, distance: Distance) -> &Excess {
+        match distance {
+            Distance::Zone | Distance::Region => &self.excess_here,
+            Distance::Link => &self.excess_there,
+        }
+    }
+
     /// average of a load over all VMs
     fn average(&self, loads: &HashMap<String, Load>) -> Load {
         let mut sum = Load::default();
@@ -92,6 +105,15 @@
         MIN_PEER_LOAD_TTL.max(self.report_interval.mul_f64(PEER_LOAD_INTERVALS))
     }
 
+    /// age of the loads in the peers' last reports
+    pub(super) fn reports_age(&self, now: Instant) -> Duration {
+        let received = self.peer_loads.values().map(|report| report.received_at);
+        let age = received
+            .max()
+            .map(|at| now.saturating_duration_since(at).min(self.peer_load_ttl()));
+        age.unwrap_or_default() + self.report_interval.mul_f64(REPORT_DELAY_INTERVALS)
+    }
+
     /// sets the load that a peer reported
     pub fn set_peer_loads(&mut self, peer: &str, loads: HashMap<String, Load>, now: Instant) {
         let loads = loads.into_iter().map(|(vm, load)| (vm, load.bounded()));
@@ -146,6 +168,23 @@
     /// room got the requests of all daemons until the next report, 56 at once where others had 4. So
     /// while capacity is short, what peers have sent counts as evenly spread.
     pub(super) fn load(&self, service: &str, entry: &Entry, timing: &Timing, now: Instant) -> Load {
+        self.load_at(service, entry, now, |load, age| {
+            timing.after_prefill(load, age)
+        })
+    }
+
+    /// returns the local load at a VM and the one that was last reported
+    pub(super) fn reported_load(&self, service: &str, entry: &Entry, now: Instant) -> Load {
+        self.load_at(service, entry, now, |load, _| *load)
+    }
+
+    fn load_at(
+        &self,
+        service: &str,
+        entry: &Entry,
+        now: Instant,
+        at_present: impl Fn(&Load, Duration) -> Load,
+    ) -> Load {
         let state = self.services.get(service);
         let is_even =
             self.daemons > MAX_DIRECT_DAEMONS && state.is_some_and(|state| state.is_short);
@@ -161,7 +200,7 @@
             if is_even {
                 load.add(&report.averages.get(service).copied().unwrap_or_default());
             } else if let Some(peer_load) = report.loads.get(&entry.member.id) {
-                load.add(&timing.after_prefill(peer_load, age));
+                load.add(&at_present(peer_load, age));
             }
         }
         load
--- a/crates/route/src/placement/request.rs
+++ b/crates/route/src/placement/request.rs
@@ -34,9 +34,9 @@
     }
 
     /// whether a VM is expected to respond within the limits
-    pub(super) fn allows(&self, pick: &Pick) -> bool {
-        let wait = pick.expected.saturating_sub(pick.unloaded);
-        pick.expected <= self.patience && (pick.expected <= self.total || wait <= self.queueing)
+    pub(super) fn allows(&self, expected: Duration, unloaded: Duration) -> bool {
+        let wait = expected.saturating_sub(unloaded);
+        expected <= self.patience && (expected <= self.total || wait <= self.queueing)
     }
 
     /// longest expected time that is accepted, for a prompt whose own prefill takes less
@@ -84,6 +84,8 @@
     pub id: String,
     /// expected time to the response or the first token
     pub expected: Duration,
+    /// part of it that was measured beyond what reports show
+    pub excess: Duration,
     /// expected time on an idle VM, without queueing
     pub unloaded: Duration,
     /// expected time to the response or the first token if this VM is as fast as the others
--- a/crates/route/tests/admission/cluster.rs
+++ b/crates/route/tests/admission/cluster.rs
@@ -9,8 +9,8 @@
 use rand_chacha::ChaCha8Rng;
 use route::fairness::{Attempt as Share, Demands, Fairness, work};
 use route::placement::{
-    Balancer, Caller, Choice, Completion, Distance, Kind, Load, Member, Outcome, Refused, Request,
-    Returns, Work, time_limit,
+    Balancer, Caller, Choice, Completion, Distance, Kind, Load, Member, Outcome, Pick, Rate,
+    Refused, Request, Returns, Sample, Work, time_limit,
 };
 use tokio::time::Instant;
 
@@ -52,8 +52,17 @@
     number: u32,
     /// the same at each attempt
     draw: u64,
-    /// daemon, VM, work and time, once it has been sent
-    sent: Option<(usize, String, Work, u64)>,
+    /// once it has been sent
+    sent: Option<Sent>,
+}
+
+/// where and when an attempt was sent, and with which expectation
+#[derive(Debug, Clone)]
+struct Sent {
+    daemon: usize,
+    work: Work,
+    pick: Pick,
+    at_us: u64,
 }
 
 struct Vm {
@@ -67,7 +76,15 @@
     balancer: Balancer,
     fairness: Fairness,
     returns: Returns,
-    snapshots: Vec<(u64, HashMap<String, Load>, Demands)>,
+    snapshots: Vec<Snapshot>,
+}
+
+/// what a daemon reports
+struct Snapshot {
+    at_ms: u64,
+    loads: HashMap<String, Load>,
+    rate: Rate,
+    demands: Demands,
 }
 
 pub struct Cluster {
@@ -187,6 +204,7 @@
             let balancer = &mut self.daemons[index].balancer;
             balancer.set_members(SERVICE, members);
             balancer.set_daemons(daemons);
+            balancer.set_report_interval(Duration::from_millis(REPORT_INTERVAL_MS));
         }
     }
 
@@ -224,9 +242,12 @@
                 daemon.snapshots.clear();
                 continue;
             }
-            let demands = daemon.fairness.demands(now);
-            let snapshot = (at, daemon.balancer.loads(), demands);
-            daemon.snapshots.push(snapshot);
+            daemon.snapshots.push(Snapshot {
+                at_ms: at,
+                loads: daemon.balancer.loads(),
+                rate: daemon.balancer.rate(SERVICE, now),
+                demands: daemon.fairness.demands(now),
+            });
         }
     }
 
@@ -235,6 +256,7 @@
         let zone = self.daemons[index].zone;
         let mut others: HashMap<String, Load> = HashMap::new();
         let mut demands = Demands::new();
+        let mut rate = Rate::default();
         for (other, daemon) in self.daemons.iter().enumerate() {
             let age = if daemon.zone == zone {
                 ZONE_AGE_MS
@@ -244,13 +266,14 @@
             let at = (self.now_us / 1000).checked_sub(age + self.setup.extra_age_ms);
             let known = at.and_then(|at| {
                 let mut known = daemon.snapshots.iter().rev();
-                known.find(|(taken, ..)| *taken <= at)
+                known.find(|snapshot| snapshot.at_ms <= at)
             });
-            if let (true, Some((_, loads, reported))) = (other != index, known) {
-                for (vm, load) in loads {
+            if let (true, Some(known)) = (other != index, known) {
+                for (vm, load) in &known.loads {
                     others.entry(vm.clone()).or_default().add(load);
                 }
-                for (service, workspaces) in reported {
+                rate.add(&known.rate);
+                for (service, workspaces) in &known.demands {
                     let sums = demands.entry(service.clone()).or_default();
                     for (workspace, demand) in workspaces {
                         sums.entry(workspace.clone()).or_default().add(demand);
@@ -261,6 +284,7 @@
         let vms = self.vms.len();
         let daemon = &mut self.daemons[index];
         daemon.balancer.set_peer_loads("others", others, now);
+        daemon.balancer.set_peer_rate(SERVICE, rate, now);
         daemon.fairness.set_peer("others", &demands, now);
         daemon.fairness.update(|_| vms, |_| 1.0, now);
         for (service, state) in daemon.fairness.states() {
@@ -331,6 +355,9 @@
             ..
         } = &mut self.daemons[index];
         let choice = balancer.choose(&request, now);
+        if attempt.number == 1 {
+            balancer.record_demand(SERVICE, tokens, now);
+        }
         let is_refused = !matches!(choice, Choice::Send(_));
         fairness.record(&share, work(tokens, 100), is_refused, now);
         let pick = match choice {
@@ -352,8 +379,14 @@
             held: pick.uncached + 100,
         };
         balancer.begin(&request, &pick.id, &work, now);
-        self.attempts[id].sent = Some((index, pick.id.clone(), work, self.now_us));
+        let at_us = self.now_us;
         self.run_request(id, &pick.id, tokens, pick.distance);
+        self.attempts[id].sent = Some(Sent {
+            daemon: index,
+            work,
+            pick,
+            at_us,
+        });
     }
 
     fn run_request(&mut self, id: usize, vm: &str, tokens: u32, distance: Distance) {
@@ -399,19 +432,29 @@
 
     fn first_token(&mut self, id: usize) {
         let attempt = self.attempts[id].clone();
-        let Some((daemon, vm, sent, sent_at)) = &attempt.sent else {
+        let Some(sent) = &attempt.sent else {
             return;
         };
-        let balancer = &mut self.daemons[*daemon].balancer;
-        balancer.record_first_token(SERVICE, vm, sent);
-        let took = Duration::from_micros(self.now_us - attempt.first_at);
         let now = self.now();
+        let pick = &sent.pick;
+        let sample = Sample {
+            prefill_tokens: pick.uncached,
+            running: pick.running,
+            wait: pick.expected.saturating_sub(pick.unloaded + pick.excess),
+            expected: pick.expected,
+            excess: pick.excess,
+            took: Duration::from_micros(self.now_us - sent.at_us),
+        };
+        let balancer = &mut self.daemons[sent.daemon].balancer;
+        balancer.record_sample(SERVICE, &pick.id, &sample, now);
+        balancer.record_first_token(SERVICE, &pick.id, &sent.work);
+        let took = Duration::from_micros(self.now_us - attempt.first_at);
         let source = &self.setup.sources[attempt.source];
         let objective = source.kind.objective;
-        let is_late = Duration::from_micros(self.now_us - sent_at) > objective;
+        let is_late = sample.took > objective;
         let share = share(source, &attempt);
         let work = work(source.tokens, 100);
-        let fairness = &mut self.daemons[*daemon].fairness;
+        let fairness = &mut self.daemons[sent.daemon].fairness;
         fairness.record_response(&share, work, is_late, now);
         let count = self.count(id);
         if took <= objective {
@@ -423,17 +466,17 @@
 
     fn end(&mut self, id: usize) {
         let now = self.now();
-        let Some((daemon, vm, work, _)) = self.attempts[id].sent.clone() else {
+        let Some(sent) = self.attempts[id].sent.clone() else {
             return;
         };
         let completion = Completion {
             service: SERVICE,
-            id: &vm,
-            work: &work,
+            id: &sent.pick.id,
+            work: &sent.work,
             outcome: Outcome::Answered,
             took: None,
         };
-        self.daemons[daemon].balancer.end(&completion, now);
+        self.daemons[sent.daemon].balancer.end(&completion, now);
     }
 }
 
--- a/crates/route/tests/placement/cluster.rs
+++ b/crates/route/tests/placement/cluster.rs
@@ -8,8 +8,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use route::placement::{
-    Balancer, Choice, Completion, Distance, Load, Measurement, Outcome, Prefill, Request, Sample,
-    Timing, Work,
+    Balancer, Choice, Completion, Distance, Load, Measurement, Outcome, Prefill, Rate, Request,
+    Sample, Timing, Work,
 };
 use tokio::time::Instant;
 
@@ -130,20 +130,24 @@
     }
 
     /// the sum of what the daemons have measured
-    pub fn measured(&mut self, now: Instant) -> Measurement {
-        let mut total = Measurement::default();
+    pub fn measured(&mut self, now: Instant) -> [Measurement; 2] {
+        let mut totals = [Measurement::default(); 2];
         for balancer in &mut self.balancers {
-            if let Some(measured) = balancer.measurements(now).get(SERVICE) {
-                total.add(measured);
+            for (total, measured) in totals.iter_mut().zip(balancer.measurements(now)) {
+                if let Some(measured) = measured.get(SERVICE) {
+                    total.add(measured);
+                }
             }
         }
-        total
+        totals
     }
 
     fn set_members(&mut self, count: usize) {
         for balancer in &mut self.balancers {
             let members = (0..count).map(|vm| engine(&format!("vm-{vm}"), Distance::Zone));
             balancer.set_members(SERVICE, members.collect());
+            balancer.set_daemons(self.setup.daemons);
+            balancer.set_report_interval(Duration::from_micros(REPORT_US));
         }
     }
 
@@ -174,7 +178,13 @@
             ..request(&parts, &[])
         };
         self.summary.requests += u32::from(is_counted);
-        let Choice::Send(pick) = self.balancers[daemon].choose(&request, now) else {
+        let choice = self.balancers[daemon].choose(&request, now);
+        let uncached = match &choice {
+            Choice::Send(pick) => pick.uncached,
+            _ => unshared,
+        };
+        self.balancers[daemon].record_demand(SERVICE, uncached, now);
+        let Choice::Send(pick) = choice else {
             self.summary.refused += u32::from(is_counted);
             return;
         };
@@ -208,8 +218,9 @@
             sample: Sample {
                 prefill_tokens: pick.uncached,
                 running: pick.running,
-                wait: pick.expected.saturating_sub(pick.unloaded),
+                wait: pick.expected.saturating_sub(pick.unloaded + pick.excess),
                 expected: pick.expected,
+                excess: pick.excess,
                 took: Duration::from_micros(first_us - us),
             },
             sent_us: us,
@@ -259,7 +270,9 @@
         let now = self.at(us);
         let loads: Vec<HashMap<String, Load>> =
             self.balancers.iter().map(Balancer::loads).collect();
-        let total = self.measured(now);
+        let [total, rough] = self.measured(now);
+        let rates = self.balancers.iter_mut();
+        let rates: Vec<Rate> = rates.map(|one| one.rate(SERVICE, now)).collect();
         let slow: Vec<_> = self.balancers.iter().map(|one| one.slow_vms(now)).collect();
         let mut prefills: Vec<Prefill> = Vec::new();
         for balancer in &mut self.balancers {
@@ -275,12 +288,19 @@
                 sum.entry(vm.clone()).or_default().add(load);
             }
             balancer.set_peer_loads("others", sum, now);
+            let mut rate = Rate::default();
+            let others = rates
+                .iter()
+                .enumerate()
+                .filter(|(other, _)| *other != index);
+            others.for_each(|(_, other)| rate.add(other));
+            balancer.set_peer_rate(SERVICE, rate, now);
             balancer.add_peer_prefills(&prefills, now);
             for (_, slow) in slow.iter().enumerate().filter(|(other, _)| *other != index) {
                 balancer.set_peer_slow_vms(slow, now);
             }
             if self.setup.learns {
-                balancer.apply_measurement(SERVICE, &total);
+                balancer.apply_measurement(SERVICE, &total, &rough);
             }
         }
     }
--- a/crates/route/tests/placement/learned_engines.rs
+++ b/crates/route/tests/placement/learned_engines.rs
@@ -96,6 +96,7 @@
     let now = cluster.now();
     let mut started = Balancer::new();
     started.set_members(SERVICE, Vec::new());
-    started.apply_measurement(SERVICE, &cluster.measured(now));
+    let [total, rough] = cluster.measured(now);
+    started.apply_measurement(SERVICE, &total, &rough);
     assert!(started.learned(SERVICE).is_some());
 }
--- a/crates/route/tests/placement/slow_vms.rs
+++ b/crates/route/tests/placement/slow_vms.rs
@@ -116,6 +116,7 @@
         running: 0,
         wait: Duration::ZERO,
         expected: Duration::from_millis(expected_ms),
+        excess: Duration::ZERO,
         took: Duration::from_millis(took_ms),
     }
 }
