Admit late requests only while much of a limit is left; prefill short prompts first

Cause: callers of a workspace above its limit come back as told two seconds later, and each one admitted then takes the place of a new request that would be in time. Short prompts with the shortest objective wait behind tens of thousands of prompt tokens, as their kind is the least urgent one.

--- a/crates/gateway/src/limits/charge.rs
+++ b/crates/gateway/src/limits/charge.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use route::quota::Ledger;
+use route::quota::{Ledger, Timeliness};
 use schema::member::Member;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
@@ -30,10 +30,11 @@
     shared: &Shared<D>,
     workspace: &str,
     units: f64,
+    timeliness: Timeliness,
 ) -> Result<(), Duration> {
     let refused = match shared.quotas.borrow_mut().get_mut(workspace) {
         None => return Ok(()),
-        Some(quota) => match quota.known_refusal(units, Instant::now()) {
+        Some(quota) => match quota.known_refusal(units, timeliness, Instant::now()) {
             Some(wait) => return Err(wait),
             None => quota.take_backlog(),
         },
@@ -43,6 +44,7 @@
         zone: shared.settings.zone.clone(),
         units,
         refused,
+        is_late: timeliness == Timeliness::Late,
     };
     let ruling = decide(shared, &charge).await;
     let now = Instant::now();
@@ -57,10 +59,10 @@
         }
         Ruling::Refused { wait_ms } => {
             let wait = Duration::from_millis(wait_ms);
-            quota.record_refused(units, wait, shared.daemons.get(), now);
+            quota.record_refused((units, timeliness), wait, shared.daemons.get(), now);
             Err(wait)
         }
-        Ruling::NotOwner => quota.spend(units, now),
+        Ruling::NotOwner => quota.spend(units, timeliness, now),
     }
 }
 
@@ -107,10 +109,15 @@
     if charge.refused > 0.0 {
         ledger.record_refused(charge.refused, now);
     }
+    let timeliness = if charge.is_late {
+        Timeliness::Late
+    } else {
+        Timeliness::InTime
+    };
     let charged = if is_own {
-        ledger.charge(charge.units, now)
+        ledger.charge(charge.units, timeliness, now)
     } else {
-        ledger.charge_peer(&charge.zone, charge.units, now)
+        ledger.charge_peer(&charge.zone, charge.units, timeliness, now)
     };
     if let Some(copied) = ledger.copy(now) {
         copy_to_deputy(shared, &charge.workspace, copied);
@@ -132,6 +139,7 @@
                 zone: shared.settings.zone.clone(),
                 units: 0.0,
                 refused: 0.0,
+                is_late: false,
             };
             let shared = Rc::clone(shared);
             spawn_local(async move { ask(&shared, &owner, &charge).await });
--- a/crates/gateway/src/limits/message.rs
+++ b/crates/gateway/src/limits/message.rs
@@ -15,6 +15,9 @@
     /// units that the asking daemon has refused since its last request
     #[serde(default)]
     pub refused: f64,
+    /// whether its caller has waited for longer than the objective
+    #[serde(default)]
+    pub is_late: bool,
 }
 
 /// answer to a [`Charge`]
--- a/crates/gateway/src/limits/refund.rs
+++ b/crates/gateway/src/limits/refund.rs
@@ -32,6 +32,7 @@
                 zone: shared.settings.zone.clone(),
                 units,
                 refused: 0.0,
+                is_late: false,
             };
             spawn_local(send_refund(Rc::clone(shared), owner, charge));
         }
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -291,6 +291,9 @@
     // a holder that is gone is left out: the VM prefills what it lacks
     let fetch = sending.pick.fetch.as_ref();
     let holder = fetch.and_then(|fetch| shared.vms.borrow().get(&fetch.from).cloned());
+    let placement = shared.placement.borrow();
+    let prefill = placement.prefill_time(&request.service, sending.pick.uncached);
+    drop(placement);
     let attempt = Attempt {
         instance: &sending.vm.id,
         workspace: request
@@ -298,7 +301,7 @@
             .as_ref()
             .map(|workspace| workspace.name.as_str()),
         time_left: request.time_left(),
-        urgency: request.urgency(),
+        urgency: request.urgency(prefill),
         resume_after: sending.resume_after,
         fetch_from: holder.map(|holder| holder.address),
     };
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -8,7 +8,8 @@
 use http::{Request as HttpRequest, Response};
 use hyper::body::{Body as _, Incoming};
 use route::origin::Origin;
-use route::placement::{self, TimeLimit};
+use route::placement::{self, Caller, TimeLimit};
+use route::quota::Timeliness;
 use route::trust::Trust;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
@@ -154,7 +155,7 @@
     }
     let origin = find_origin(shared, &route, &call).await.map_err(refuse)?;
     if let Some(workspace) = &workspace {
-        let charged = charge(shared, workspace, &call).await;
+        let charged = charge(shared, workspace, &route, &call, arrived).await;
         charged.map_err(|failure| Refused {
             workspace: Some(workspace.name.clone()),
             ..refuse(failure)
@@ -324,13 +325,21 @@
 async fn charge<D: Dialect>(
     shared: &Shared<D>,
     workspace: &Workspace,
+    route: &Route,
     call: &Call,
+    arrived: Instant,
 ) -> Result<(), Failure> {
     let Some(limit) = &workspace.limit else {
         return Ok(());
     };
     let units = request_units(limit, call);
-    let Err(wait) = limits::charge(shared, &workspace.name, units).await else {
+    let caller = Caller::new(call.time_limit, route.timeout, arrived.elapsed());
+    let timeliness = if caller.waited >= route.objective && !call.is_resumed() {
+        Timeliness::Late
+    } else {
+        Timeliness::InTime
+    };
+    let Err(wait) = limits::charge(shared, &workspace.name, units, timeliness).await else {
         return Ok(());
     };
     if let Some(left_out) = shared.permit_log("limit_spent") {
@@ -342,6 +351,7 @@
             request = call.id,
             workspace = workspace.name,
             units,
+            is_late = timeliness == Timeliness::Late,
             level = quota.as_ref().map(|quota| quota.level().round()),
             share = quota.as_ref().map(|quota| quota.share()),
             own_demand = quota.map(|quota| quota.demand(now).round()),
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -5,7 +5,7 @@
 use http::request::Parts;
 use memory::Hold;
 use route::origin::Origin;
-use route::placement::Kind;
+use route::placement::{Kind, engine_priority};
 use tokio::time::Instant;
 
 use super::Deadline;
@@ -72,10 +72,18 @@
             .map_or(self.call.prompt_tokens(), |(_, tokens)| *tokens)
     }
 
-    /// urgency sent to VMs: ordered by workspace priority, then by route priority
-    pub fn urgency(&self) -> u8 {
-        let base = self.priority().saturating_mul(ROUTE_PRIORITIES);
-        let within = self.route.priority.min(ROUTE_PRIORITIES - 1);
+    /// urgency sent to VMs: ordered by workspace priority, then by route priority or by the time that the
+    /// prompt takes
+    pub fn urgency(&self, prefill: Duration) -> u8 {
+        let kind = Kind {
+            priority: self.route.priority,
+            objective: self.route.objective,
+        };
+        let within = engine_priority(kind, &self.kinds, prefill);
+        let workspace = self.workspace.as_ref();
+        let priority = workspace.and_then(|workspace| workspace.priority);
+        let base = priority.unwrap_or(within).saturating_mul(ROUTE_PRIORITIES);
+        let within = within.min(ROUTE_PRIORITIES - 1);
         base.saturating_add(within).min(MAX_URGENCY)
     }
 
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -7,7 +7,7 @@
 
 use gateway::QuotaTolerance;
 use gateway::model::{Limit, Unit, Workspace};
-use route::quota::{self, Quota};
+use route::quota::{self, Quota, Timeliness};
 use support::{FakeStore, FakeVm, Harness, Script, config, run, settings};
 use tokio::time::Instant;
 
@@ -57,7 +57,7 @@
     let refused = (0..240)
         .filter(|quarter| {
             let now = start + Duration::from_millis(250) * *quarter;
-            quota.spend(9_300.0, now).is_err()
+            quota.spend(9_300.0, Timeliness::InTime, now).is_err()
         })
         .count();
     assert_eq!(refused, 0);
--- a/crates/route/src/placement/learning.rs
+++ b/crates/route/src/placement/learning.rs
@@ -143,6 +143,13 @@
         is_changed.then(|| state.learner.timing())
     }
 
+    /// returns the time that a service's engines take to prefill tokens
+    pub fn prefill_time(&self, service: &str, tokens: u32) -> Duration {
+        let state = self.services.get(service);
+        let timing = state.map_or_else(Timing::default, |state| state.learner.timing());
+        timing.prefill_time(u64::from(tokens))
+    }
+
     /// returns the times of a service's engines, if they are learned
     pub fn learned(&self, service: &str) -> Option<Timing> {
         self.services.get(service)?.learner.learned()
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -45,6 +45,8 @@
 //!   nearer one beyond it, and a part of the requests goes to the other region (`spill`).
 //! * VMs that hold a popular part are busy while others are idle. An idle one fetches the part from
 //!   a holder where that is clearly faster than both alternatives (`transfer`).
+//! * Short prompts wait behind long ones at an engine, and are late. Those with the shorter objective are
+//!   prefilled first (`urgency`).
 //! * A VM is preferred because it holds a prompt, and the request is late there while another VM would
 //!   serve it in time. A VM is preferred only while it is in time.
 //! * A sixth of the VMs runs 2.5 times slower for 600 ms, then others do. Observed times raise the expected
@@ -77,6 +79,7 @@
 mod split;
 mod statements;
 mod transfer;
+mod urgency;
 
 pub use admission::{Caller, Kind, plain_time_limit, retry_after, time_limit};
 pub use balancer::Balancer;
@@ -91,3 +94,4 @@
 pub use speed::Slowness;
 pub use split::{Split, Target};
 pub use transfer::Transfer;
+pub use urgency::engine_priority;
--- a/crates/route/src/quota/ledger.rs
+++ b/crates/route/src/quota/ledger.rs
@@ -3,7 +3,7 @@
 
 use tokio::time::Instant;
 
-use super::{LARGE_REQUEST_FRACTION, Limit, MIN_RETRY_AFTER};
+use super::{LARGE_REQUEST_FRACTION, Limit, MIN_RETRY_AFTER, RESERVED_FRACTION, Timeliness};
 
 /// time constant of the refused units that callers are expected to request again
 const REFUSED_TIME_CONSTANT: Duration = Duration::from_secs(1);
@@ -162,11 +162,20 @@
     /// # Errors
     /// Returns the time until enough units are expected to be available, those that were refused
     /// before included.
-    pub fn charge(&mut self, units: f64, now: Instant) -> Result<(), Duration> {
+    pub fn charge(
+        &mut self,
+        units: f64,
+        timeliness: Timeliness,
+        now: Instant,
+    ) -> Result<(), Duration> {
         self.advance(now);
         self.charged_at = now;
         // a request that is larger than the burst is admitted as well; later ones wait longer
         let needed = units.min(LARGE_REQUEST_FRACTION * self.limit.burst);
+        let needed = match timeliness {
+            Timeliness::InTime => needed,
+            Timeliness::Late => needed + RESERVED_FRACTION * self.limit.burst,
+        };
         if needed <= self.level {
             self.level -= units;
             self.total += units;
@@ -189,8 +198,14 @@
     ///
     /// # Errors
     /// As [`Ledger::charge`].
-    pub fn charge_peer(&mut self, zone: &str, units: f64, now: Instant) -> Result<(), Duration> {
-        let charged = self.charge(units, now);
+    pub fn charge_peer(
+        &mut self,
+        zone: &str,
+        units: f64,
+        timeliness: Timeliness,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let charged = self.charge(units, timeliness, now);
         let granted = if charged.is_ok() { units } else { 0.0 };
         self.granted += granted;
         match self.zones.get_mut(zone) {
--- a/crates/route/src/quota/mod.rs
+++ b/crates/route/src/quota/mod.rs
@@ -29,15 +29,20 @@
 )]
 mod quota;
 mod refusal;
+mod timeliness;
 
 pub use ledger::{Copied, Ledger};
 pub use limit::{Limit, PeerSpending};
 pub use quota::Quota;
 pub use refusal::Refusal;
+pub use timeliness::Timeliness;
 
 /// fraction of the burst, or of a daemon's share of it, that suffices for a request of any size; the
 /// level may then go below zero, and later requests wait until it has recovered
 const LARGE_REQUEST_FRACTION: f64 = 0.4;
 
+/// fraction of the burst that late requests leave to those that can still be in time
+const RESERVED_FRACTION: f64 = 0.3;
+
 /// shortest retry delay: a fraction of the interval between two peer reports
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
--- a/crates/route/src/quota/quota.rs
+++ b/crates/route/src/quota/quota.rs
@@ -2,7 +2,10 @@
 
 use tokio::time::Instant;
 
-use super::{LARGE_REQUEST_FRACTION, Limit, MIN_RETRY_AFTER, PeerSpending, Refusal};
+use super::{
+    LARGE_REQUEST_FRACTION, Limit, MIN_RETRY_AFTER, PeerSpending, RESERVED_FRACTION, Refusal,
+    Timeliness,
+};
 
 /// fraction of the level that is split evenly between the daemons
 const EVEN_FRACTION: f64 = 0.4;
@@ -31,8 +34,9 @@
     assumed_peer_spent: f64,
     peers_updated_at: Instant,
     updated_at: Instant,
-    /// last refusal of the limit's owner
+    /// last refusals of the limit's owner, of requests that could be in time and of late ones
     refusal: Option<Refusal>,
+    late_refusal: Option<Refusal>,
 }
 
 impl Quota {
@@ -51,6 +55,7 @@
             peers_updated_at: now,
             updated_at: now,
             refusal: None,
+            late_refusal: None,
         }
     }
 
@@ -64,6 +69,7 @@
         }
         if limit != self.limit {
             self.refusal = None;
+            self.late_refusal = None;
         }
         self.limit = limit;
     }
@@ -91,10 +97,19 @@
     ///
     /// # Errors
     /// Returns the time until enough units are available.
-    pub fn spend(&mut self, units: f64, now: Instant) -> Result<(), Duration> {
+    pub fn spend(
+        &mut self,
+        units: f64,
+        timeliness: Timeliness,
+        now: Instant,
+    ) -> Result<(), Duration> {
         self.offer(units, now);
-        let largest_needed = LARGE_REQUEST_FRACTION * self.limit.burst * self.share;
-        let needed = units.min(largest_needed);
+        let own_burst = self.limit.burst * self.share;
+        let needed = units.min(LARGE_REQUEST_FRACTION * own_burst);
+        let needed = match timeliness {
+            Timeliness::InTime => needed,
+            Timeliness::Late => needed + RESERVED_FRACTION * own_burst,
+        };
         let is_ample = self.level > AMPLE_LEVEL_FRACTION * self.limit.burst;
         let is_small = is_ample && units <= SMALL_REQUEST_FRACTION * self.level;
         if needed <= self.budget || is_small {
@@ -122,23 +137,42 @@
     }
 
     /// records units that the limit's owner refused for a time
-    pub fn record_refused(&mut self, units: f64, wait: Duration, daemons: usize, now: Instant) {
+    pub fn record_refused(
+        &mut self,
+        (units, timeliness): (f64, Timeliness),
+        wait: Duration,
+        daemons: usize,
+        now: Instant,
+    ) {
         self.offer(units, now);
-        self.refusal = Some(Refusal::new(units, wait, daemons, now));
+        let refusal = Some(Refusal::new(units, wait, daemons, now));
+        match timeliness {
+            Timeliness::InTime => self.refusal = refusal,
+            Timeliness::Late => self.late_refusal = refusal,
+        }
     }
 
     /// the wait of a request that the owner need not be asked about, as it has just refused another
-    /// one that is not larger
-    pub fn known_refusal(&mut self, units: f64, now: Instant) -> Option<Duration> {
-        let wait = self.refusal.as_mut()?.apply(units, self.limit.rate, now)?;
+    /// one that is not larger, and in time if this one is
+    pub fn known_refusal(
+        &mut self,
+        units: f64,
+        timeliness: Timeliness,
+        now: Instant,
+    ) -> Option<Duration> {
+        let late = self.late_refusal.as_mut();
+        let late = late.filter(|_| timeliness == Timeliness::Late);
+        let mut refusals = late.into_iter().chain(&mut self.refusal);
+        let wait = refusals.find_map(|refusal| refusal.apply(units, self.limit.rate, now))?;
         self.offer(units, now);
         Some(wait)
     }
 
     /// units refused since the owner was asked last, of which it is told with the next request
     pub fn take_backlog(&mut self) -> f64 {
-        let refusal = self.refusal.take();
-        refusal.map_or(0.0, |refusal| refusal.backlog())
+        let refusals = [self.refusal.take(), self.late_refusal.take()];
+        let backlogs = refusals.iter().flatten().map(Refusal::backlog);
+        backlogs.sum()
     }
 
     /// the limit over all daemons
--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use route::quota::{Ledger, Limit, PeerSpending, Quota};
+use route::quota::{Ledger, Limit, PeerSpending, Quota, Timeliness};
 use tokio::time::Instant;
 
 /// interval between two reports of a daemon
@@ -72,7 +72,10 @@
         for _ in 0..rounds {
             for (daemon, (units, count)) in requests.iter().enumerate() {
                 for _ in 0..*count {
-                    if self.quotas[daemon].spend(*units, self.now).is_err() {
+                    if self.quotas[daemon]
+                        .spend(*units, Timeliness::InTime, self.now)
+                        .is_err()
+                    {
                         refused += 1;
                     }
                 }
@@ -115,9 +118,9 @@
     let mut fleet = Fleet::new(8);
     let now = fleet.now;
     let quota = &mut fleet.quotas[0];
-    assert!(quota.spend(40_000.0, now).is_ok());
-    assert!(quota.spend(200.0, now).is_ok());
-    assert!(quota.spend(40_000.0, now).is_err());
+    assert!(quota.spend(40_000.0, Timeliness::InTime, now).is_ok());
+    assert!(quota.spend(200.0, Timeliness::InTime, now).is_ok());
+    assert!(quota.spend(40_000.0, Timeliness::InTime, now).is_err());
 }
 
 #[test]
@@ -153,7 +156,7 @@
 fn daemons_without_reports_from_all_peers_take_an_even_share() {
     let now = Instant::now();
     let mut quota = Quota::new(LIMIT, 0.0, 1.0 / 8.0, now);
-    assert!(quota.spend(1_000.0, now).is_err());
+    assert!(quota.spend(1_000.0, Timeliness::InTime, now).is_err());
     let peers = PeerSpending {
         daemons: 8,
         is_partial: true,
@@ -171,9 +174,9 @@
 fn a_request_larger_than_the_bucket_is_served_when_the_bucket_is_full() {
     let now = Instant::now();
     let mut quota = Quota::new(LIMIT, LIMIT.burst, 0.125, now);
-    assert!(quota.spend(500_000.0, now).is_ok());
+    assert!(quota.spend(500_000.0, Timeliness::InTime, now).is_ok());
     let wait = quota
-        .spend(1_000.0, now)
+        .spend(1_000.0, Timeliness::InTime, now)
         .expect_err("request admitted although the level is negative");
     assert!(wait > Duration::from_secs(10), "{wait:?}");
 }
@@ -182,8 +185,12 @@
 fn daemons_that_restart_do_not_get_a_full_bucket_each_time() {
     let now = Instant::now();
     let mut quota = Quota::new(LIMIT, LIMIT.burst * 0.2, 1.0, now);
-    assert!(quota.spend(LIMIT.burst * 0.2, now).is_ok());
-    assert!(quota.spend(1_000.0, now).is_err());
+    assert!(
+        quota
+            .spend(LIMIT.burst * 0.2, Timeliness::InTime, now)
+            .is_ok()
+    );
+    assert!(quota.spend(1_000.0, Timeliness::InTime, now).is_err());
 }
 
 #[test]
@@ -195,8 +202,8 @@
         burst: 1_040.0,
     };
     quota.configure(lower, now);
-    assert!(quota.spend(1_000.0, now).is_ok());
-    assert!(quota.spend(1_000.0, now).is_err());
+    assert!(quota.spend(1_000.0, Timeliness::InTime, now).is_ok());
+    assert!(quota.spend(1_000.0, Timeliness::InTime, now).is_err());
 }
 
 proptest! {
@@ -206,7 +213,7 @@
         let mut fleet = Fleet::new(demands.len());
         for (quota, units) in fleet.quotas.iter_mut().zip(&demands) {
             // refused requests count as demand too
-            let _ = quota.spend(*units, fleet.now);
+            let _ = quota.spend(*units, Timeliness::InTime, fleet.now);
         }
         fleet.exchange();
         let shares: f64 = fleet.quotas.iter().map(Quota::share).sum();
@@ -222,11 +229,15 @@
     let units = LIMIT.burst * 0.2;
     let mut total = 0.0;
     for _ in 0..20 {
-        assert!(quota.spend(units, now).is_ok());
+        assert!(quota.spend(units, Timeliness::InTime, now).is_ok());
         assert!(quota.spent() >= total);
         total = quota.spent();
         quota.refund(units, now);
-        assert!(ledger.charge_peer("zone", units, now).is_ok());
+        assert!(
+            ledger
+                .charge_peer("zone", units, Timeliness::InTime, now)
+                .is_ok()
+        );
         ledger.refund_peer(units, now);
     }
     assert_eq!(total, units);
@@ -247,7 +258,11 @@
     let now = Instant::now();
     let mut ledger = Ledger::new(LIMIT, LIMIT.burst, 0.0, now);
     let units = LIMIT.burst * 0.1;
-    assert!(ledger.charge_peer("zone", units, now).is_ok());
+    assert!(
+        ledger
+            .charge_peer("zone", units, Timeliness::InTime, now)
+            .is_ok()
+    );
     ledger.record_reported(units, now);
     assert_eq!(ledger.level(), LIMIT.burst - units);
     ledger.record_reported(units, now);
--- a/crates/route/tests/quota_deputy.rs
+++ b/crates/route/tests/quota_deputy.rs
@@ -8,7 +8,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use route::quota::{Ledger, Limit, Quota};
+use route::quota::{Ledger, Limit, Quota, Timeliness};
 use tokio::time::Instant;
 
 const RATE: f64 = 6_000_000.0;
@@ -57,7 +57,10 @@
                 left -= units;
                 let index = usize::from(self.rng.random::<f64>() < DEPUTY_SHARE);
                 let (ledger, _) = &mut self.ledgers[index];
-                if ledger.charge_peer("zone", units, self.now).is_ok() {
+                if ledger
+                    .charge_peer("zone", units, Timeliness::InTime, self.now)
+                    .is_ok()
+                {
                     spent += units;
                 }
             }
@@ -135,14 +138,26 @@
     let at = |ms: u64| start + Duration::from_millis(ms);
     let mut quota = Quota::new(LIMIT, 0.0, 0.01, start);
     let wait = Duration::from_millis(800);
-    quota.record_refused(9_000.0, wait, 74, start);
-    let first = quota.known_refusal(9_000.0, at(10)).expect("a refusal");
-    let second = quota.known_refusal(20_000.0, at(10)).expect("a refusal");
+    quota.record_refused((9_000.0, Timeliness::InTime), wait, 74, start);
+    let first = quota
+        .known_refusal(9_000.0, Timeliness::InTime, at(10))
+        .expect("a refusal");
+    let second = quota
+        .known_refusal(20_000.0, Timeliness::InTime, at(10))
+        .expect("a refusal");
     assert!(
         first > Duration::from_millis(790),
         "{first:?}: behind the request that the owner refused"
     );
     assert!(second > first, "those refused later return later");
-    assert_eq!(quota.known_refusal(8_000.0, at(20)), None, "smaller");
-    assert_eq!(quota.known_refusal(9_000.0, at(186)), None, "too old");
+    assert_eq!(
+        quota.known_refusal(8_000.0, Timeliness::InTime, at(20)),
+        None,
+        "smaller"
+    );
+    assert_eq!(
+        quota.known_refusal(9_000.0, Timeliness::InTime, at(186)),
+        None,
+        "too old"
+    );
 }
--- a/crates/route/tests/quota_zones.rs
+++ b/crates/route/tests/quota_zones.rs
@@ -9,7 +9,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use route::quota::{Copied, Ledger, Limit, PeerSpending, Quota};
+use route::quota::{Copied, Ledger, Limit, PeerSpending, Quota, Timeliness};
 use tokio::time::Instant;
 
 const ZONES: usize = 6;
@@ -58,15 +58,21 @@
         now: Instant,
     ) -> bool {
         let Some(ledger) = ledger else {
-            return self.quota.spend(units, now).is_ok();
+            return self.quota.spend(units, Timeliness::InTime, now).is_ok();
         };
-        if self.quota.known_refusal(units, now).is_some() {
+        if self
+            .quota
+            .known_refusal(units, Timeliness::InTime, now)
+            .is_some()
+        {
             return false;
         }
-        let charged = ledger.charge_peer(&zone.to_string(), units, now);
+        let charged = ledger.charge_peer(&zone.to_string(), units, Timeliness::InTime, now);
         match charged {
             Ok(()) => self.quota.record_spent(units, now),
-            Err(wait) => self.quota.record_refused(units, wait, DAEMONS, now),
+            Err(wait) => self
+                .quota
+                .record_refused((units, Timeliness::InTime), wait, DAEMONS, now),
         }
         charged.is_ok()
     }
