--- a/crates/route/src/placement/candidate.rs
+++ b/crates/route/src/placement/candidate.rs
@@ -15,6 +15,10 @@
 use super::request::{Distance, Fetch, Pick, Request};
 use super::transfer::MIN_SAVING;
 
+/// fraction of the limit on the expected time up to which a response is in time anyway: a shorter wait is no
+/// reason to prefill again what a VM holds, and the rest is for what is not known yet
+const USUAL_FRACTION: f64 = 0.5;
+
 /// a request and the service for which a VM is chosen
 pub(super) struct Context<'a> {
     pub state: &'a Service,
@@ -145,8 +149,11 @@
             Distance::Zone | Distance::Region => self.state.spill.penalty(spill_draw(self.request)),
             Distance::Link => Duration::ZERO,
         };
+        let unloaded = vm.estimate.unloaded;
+        let in_time = self.request.time_limit.total.mul_f64(USUAL_FRACTION);
         let excess = level.excess(vm.reported_wait);
-        vm.estimate.unloaded + excess + region + self.penalty(vm.entry)
+        let excess = excess.saturating_sub(in_time.saturating_sub(unloaded));
+        unloaded + excess + region + self.penalty(vm.entry)
     }
 
     /// distance and failures of a VM, as time
