--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -5,7 +5,6 @@
 use tokio::sync::mpsc::{Receiver, channel};
 use tokio::time::Instant;
 
-use super::changes::exchange_changes;
 use super::following::follow_watchers;
 use super::join::{FOLLOW_METHOD, Message, join};
 use super::reporter::Reporter;
@@ -48,7 +47,6 @@
         receiving,
         reporter.run(),
         reporter.run_updates(),
-        exchange_changes(&shared, &peers, &node),
         evaluate_crashes(Rc::clone(&shared)),
         following,
         origin::send_records(&shared, &node),
@@ -98,11 +96,6 @@
                 }
             }
             Message::Ledger(copy) => restore_ledger(shared, &copy),
-            Message::Changes(changes, reply) => {
-                if reply.send(peers.receive_changes(shared, changes)).is_err() {
-                    tracing::debug!(event = "changes_given_up");
-                }
-            }
             Message::Charge(charge, reply) => {
                 if reply.send(rule_for_peer(shared, &charge)).is_err() {
                     tracing::debug!(event = "charge_given_up", workspace = charge.workspace);
--- a/crates/gateway/src/peers/join.rs
+++ b/crates/gateway/src/peers/join.rs
@@ -6,12 +6,10 @@
 use peer::Node;
 use rand::Rng;
 use route::origin::{Batch, Origin};
-use route::placement::Changes;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
-use super::changes::{CHANGES_METHOD, LoadChanges};
 use super::entries::{DAEMON_KIND, Entries, Keys};
 use super::report::{Answer, Report, Update};
 use crate::adapter::{Dialect, ObjectError, Objects};
@@ -40,7 +38,6 @@
     Ledger(LedgerCopy),
     Records(Batch),
     Origin(u64, oneshot::Sender<Option<Origin>>),
-    Changes(LoadChanges, oneshot::Sender<Option<Changes>>),
 }
 
 /// time for which a daemon that starts waits for the peers to write the keys
@@ -143,7 +140,6 @@
     });
     added.expect("the names are distinct");
     add_origin_methods(&mut module, &sender);
-    add_changes_method(&mut module, &sender);
     let update_sender = sender.clone();
     let added = module.register_async_method(REPORT_METHOD, move |params, _, _| {
         let (sender, freshness) = (sender.clone(), freshness.clone());
@@ -193,23 +189,6 @@
     added.expect("the names are distinct");
 }
 
-/// adds the method by which daemons exchange changes of loads
-fn add_changes_method(module: &mut RpcModule<()>, sender: &Sender<Message>) {
-    let sender = sender.clone();
-    let added = module.register_async_method(CHANGES_METHOD, move |params, _, _| {
-        let sender = sender.clone();
-        async move {
-            let changes: LoadChanges = params.one()?;
-            let (reply, others) = oneshot::channel();
-            enqueue(&sender, Message::Changes(changes, reply));
-            // none if the message was dropped
-            let others = others.await.unwrap_or_default();
-            Ok::<Option<Changes>, jsonrpsee::types::ErrorObjectOwned>(others)
-        }
-    });
-    added.expect("the names are distinct");
-}
-
 fn enqueue(sender: &Sender<Message>, message: Message) {
     if sender.try_send(message).is_err() {
         tracing::debug!(event = "peer_not_heard", cause = "message queue is full");
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,9 +6,7 @@
 //! reports to the two delegates of its zone, one of which answers with the sum of all other
 //! daemons; delegates exchange the sums of their zones ([`Topology`]). So the number of messages
 //! grows with the number of daemons and of pairs of zones, and a report reaches all in three steps.
-//! Changes of loads are exchanged in between (`changes`).
 
-mod changes;
 mod entries;
 mod exchange;
 mod following;
@@ -21,7 +19,6 @@
 mod state;
 mod topology;
 
-pub use changes::{LoadChanges, Log};
 pub use exchange::exchange_reports;
 pub use following::follow_watchers;
 pub use interval::{counts_age, report_interval};
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -7,7 +7,6 @@
 use route::placement::{Measurement, Rate};
 use tokio::time::Instant;
 
-use super::changes::Log;
 use super::interval::counts_age;
 use super::report::{Report, Scope};
 use super::reports::Reports;
@@ -24,8 +23,6 @@
 pub struct Peers {
     pub(super) reports: RefCell<Reports>,
     pub(super) node: RefCell<Option<Node>>,
-    /// changes of loads to be passed on
-    pub(super) changes: RefCell<Log>,
 }
 
 impl Peers {
@@ -38,7 +35,6 @@
         Rc::new(Peers {
             reports: RefCell::new(Reports::new(me)),
             node: RefCell::default(),
-            changes: RefCell::default(),
         })
     }
 
--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -3,7 +3,6 @@
 
 use tokio::time::Instant;
 
-use super::changes::{Change, Recent};
 use super::completion::{Completion, Outcome};
 use super::cost::{MIN_RETRY_AFTER, tokens};
 use super::entry::Entry;
@@ -61,8 +60,6 @@
     pending_prefills: Vec<Prefill>,
     pub(super) daemons: u32,
     pub(super) report_interval: Duration,
-    /// what peers have changed since their reports
-    pub(super) recent: Recent,
     /// demand of the peers' callers by service
     pub(super) peer_rates: HashMap<String, Rate>,
     /// until when peers that have not reported are assumed to send as much as this daemon
@@ -91,7 +88,6 @@
                 }
                 Some(entry) => Entry {
                     local: entry.local,
-                    told_units: entry.told_units,
                     ..Entry::new(member)
                 },
                 None => Entry::new(member),
@@ -149,31 +145,6 @@
             .collect()
     }
 
-    /// returns the changes of the work that this daemon has sent to VMs, since the last call
-    pub fn take_changes(&mut self) -> Vec<Change> {
-        let mut changes = Vec::new();
-        for state in self.services.values_mut() {
-            for entry in state.entries.values_mut() {
-                let units = entry.units();
-                let added = units.saturating_sub(entry.told_units);
-                if added != 0 {
-                    entry.told_units = units;
-                    let units = added.clamp(i16::MIN.into(), i16::MAX.into()) as i32;
-                    changes.push(Change {
-                        vm: entry.key,
-                        units,
-                    });
-                }
-            }
-        }
-        changes
-    }
-
-    /// adds changes of the work that peers have sent to VMs, of this zone or of another one
-    pub fn add_peer_changes(&mut self, changes: Vec<Change>, is_remote: bool, now: Instant) {
-        self.recent.add(changes, is_remote, now);
-    }
-
     /// counts a caller's request for a service, with the tokens to prefill
     pub fn record_demand(&mut self, service: &str, prefill_tokens: u32, now: Instant) {
         let state = self.services.entry(service.to_owned()).or_default();
--- a/crates/route/src/placement/entry.rs
+++ b/crates/route/src/placement/entry.rs
@@ -2,7 +2,6 @@
 
 use tokio::time::Instant;
 
-use super::changes::{TOKENS_PER_UNIT, key};
 use super::health::Health;
 use super::load::Load;
 use super::member::Member;
@@ -22,11 +21,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Entry {
     pub member: Member,
-    /// the VM in messages about changes
-    pub key: u32,
     pub local: Load,
-    /// units of its work that peers know of
-    pub told_units: i64,
     pub prefix_cache: PrefixCache,
     pub health: Health,
     pub response_time: ResponseTime,
@@ -43,10 +38,8 @@
 impl Entry {
     pub fn new(member: Member) -> Entry {
         Entry {
-            key: key(&member.id),
             member,
             local: Load::default(),
-            told_units: 0,
             prefix_cache: PrefixCache::default(),
             health: Health::new(),
             response_time: ResponseTime::default(),
@@ -58,35 +51,6 @@
         }
     }
 
-    /// units of the work that this daemon has sent there
-    pub fn units(&self) -> i64 {
-        let units = match self.member.cache_tokens {
-            Some(_) => self.local.prefill_tokens / TOKENS_PER_UNIT,
-            None => u64::from(self.local.running),
-        };
-        i64::try_from(units).unwrap_or(i64::MAX)
-    }
-
-    /// a load with some units of work added
-    pub fn changed(&self, load: Load, units: i64) -> Load {
-        match self.member.cache_tokens {
-            Some(_) => {
-                let tokens = units.saturating_mul(TOKENS_PER_UNIT as i64);
-                Load {
-                    prefill_tokens: load.prefill_tokens.saturating_add_signed(tokens),
-                    ..load
-                }
-            }
-            None => {
-                let requests = units.clamp(i32::MIN.into(), i32::MAX.into()) as i32;
-                Load {
-                    running: load.running.saturating_add_signed(requests),
-                    ..load
-                }
-            }
-        }
-    }
-
     /// time from which the VM accepts requests of this daemon; none if it does now
     pub fn opens_at(&self, now: Instant) -> Option<Instant> {
         let throttled = self.throttle.as_ref().map(|throttle| {
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -20,8 +20,6 @@
 //!   busy in the last report, all would choose the same one and avoid those that have become
 //!   idle since. So the prefill of reported load is assumed to continue, and requests are spread
 //!   over VMs whose expected times hardly differ.
-//! * Long prompts that other daemons have sent within the last second are not in their reports. Changes of
-//!   loads are exchanged in between (`changes`).
 //! * The same between tens of daemons, whose reports are a second old: what all of them send meanwhile is
 //!   assumed to fill the VMs up evenly (`levels`).
 //! * Requests wait longer than the reports show. What they wait beyond the expected time is measured and
@@ -59,7 +57,6 @@
 mod balancer;
 mod candidate;
 mod candidates;
-mod changes;
 mod choose;
 mod completion;
 mod cost;
@@ -86,7 +83,6 @@
 
 pub use admission::{Caller, Kind, plain_time_limit, retry_after, time_limit};
 pub use balancer::Balancer;
-pub use changes::{Change, Changes};
 pub use completion::{Completion, Outcome};
 pub use engine::Timing;
 pub use learner::{Measurement, Sample};
--- a/crates/route/src/placement/peer_loads.rs
+++ b/crates/route/src/placement/peer_loads.rs
@@ -25,9 +25,6 @@
 /// age of a load when it arrives, in report intervals: reports of other zones pass two delegates
 const REPORT_DELAY_INTERVALS: f64 = 1.4;
 
-/// age of a change when it arrives, as it waits for the next message of two daemons
-const CHANGES_DELAY: Duration = Duration::from_millis(150);
-
 /// number of daemons up to which all report to each other directly, and loads are half a second old
 pub(super) const MAX_DIRECT_DAEMONS: u32 = 12;
 
@@ -110,9 +107,6 @@
 
     /// age of the loads in the peers' last reports
     pub(super) fn reports_age(&self, now: Instant) -> Duration {
-        if let Some(age) = self.recent.age(now) {
-            return age + CHANGES_DELAY;
-        }
         let received = self.peer_loads.values().map(|report| report.received_at);
         let age = received
             .max()
@@ -135,7 +129,6 @@
             loads,
         };
         self.peer_loads.insert(peer.to_owned(), report);
-        self.recent.rebase(self.report_interval, now);
         let ttl = self.peer_load_ttl();
         self.peer_loads
             .retain(|_, report| now.saturating_duration_since(report.received_at) < ttl);
@@ -175,21 +168,14 @@
     /// room got the requests of all daemons until the next report, 56 at once where others had 4. So
     /// while capacity is short, what peers have sent counts as evenly spread.
     pub(super) fn load(&self, service: &str, entry: &Entry, timing: &Timing, now: Instant) -> Load {
-        if self.recent.age(now).is_some() {
-            return self.reported_load(service, entry, now);
-        }
         self.load_at(service, entry, now, |load, age| {
             timing.after_prefill(load, age)
         })
     }
 
-    /// returns the local load at a VM and the one that was last reported, with its changes since then
+    /// returns the local load at a VM and the one that was last reported
     pub(super) fn reported_load(&self, service: &str, entry: &Entry, now: Instant) -> Load {
-        let load = self.load_at(service, entry, now, |load, _| *load);
-        match self.recent.age(now) {
-            Some(_) => entry.changed(load, self.recent.units(entry.key)),
-            None => load,
-        }
+        self.load_at(service, entry, now, |load, _| *load)
     }
 
     fn load_at(
