--- a/crates/route/src/placement/balancer.rs
+++ b/crates/route/src/placement/balancer.rs
@@ -12,6 +12,7 @@
 use super::member::Member;
 use super::peer_loads::PeerLoads;
 use super::plain::ResponseTime;
+use super::popularity::Popularity;
 use super::prefix_cache::Prefill;
 use super::request::{Fetch, Request};
 use super::speed::Baseline;
@@ -46,6 +47,8 @@
     pub excess_there: Excess,
     /// requests that leave this region
     pub spill: Spill,
+    /// prompts that make up much of the traffic
+    pub popularity: Popularity,
     /// whether its capacity is short
     pub is_short: bool,
     /// what this daemon has in flight at all VMs
@@ -219,6 +222,9 @@
             .parts
             .split_last()
             .map_or(&[][..], |(_, shared)| shared);
+        if let Some((part, _)) = shared.last() {
+            state.popularity.count(*part, now);
+        }
         let is_uncached = entry.prefix_cache.cached(shared) < tokens(shared);
         let room = capacity.saturating_sub(held.saturating_add(work.held.into()));
         entry
--- a/crates/route/src/placement/candidate.rs
+++ b/crates/route/src/placement/candidate.rs
@@ -15,13 +15,13 @@
 use super::request::{Distance, Fetch, Pick, Request};
 use super::transfer::MIN_SAVING;
 
-/// fraction of the limit on the expected time up to which a response is in time anyway: a shorter wait is no
-/// reason to prefill again what a VM holds, and the rest is for what is not known yet
-const USUAL_FRACTION: f64 = 0.5;
+/// requests that wait for the prefill of a request besides itself, on average: at three quarters of an
+/// engine's capacity, its queue is 0.75 / (1 - 0.75) requests long
+pub(super) const DELAYED_REQUESTS: u32 = 3;
 
-/// requests that wait for the prefill of a request besides itself, on average: at 0.7 of an engine's capacity,
-/// its queue is 0.7 / (1 - 0.7) requests long
-pub(super) const DELAYED_REQUESTS: u32 = 2;
+/// fraction of the limit on the expected time up to which a response is in time anyway: a shorter wait is no
+/// reason to prefill again what a VM holds. The rest is for requests that are not known yet
+const USUAL_FRACTION: f64 = 0.25;
 
 /// a request and the service for which a VM is chosen
 pub(super) struct Context<'a> {
@@ -157,11 +157,8 @@
         let in_time = self.request.time_limit.total.mul_f64(USUAL_FRACTION);
         let excess = level.excess(vm.reported_wait);
         let excess = excess.saturating_sub(in_time.saturating_sub(unloaded));
-        let prefill = self
-            .state
-            .learner
-            .timing()
-            .prefill_time(vm.estimate.uncached.into());
+        let timing = self.state.learner.timing();
+        let prefill = timing.prefill_time(vm.estimate.uncached.into());
         unloaded + prefill * DELAYED_REQUESTS + excess + region + self.penalty(vm.entry)
     }
 
--- a/crates/route/src/placement/choose.rs
+++ b/crates/route/src/placement/choose.rs
@@ -7,7 +7,7 @@
 use super::balancer::{Balancer, Service};
 use super::candidate::{Context, Fetchers};
 use super::candidates::{Candidate, Selection};
-use super::cost::{MIN_RETRY_AFTER, closed, distance_penalty, full, preferred_vm, spread};
+use super::cost::{MIN_RETRY_AFTER, closed, distance_penalty, full, preferred_vm, spread, tokens};
 use super::entry::Entry;
 use super::levels::Level;
 use super::load::Rate;
@@ -88,6 +88,7 @@
             fetchers.add(entry, load, cached, is_last_resort);
         }
         let limit = request.time_limit;
+        self.add_unreported(&context, &mut open);
         let level = self.level(&context, &open);
         let selection = context.select(open, level);
         match (selection, at_limit, opens_at) {
@@ -123,6 +124,35 @@
         Some(Level::new(waits, arriving))
     }
 
+    /// adds to the waits what peers are likely to have sent with the same prompt since their reports: it
+    /// goes to the VMs that hold the prompt
+    fn add_unreported(&self, context: &Context<'_>, candidates: &mut [Candidate<'_>]) {
+        let (state, request) = (context.state, context.request);
+        let Some(((_, unshared), shared)) = request.parts.split_last() else {
+            return;
+        };
+        let (Some((part, _)), true) = (shared.last(), context.are_reports_old) else {
+            return;
+        };
+        let age = self.reports_age(context.now);
+        let peers = self.daemons.saturating_sub(1);
+        let requests = state.popularity.requests(*part, peers, age, context.now);
+        let held = tokens(shared);
+        let holders = || candidates.iter().filter(|vm| vm.estimate.cached >= held);
+        let count = holders().count();
+        if count == 0 {
+            return;
+        }
+        let each = state.learner.timing().prefill_time(u64::from(*unshared));
+        let sent = each.mul_f64(requests / count as f64);
+        for vm in candidates
+            .iter_mut()
+            .filter(|vm| vm.estimate.cached >= held)
+        {
+            vm.reported_wait += sent;
+        }
+    }
+
     /// sets the demand of the peers' callers for a service, and derives from the last reports which
     /// requests leave this region
     pub fn set_peer_rate(&mut self, service: &str, rate: Rate, now: Instant) {
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -71,6 +71,7 @@
 mod member;
 mod peer_loads;
 mod plain;
+mod popularity;
 mod prefix_cache;
 mod request;
 mod returns;
