--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -151,7 +151,7 @@
                 tracing::info!(
                     event = "engines_measured",
                     service,
-                    is_learned = placement.learned(&service).is_some(),
+                    is_learned = placement.learned(service).is_some(),
                     tokens_per_ms = timing.tokens_per_ms,
                     base_ms = timing.base.as_millis() as u64,
                     slot_ms = timing.slot_time.as_millis() as u64,
--- a/crates/gateway/tests/limit_owners.rs
+++ b/crates/gateway/tests/limit_owners.rs
@@ -12,6 +12,7 @@
 use gateway::limits::{Charge, Owner, Ruling, charge, rule_for_peer};
 use gateway::model::{Config, Limit, Unit, Workspace};
 use gateway::peers::{Peers, exchange_reports};
+use route::quota::Timeliness;
 use support::{FakeStore, Harness, config, run, settings};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -110,7 +111,7 @@
     let mut granted = 0;
     for _ in 0..times {
         let started = Instant::now();
-        let charged = charge(&daemon.shared, WORKSPACE, 1.0).await;
+        let charged = charge(&daemon.shared, WORKSPACE, 1.0, Timeliness::InTime).await;
         let took = started.elapsed();
         assert!(took < DECISION_TIME, "decided after {took:?}");
         granted += usize::from(charged.is_ok());
@@ -134,7 +135,10 @@
             let granted = Rc::clone(&granted);
             tasks.push(spawn_local(async move {
                 for _ in 0..10 {
-                    if charge(&shared, WORKSPACE, 1.0).await.is_ok() {
+                    if charge(&shared, WORKSPACE, 1.0, Timeliness::InTime)
+                        .await
+                        .is_ok()
+                    {
                         granted.set(granted.get() + 1);
                     }
                 }
@@ -158,8 +162,8 @@
         let busy = &daemons[(owner + 1) % DAEMONS];
         charge_times(busy, 41).await;
         let waits = [
-            charge(&busy.shared, WORKSPACE, 1.0).await,
-            charge(&busy.shared, WORKSPACE, 1.0).await,
+            charge(&busy.shared, WORKSPACE, 1.0, Timeliness::InTime).await,
+            charge(&busy.shared, WORKSPACE, 1.0, Timeliness::InTime).await,
         ];
         let [Err(first), Err(second)] = waits else {
             panic!("granted beyond the limit: {waits:?}");
@@ -237,6 +241,7 @@
             zone: "zone-0".to_owned(),
             units: 1.0,
             refused: 0.0,
+            is_late: false,
         };
         let other = &daemons[(owner + 1) % DAEMONS];
         assert_eq!(rule_for_peer(&other.shared, &charge), Ruling::NotOwner);
--- a/crates/route/src/placement/candidate.rs
+++ b/crates/route/src/placement/candidate.rs
@@ -197,12 +197,13 @@
 }
 
 impl<'a> Fetchers<'a> {
-    /// adds a VM that may be chosen and holds so many tokens of the prompt
-    pub fn add(&mut self, entry: &'a Entry, load: Load, cached: u32, is_last_resort: bool) {
-        if entry.member.transfer.is_none() || is_last_resort {
+    /// adds a VM that may be chosen
+    pub fn add(&mut self, candidate: &Candidate<'a>) {
+        let (entry, cached) = (candidate.entry, candidate.estimate.cached);
+        if entry.member.transfer.is_none() || candidate.is_last_resort {
             return;
         }
-        self.entries.push((entry, load, cached));
+        self.entries.push((entry, candidate.load, cached));
         if cached > self.holder.map_or(0, |(most, _)| most) {
             self.holder = Some((cached, entry));
         }
--- a/crates/route/src/placement/choose.rs
+++ b/crates/route/src/placement/choose.rs
@@ -65,27 +65,11 @@
                 at_limit = Some(entry.member.id.clone());
                 continue;
             }
-            let is_avoided = request.avoid.contains(&entry.member.id);
-            let is_last_resort = is_avoided || entry.health.is_suspect(now);
-            let load = self.load(request.service, entry, &state.timing(entry, now), now);
-            let cached = entry.prefix_cache.cached(request.parts);
-            let estimate = context.estimate(entry, &load, cached, (0, Duration::ZERO));
-            let reported_wait = if context.are_reports_old {
-                let load = self.reported_load(request.service, entry, now);
-                state.wait(entry, &load, now)
-            } else {
-                Duration::ZERO
-            };
             let preferred = preferred.filter(|preferred| preferred.id == entry.member.id);
-            open.push(Candidate {
-                entry,
-                load,
-                estimate,
-                reported_wait,
-                bonus: preferred.map_or(Duration::ZERO, |vm| vm.bonus),
-                is_last_resort,
-            });
-            fetchers.add(entry, load, cached, is_last_resort);
+            let bonus = preferred.map_or(Duration::ZERO, |vm| vm.bonus);
+            let candidate = self.candidate(&context, entry, bonus);
+            fetchers.add(&candidate);
+            open.push(candidate);
         }
         let limit = request.time_limit;
         self.add_unreported(&context, &mut open);
@@ -113,6 +97,33 @@
         }
     }
 
+    /// a VM that accepts a request, with its expected times
+    fn candidate<'a>(
+        &self,
+        context: &Context<'_>,
+        entry: &'a Entry,
+        bonus: Duration,
+    ) -> Candidate<'a> {
+        let (state, request, now) = (context.state, context.request, context.now);
+        let is_avoided = request.avoid.contains(&entry.member.id);
+        let load = self.load(request.service, entry, &state.timing(entry, now), now);
+        let cached = entry.prefix_cache.cached(request.parts);
+        let reported_wait = if context.are_reports_old {
+            let load = self.reported_load(request.service, entry, now);
+            state.wait(entry, &load, now)
+        } else {
+            Duration::ZERO
+        };
+        Candidate {
+            entry,
+            load,
+            estimate: context.estimate(entry, &load, cached, (0, Duration::ZERO)),
+            reported_wait,
+            bonus,
+            is_last_resort: is_avoided || entry.health.is_suspect(now),
+        }
+    }
+
     /// the level up to which VMs are assumed to have been filled since the reports; none if the reports
     /// are recent, as between a few daemons
     fn level(&self, context: &Context<'_>, candidates: &[Candidate<'_>]) -> Option<Level> {
--- a/crates/route/tests/admission/cluster.rs
+++ b/crates/route/tests/admission/cluster.rs
@@ -9,8 +9,8 @@
 use rand_chacha::ChaCha8Rng;
 use route::fairness::{Attempt as Share, Demands, Fairness, work};
 use route::placement::{
-    Balancer, Caller, Choice, Completion, Distance, Kind, Load, Member, Outcome, Pick, Rate,
-    Refused, Request, Returns, Sample, Work, time_limit,
+    Balancer, Caller, Choice, Completion, Distance, Full, Kind, Load, Member, Outcome, Pick, Rate,
+    Refused, Request, Returns, Sample, TimeLimit, Work, time_limit,
 };
 use tokio::time::Instant;
 
@@ -337,16 +337,7 @@
             ..Caller::new(Some(left), timeout, Duration::ZERO)
         };
         let parts = [(draw, tokens)];
-        let request = Request {
-            service: SERVICE,
-            parts: &parts,
-            prompt_tokens: tokens,
-            output_tokens: 100,
-            time_limit: time_limit(kind, &kinds, &caller),
-            draw,
-            avoid: &[],
-            version: None,
-        };
+        let request = request(&parts, time_limit(kind, &kinds, &caller));
         let now = self.now();
         let Daemon {
             balancer,
@@ -363,11 +354,7 @@
         let pick = match choice {
             Choice::Send(pick) => pick,
             Choice::Full(full) => {
-                let refused = Refused {
-                    available_in: full.available_in,
-                    left,
-                    draw,
-                };
+                let refused = refused(&full, left, draw);
                 let delay = returns.delay(SERVICE, kind.priority, &refused, now);
                 return self.refuse(id, delay, left);
             }
@@ -379,17 +366,18 @@
             held: pick.uncached + 100,
         };
         balancer.begin(&request, &pick.id, &work, now);
-        let at_us = self.now_us;
-        self.run_request(id, &pick.id, tokens, pick.distance);
-        self.attempts[id].sent = Some(Sent {
+        let sent = Sent {
             daemon: index,
             work,
             pick,
-            at_us,
-        });
+            at_us: self.now_us,
+        };
+        self.run_request(id, tokens, &sent.pick);
+        self.attempts[id].sent = Some(sent);
     }
 
-    fn run_request(&mut self, id: usize, vm: &str, tokens: u32, distance: Distance) {
+    fn run_request(&mut self, id: usize, tokens: u32, pick: &Pick) {
+        let (vm, distance) = (&pick.id, pick.distance);
         let now = self.now_ms();
         let link = if distance == Distance::Link {
             LINK_MS
@@ -480,6 +468,28 @@
     }
 }
 
+fn request(parts: &[(u64, u32); 1], time_limit: TimeLimit) -> Request<'_> {
+    let [(draw, tokens)] = *parts;
+    Request {
+        service: SERVICE,
+        parts,
+        prompt_tokens: tokens,
+        output_tokens: 100,
+        time_limit,
+        draw,
+        avoid: &[],
+        version: None,
+    }
+}
+
+fn refused(full: &Full, left: Duration, draw: u64) -> Refused {
+    Refused {
+        available_in: full.available_in,
+        left,
+        draw,
+    }
+}
+
 /// an attempt as the shares see it
 fn share<'a>(source: &Source, attempt: &Attempt) -> Share<'a> {
     Share {
--- a/crates/route/tests/placement/cluster.rs
+++ b/crates/route/tests/placement/cluster.rs
@@ -8,8 +8,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use route::placement::{
-    Balancer, Choice, Completion, Distance, Load, Measurement, Outcome, Prefill, Rate, Request,
-    Sample, Timing, Work,
+    Balancer, Choice, Completion, Distance, Load, Measurement, Outcome, Pick, Prefill, Rate,
+    Request, Sample, Timing, Work,
 };
 use tokio::time::Instant;
 
@@ -178,13 +178,7 @@
             ..request(&parts, &[])
         };
         self.summary.requests += u32::from(is_counted);
-        let choice = self.balancers[daemon].choose(&request, now);
-        let uncached = match &choice {
-            Choice::Send(pick) => pick.uncached,
-            _ => unshared,
-        };
-        self.balancers[daemon].record_demand(SERVICE, uncached, now);
-        let Choice::Send(pick) = choice else {
+        let Some(pick) = self.choose(daemon, &request, now) else {
             self.summary.refused += u32::from(is_counted);
             return;
         };
@@ -231,6 +225,19 @@
         self.jobs.insert(number, job);
     }
 
+    /// the VM that a daemon chooses; none if the request is refused
+    fn choose(&mut self, daemon: usize, request: &Request<'_>, now: Instant) -> Option<Pick> {
+        let balancer = &mut self.balancers[daemon];
+        let choice = balancer.choose(request, now);
+        let unshared = request.parts.last().map_or(0, |(_, tokens)| *tokens);
+        let (pick, uncached) = match choice {
+            Choice::Send(pick) => (Some(pick.clone()), pick.uncached),
+            _ => (None, unshared),
+        };
+        balancer.record_demand(SERVICE, uncached, now);
+        pick
+    }
+
     fn handle(&mut self) {
         let Some(Reverse((us, is_end, number))) = self.events.pop() else {
             return;
