--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,9 @@
     pub versions: IntCounterVec,
     /// fraction of a workspace's demand within its share, in thousandths, while capacity is short
     pub shares: IntGaugeVec,
+    /// wait beyond the expected one in this daemon's region, milliseconds, and part of the requests that leave
+    /// it, thousandths, by service
+    pub placement: IntGaugeVec,
     /// current values by name, such as the configuration's version and age
     pub states: IntGaugeVec,
 }
@@ -79,6 +82,12 @@
             "Part of a workspace's demand within its share of a service while capacity is short.",
             &["service", "workspace"],
         );
+        let placement = gauge(
+            &registry,
+            "agateloom_placement",
+            "Wait beyond the expected one (excess_ms) and requests sent to the other region (spill_permille).",
+            &["service", "value"],
+        );
         Metrics {
             registry,
             requests,
@@ -91,6 +100,7 @@
             calls,
             versions,
             shares,
+            placement,
             states,
         }
     }
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -185,7 +185,7 @@
     }
 }
 
-/// tells placement the demand of the peers' callers
+/// tells placement the demand of the peers' callers, and shows what follows in the metrics
 fn set_peer_rates<D: Dialect>(shared: &Shared<D>, reports: &Reports, now: Instant) {
     let Some(config) = shared.config() else {
         return;
@@ -193,5 +193,15 @@
     let mut placement = shared.placement.borrow_mut();
     for service in config.services.keys() {
         placement.set_peer_rate(service, reports.rate(service, now), now);
+        let (excess, spill) = placement.excess_and_spill(service, now);
+        let values = [
+            ("excess_ms", excess.as_secs_f64() * 1000.0),
+            ("spill_permille", spill * 1000.0),
+        ];
+        for (name, value) in values {
+            let gauge = &shared.metrics.placement;
+            let gauge = gauge.with_label_values(&[service.as_str(), name]);
+            gauge.set(value.round() as i64);
+        }
     }
 }
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -131,6 +131,7 @@
         output_tokens = request.call.output_tokens(),
         uncached_tokens = uncached,
         cached_tokens = pick.map(|pick| pick.cached),
+        excess_ms = pick.map(|pick| pick.excess.as_millis() as u64),
         prompt = pick.map(prompt_choice),
         fetch_from = pick.and_then(|pick| Some(&pick.fetch.as_ref()?.from)),
         fetch_tokens = pick.and_then(|pick| Some(pick.fetch.as_ref()?.tokens)),
--- a/crates/route/src/placement/choose.rs
+++ b/crates/route/src/placement/choose.rs
@@ -197,6 +197,15 @@
         }
     }
 
+    /// returns the measured wait beyond the expected one in this region, and the fraction of the requests that
+    /// leave it
+    pub fn excess_and_spill(&self, service: &str, now: Instant) -> (Duration, f64) {
+        let state = self.services.get(service);
+        state.map_or((Duration::ZERO, 0.0), |state| {
+            (state.excess_here.current(now), state.spill.fraction())
+        })
+    }
+
     /// time that one VM takes for what the peers have sent since their reports
     fn arriving(&self, state: &Service, service: &str, now: Instant) -> Duration {
         let rate = self.peer_rates.get(service).copied().unwrap_or_default();
--- a/crates/route/src/placement/spill.rs
+++ b/crates/route/src/placement/spill.rs
@@ -59,6 +59,11 @@
             .max(link);
     }
 
+    /// fraction of the requests that leave this region
+    pub fn fraction(&self) -> f64 {
+        self.fraction
+    }
+
     /// what speaks against the VMs of this region for a request with a draw from 0 to 1
     pub fn penalty(&self, draw: f64) -> Duration {
         if draw < self.fraction {
