--- a/review/rig-2/case.rs
+++ b/review/rig-2/case.rs
@@ -37,8 +37,8 @@
     thread::sleep(Duration::from_millis(ms));
 }
 
-/// ten model servers of one version, three daemons and a manifest; servers 1 to 3 and daemon 1 are in
-/// the first zone
+/// ten model servers of one version, three daemons and a manifest; servers 1 to 3 are in the zone of
+/// daemon 1
 fn deployment(attempts: u32) -> io::Result<World> {
     let mut world = World::new()?;
     world.configure(7, attempts);
@@ -72,7 +72,10 @@
     let (sender, answers) = mpsc::channel();
     let address = world.daemon(daemon);
     for attempt in attempts {
-        world.note(&format!("client sends {} {} to daemon {daemon}", attempt.id, attempt.target));
+        world.note(&format!(
+            "client sends {} {} to daemon {daemon}",
+            attempt.id, attempt.target
+        ));
         let sender = sender.clone();
         thread::spawn(move || sender.send(attempt.send(address)));
     }
@@ -88,7 +91,11 @@
 }
 
 fn note_answer(world: &World, answer: &Answer) {
-    let events: Vec<&str> = answer.events.iter().map(|(_, data)| data.as_str()).collect();
+    let events: Vec<&str> = answer
+        .events
+        .iter()
+        .map(|(_, data)| data.as_str())
+        .collect();
     world.note(&format!(
         "client got {}: status {}, complete {}, {} ms, events: {}",
         answer.id,
@@ -139,7 +146,9 @@
     }
     let joined = count_joined(&world, short.iter().chain(long.iter()));
     note_runs(&world);
-    world.note(&format!("streams with events of two versions: {joined} (two are allowed)"));
+    world.note(&format!(
+        "streams with events of two versions: {joined} (two are allowed)"
+    ));
     println!("streams with events of two versions: {joined} (two are allowed)");
     Ok(joined <= 2)
 }
@@ -185,7 +194,9 @@
         }
     }
     note_runs(&world);
-    world.note(&format!("streams in which a piece is missing or comes twice: {gaps}"));
+    world.note(&format!(
+        "streams in which a piece is missing or comes twice: {gaps}"
+    ));
     println!("streams in which a piece is missing or comes twice: {gaps}");
     Ok(gaps == 0)
 }
@@ -229,13 +240,43 @@
     let mut joined = 0;
     for answer in answers {
         note_answer(world, &answer);
-        let versions = answer.events.iter().filter_map(|(_, data)| data.split(' ').next());
+        let versions = answer
+            .events
+            .iter()
+            .filter_map(|(_, data)| data.split(' ').next());
         let versions: BTreeSet<&str> = versions.collect();
         joined += usize::from(versions.len() > 1);
     }
     joined
 }
 
+/// servers that have crashed
+#[derive(Default)]
+struct Crashes {
+    at: Vec<Instant>,
+    down: Vec<(String, Instant)>,
+}
+
+impl Crashes {
+    /// notes crashes, and starts crashed servers again after three seconds
+    fn keep(&mut self, world: &mut World) -> io::Result<()> {
+        for server in 1..=SERVERS {
+            let id = format!("i-{server}");
+            if world.has_ended(&id) {
+                self.at.push(Instant::now());
+                world.note(&format!("{id} has crashed, crash {}", self.at.len()));
+                world.kill(&id);
+                self.down.push((id, Instant::now()));
+            }
+        }
+        let is_due = |(_, at): &mut (String, Instant)| at.elapsed() > Duration::from_secs(3);
+        for (id, _) in self.down.extract_if(.., is_due).collect::<Vec<_>>() {
+            world.restart_server(&id, "v1")?;
+        }
+        Ok(())
+    }
+}
+
 /// shared parts of each prompt besides the first: the sections of a transcript
 const SECTIONS: u64 = 60;
 
@@ -244,25 +285,33 @@
 fn deadly() -> io::Result<bool> {
     const SECONDS: u64 = 26;
     const PAUSE_MS: u64 = 30;
-    let sections: u64 = std::env::var("SECTIONS").ok().and_then(|text| text.parse().ok()).unwrap_or(SECTIONS);
+    let sections: u64 = std::env::var("SECTIONS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(SECTIONS);
     let mut world = deployment(2)?;
     let trouble = has_trouble();
     let (sender, answers) = mpsc::channel();
     let mut number: u64 = 0;
     let mut sent: Vec<(String, Instant)> = Vec::new();
-    let mut down: Vec<(String, Instant)> = Vec::new();
-    let mut crashes: Vec<Instant> = Vec::new();
+    let mut crashes = Crashes::default();
     let begin = Instant::now();
     while begin.elapsed() < Duration::from_secs(SECONDS) {
         number += 1;
         let daemon = 1 + (number % DAEMONS as u64) as usize;
         let is_deadly = trouble && number % 40 == 0;
         let (id, prefix) = if is_deadly {
-            (format!("deadly-{number}"), format!("5c1e07a2:200,{DEADLY_PART}100,{number:x}:100"))
+            (
+                format!("deadly-{number}"),
+                format!("5c1e07a2:200,{DEADLY_PART}100,{number:x}:100"),
+            )
         } else {
             let part = |section| format!("{:x}:100", 0x1000_0000 + number * sections + section);
             let parts: Vec<String> = (0..sections).map(part).collect();
-            (format!("sound-{number}"), format!("5c1e07a2:200,{},{number:x}:100", parts.join(",")))
+            (
+                format!("sound-{number}"),
+                format!("5c1e07a2:200,{},{number:x}:100", parts.join(",")),
+            )
         };
         let attempt = Attempt {
             target: "/model/x?n=8&gap=60&first=700".to_owned(),
@@ -275,36 +324,33 @@
         }
         let (sender, address) = (sender.clone(), world.daemon(daemon));
         thread::spawn(move || sender.send(attempt.send(address)));
-        // crashed servers are back after three seconds
-        for server in 1..=SERVERS {
-            let id = format!("i-{server}");
-            if world.has_ended(&id) {
-                crashes.push(Instant::now());
-                world.note(&format!("{id} has crashed, crash {}", crashes.len()));
-                world.kill(&id);
-                down.push((id, Instant::now()));
-            }
-        }
-        let is_due = |at: &Instant| at.elapsed() > Duration::from_secs(3);
-        for (id, _) in down.extract_if(.., |(_, at)| is_due(at)).collect::<Vec<_>>() {
-            world.restart_server(&id, "v1")?;
-        }
+        crashes.keep(&mut world)?;
         wait(PAUSE_MS);
     }
     drop(sender);
     let mut answered = 0;
     for answer in answers.iter() {
         answered += usize::from(answer.is_complete && answer.status == 200);
-        world.note(&format!("client got {}: status {}, {} events, complete {}", answer.id, answer.status, answer.events.len(), answer.is_complete));
+        world.note(&format!(
+            "client got {}: status {}, {} events, complete {}",
+            answer.id,
+            answer.status,
+            answer.events.len(),
+            answer.is_complete
+        ));
     }
     note_runs(&world);
     let runs = world.runs();
-    let bound = crashes.get(4).map(|at| *at + Duration::from_secs(4));
-    let late = sent.iter().filter(|(_, at)| bound.is_some_and(|bound| *at > bound));
-    let reached = late.filter(|(id, _)| runs.contains(&format!(" run {id} "))).count();
+    let bound = crashes.at.get(4).map(|at| *at + Duration::from_secs(4));
+    let late = sent
+        .iter()
+        .filter(|(_, at)| bound.is_some_and(|bound| *at > bound));
+    let reached = late
+        .filter(|(id, _)| runs.contains(&format!(" run {id} ")))
+        .count();
     let text = format!(
         "crashes: {}; requests with the part that reached servers, sent later than 4 s after the fifth: {reached} (three are allowed); complete answers: {answered} of {number}",
-        crashes.len()
+        crashes.at.len()
     );
     world.note(&text);
     println!("{text}");
@@ -336,19 +382,33 @@
     let (sender, answers) = mpsc::channel();
     for number in 0..60 {
         let id = format!("begun-{number}");
-        let attempt = Attempt { patience: PATIENCE, ..Attempt::stream(&id, 60, 60, &format!("5c1e07a2:200,{number:x}:200")) };
+        let attempt = Attempt {
+            patience: PATIENCE,
+            ..Attempt::stream(&id, 60, 60, &format!("5c1e07a2:200,{number:x}:200"))
+        };
         let address = world.address(201 + number % DAEMONS, 18221);
         let again = world.address(201 + (number + 1) % DAEMONS, 18221);
-        world.note(&format!("client sends {id} to daemon {}", 1 + number % DAEMONS));
+        world.note(&format!(
+            "client sends {id} to daemon {}",
+            1 + number % DAEMONS
+        ));
         let sender = sender.clone();
         thread::spawn(move || {
             let first = attempt.send(address);
             let last = first.events.last().map(|(id, _)| *id);
             let resumed = last.filter(|_| !first.is_complete).map(|last| {
-                let headers = format!("{}Last-Event-Id: {last}\r\nResumes: {id}\r\n", attempt.headers);
+                let headers = format!(
+                    "{}Last-Event-Id: {last}\r\nResumes: {id}\r\n",
+                    attempt.headers
+                );
                 let id = format!("again-{number}");
                 let deadline = attempt.deadline.saturating_sub(first.took);
-                let again_attempt = Attempt { id, deadline, headers, ..attempt.clone() };
+                let again_attempt = Attempt {
+                    id,
+                    deadline,
+                    headers,
+                    ..attempt.clone()
+                };
                 again_attempt.send(again)
             });
             sender.send((first, resumed))
--- a/review/rig-2/client.rs
+++ b/review/rig-2/client.rs
@@ -45,7 +45,10 @@
 
     pub fn send(&self, daemon: SocketAddr) -> Answer {
         let started = Instant::now();
-        let mut answer = Answer { id: self.id.clone(), ..Answer::default() };
+        let mut answer = Answer {
+            id: self.id.clone(),
+            ..Answer::default()
+        };
         // a broken connection leaves the answer incomplete
         let _ = self.exchange(daemon, &mut answer);
         answer.took = started.elapsed();
@@ -59,8 +62,9 @@
         let (method, target, id) = (self.method, &self.target, &self.id);
         let deadline = self.deadline.as_millis();
         let text = format!(
-            "{method} {target} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline}\r\nAuthorization: Token key-1\r\n{}Content-Length: 4\r\n\r\nbody",
-            self.headers
+            "{method} {target} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline}\r\nAuthorization: Token key-1\r\n{}Content-Length: {}\r\n\r\n{id}",
+            self.headers,
+            id.len()
         );
         stream.write_all(text.as_bytes())?;
         let mut reader = BufReader::new(stream);
--- a/review/rig-2/http.rs
+++ b/review/rig-2/http.rs
@@ -90,7 +90,9 @@
             message.body.extend_from_slice(&chunk);
         }
     }
-    let length = message.header("content-length").and_then(|length| length.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|length| length.parse().ok());
     message.body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut message.body)
 }
@@ -129,7 +131,10 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> io::Result<()> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
     }
--- a/review/rig-2/json.rs
+++ b/review/rig-2/json.rs
@@ -15,7 +15,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.space();
         (parser.at == parser.bytes.len()).then_some(value)
@@ -136,7 +139,11 @@
 
     fn numeral(&mut self) -> Option<Json> {
         let start = self.at;
-        while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+        {
             self.at += 1;
         }
         let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -163,7 +170,8 @@
                         b'u' => {
                             let hex = self.bytes.get(self.at..self.at + 4)?;
                             self.at += 4;
-                            let code = u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
                             let letter = char::from_u32(code).unwrap_or('\u{fffd}');
                             bytes.extend_from_slice(letter.to_string().as_bytes());
                         }
--- a/review/rig-2/proxy.rs
+++ b/review/rig-2/proxy.rs
@@ -3,8 +3,8 @@
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
--- a/review/rig-2/server.rs
+++ b/review/rig-2/server.rs
@@ -83,7 +83,12 @@
     }
 
     fn log(&self, what: &str, request: &str) {
-        let line = format!("{} {} {} {what} {request}\n", now_ms(), self.id, self.version);
+        let line = format!(
+            "{} {} {} {what} {request}\n",
+            now_ms(),
+            self.id,
+            self.version
+        );
         let _ = (&self.log).write_all(line.as_bytes());
     }
 
@@ -110,14 +115,21 @@
         thread::sleep(Duration::from_millis(number(request, "ms").unwrap_or(20)));
         let size = number(request, "size").unwrap_or(200) as usize;
         let body = format!("{id}:").repeat(size / (id.len() + 1) + 1);
-        http::respond(stream, 200, &[("Attempt-Id", &id), ("Server-Seal", &self.id)], &body)?;
+        http::respond(
+            stream,
+            200,
+            &[("Attempt-Id", &id), ("Server-Seal", &self.id)],
+            &body,
+        )?;
         self.log("end", &id);
         Ok(true)
     }
 
     /// events from the one after `Last-Event-Id` on; ends early if the channel closes
     fn stream(&self, id: &str, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
-        let last = request.header("last-event-id").and_then(|last| last.parse().ok());
+        let last = request
+            .header("last-event-id")
+            .and_then(|last| last.parse().ok());
         let first: u64 = last.unwrap_or(0) + 1;
         let count = number(request, "n").unwrap_or(10);
         let gap = Duration::from_millis(number(request, "gap").unwrap_or(50));
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -34,8 +34,6 @@
     is_down: bool,
     /// servers that are partitioned from the store
     cut: HashSet<String>,
-    /// accepted calls of the cloud API
-    calls: Vec<String>,
 }
 
 /// handle on the store
@@ -54,7 +52,12 @@
         ("spec", object.spec.clone()),
         ("status", object.status.clone()),
     ];
-    Json::Map(fields.into_iter().map(|(name, value)| (name.to_owned(), value)).collect())
+    Json::Map(
+        fields
+            .into_iter()
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect(),
+    )
 }
 
 impl Store {
@@ -62,13 +65,7 @@
     pub fn start(&self, store: SocketAddr, cloud: SocketAddr) -> io::Result<()> {
         let this = self.clone();
         http::serve(store, move |request, stream| this.answer(request, stream))?;
-        let this = self.clone();
-        http::serve(cloud, move |request, stream| {
-            let holder = request.header("duty-holder").unwrap_or_default();
-            let fence = request.header("fencing-token").unwrap_or_default();
-            let body = String::from_utf8_lossy(&request.body);
-            let call = format!("{} {holder} {fence} {body}", request.target());
-            this.state().calls.push(call);
+        http::serve(cloud, |_, stream| {
             http::respond(stream, 200, &[], "{}")?;
             Ok(true)
         })?;
@@ -81,13 +78,13 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.0.0.lock().expect("no thread panics with the lock")
+        self.0 .0.lock().expect("no thread panics with the lock")
     }
 
     /// writes an object without a condition
     pub fn put(&self, kind: &str, name: &str, spec: Json) {
         self.state().write(kind, name, Some(spec), None);
-        self.0.1.notify_all();
+        self.0 .1.notify_all();
     }
 
     /// partitions a server from the store, or ends that
@@ -109,7 +106,7 @@
             *at = Instant::now();
         }
         drop(state);
-        self.0.1.notify_all();
+        self.0 .1.notify_all();
     }
 
     /// waits until a server writes
@@ -123,28 +120,20 @@
         }
     }
 
-    /// content of an object
-    pub fn spec(&self, kind: &str, name: &str) -> Option<Json> {
-        let state = self.state();
-        Some(state.objects.get(kind)?.get(name)?.spec.clone())
-    }
-
     /// number of objects of a kind
     pub fn count(&self, kind: &str) -> usize {
         self.state().objects.get(kind).map_or(0, BTreeMap::len)
     }
 
-    /// calls of the cloud API so far
-    pub fn calls(&self) -> Vec<String> {
-        self.state().calls.clone()
-    }
-
     fn expire(&self) {
         let mut state = self.state();
         if state.is_down {
             return;
         }
-        let silent = state.written.iter().filter(|(_, at)| at.elapsed() > SILENCE);
+        let silent = state
+            .written
+            .iter()
+            .filter(|(_, at)| at.elapsed() > SILENCE);
         let silent: Vec<String> = silent.map(|(name, _)| name.clone()).collect();
         for name in &silent {
             state.written.remove(name);
@@ -152,19 +141,24 @@
         }
         drop(state);
         if !silent.is_empty() {
-            self.0.1.notify_all();
+            self.0 .1.notify_all();
         }
     }
 
     fn answer(&self, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
-        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let (path, query) = request
+            .target()
+            .split_once('?')
+            .unwrap_or((request.target(), ""));
         let mut parts = path.trim_start_matches("/api/objects/").split('/');
         let kind = parts.next().unwrap_or_default().to_owned();
         let name = parts.next().map(str::to_owned);
         let is_status = parts.next() == Some("status");
         let field = |name: &str| {
             let mut fields = query.split('&');
-            fields.find_map(|field| field.strip_prefix(name)?.strip_prefix('=')).map(str::to_owned)
+            fields
+                .find_map(|field| field.strip_prefix(name)?.strip_prefix('='))
+                .map(str::to_owned)
         };
         let text = String::from_utf8_lossy(&request.body).into_owned();
         let body = Json::parse(&text);
@@ -173,32 +167,41 @@
             return Ok(false);
         }
         if kind == "servers" && request.method() != "GET" {
-            let metadata = body.as_ref().and_then(|body| body.get("metadata")?.get("name")?.text());
+            let metadata = body
+                .as_ref()
+                .and_then(|body| body.get("metadata")?.get("name")?.text());
             let server = name.as_deref().or(metadata).unwrap_or_default();
             if self.state().cut.contains(server) {
                 // the partition swallows the call
                 thread::sleep(Duration::from_secs(3));
                 return Ok(false);
             }
-            self.state().written.insert(server.to_owned(), Instant::now());
+            self.state()
+                .written
+                .insert(server.to_owned(), Instant::now());
         }
         let (status, reply) = match (request.method(), &name) {
             ("GET", None) => match field("watch").and_then(|after| after.parse().ok()) {
                 Some(after) => {
-                    let wait = field("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+                    let wait = field("wait_ms")
+                        .and_then(|wait| wait.parse().ok())
+                        .unwrap_or(0);
                     (200, self.watch(&kind, after, Duration::from_millis(wait)))
                 }
                 None => (200, self.list(&kind)),
             },
             ("GET", Some(name)) => {
                 let state = self.state();
-                let found = state.objects.get(&kind).and_then(|objects| objects.get(name));
+                let found = state
+                    .objects
+                    .get(&kind)
+                    .and_then(|objects| objects.get(name));
                 found.map_or((404, Json::Null), |object| (200, object_json(object)))
             }
             ("POST" | "PUT", _) => self.change(request.method(), &kind, name, is_status, body),
             ("DELETE", Some(name)) => {
                 self.state().delete(&kind, name);
-                self.0.1.notify_all();
+                self.0 .1.notify_all();
                 (200, Json::Null)
             }
             _ => (400, Json::Null),
@@ -224,9 +227,16 @@
         let Some(name) = name.or(stated) else {
             return (400, Json::Null);
         };
-        let base = metadata.get("revision").and_then(Json::number).map(|base| base as u64);
+        let base = metadata
+            .get("revision")
+            .and_then(Json::number)
+            .map(|base| base as u64);
         let mut state = self.state();
-        let known = state.objects.get(kind).and_then(|objects| objects.get(&name)).cloned();
+        let known = state
+            .objects
+            .get(kind)
+            .and_then(|objects| objects.get(&name))
+            .cloned();
         match (&known, method) {
             (Some(known), "POST") => return (409, object_json(known)),
             (None, "PUT") => return (404, Json::Null),
@@ -236,39 +246,58 @@
             _ => {}
         }
         let part = |name: &str| body.get(name).cloned();
-        let (spec, status) = if is_status { (None, part("status")) } else { (part("spec"), None) };
+        let (spec, status) = if is_status {
+            (None, part("status"))
+        } else {
+            (part("spec"), None)
+        };
         let object = state.write(kind, &name, spec, status);
         drop(state);
-        self.0.1.notify_all();
+        self.0 .1.notify_all();
         (200, object_json(&object))
     }
 
     fn list(&self, kind: &str) -> Json {
         let state = self.state();
-        let objects = state.objects.get(kind).into_iter().flat_map(BTreeMap::values);
+        let objects = state
+            .objects
+            .get(kind)
+            .into_iter()
+            .flat_map(BTreeMap::values);
         let items = Json::List(objects.map(object_json).collect());
         let fields = [
             ("items", items),
             ("has_more", Json::Bool(false)),
             ("current_rev", Json::Number(state.revision as f64)),
         ];
-        Json::Map(fields.into_iter().map(|(name, value)| (name.to_owned(), value)).collect())
+        Json::Map(
+            fields
+                .into_iter()
+                .map(|(name, value)| (name.to_owned(), value))
+                .collect(),
+        )
     }
 
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> Json {
         let end = Instant::now() + wait;
         let mut state = self.state();
         loop {
-            let news = state.history.iter().filter(|(revision, known, ..)| {
-                *revision > after && known == kind
-            });
+            let news = state
+                .history
+                .iter()
+                .filter(|(revision, known, ..)| *revision > after && known == kind);
             let events: Vec<Json> = news
                 .map(|(_, _, object, is_deleted)| {
                     let fields = [
                         ("object", object_json(object)),
                         ("deleted", Json::Bool(*is_deleted)),
                     ];
-                    Json::Map(fields.into_iter().map(|(name, value)| (name.to_owned(), value)).collect())
+                    Json::Map(
+                        fields
+                            .into_iter()
+                            .map(|(name, value)| (name.to_owned(), value))
+                            .collect(),
+                    )
                 })
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
@@ -284,16 +313,30 @@
                     ("current_rev", Json::Number(state.revision as f64)),
                 ];
                 return Json::Map(
-                    fields.into_iter().map(|(name, value)| (name.to_owned(), value)).collect(),
+                    fields
+                        .into_iter()
+                        .map(|(name, value)| (name.to_owned(), value))
+                        .collect(),
                 );
             }
-            state = self.0.1.wait_timeout(state, left).expect("no thread panics").0;
+            state = self
+                .0
+                 .1
+                .wait_timeout(state, left)
+                .expect("no thread panics")
+                .0;
         }
     }
 }
 
 impl State {
-    fn write(&mut self, kind: &str, name: &str, spec: Option<Json>, status: Option<Json>) -> Object {
+    fn write(
+        &mut self,
+        kind: &str,
+        name: &str,
+        spec: Option<Json>,
+        status: Option<Json>,
+    ) -> Object {
         let objects = self.objects.entry(kind.to_owned()).or_default();
         let known = objects.get(name).cloned();
         let mut object = known.clone().unwrap_or(Object {
@@ -310,16 +353,24 @@
         }
         // an entry of a server changes when more than `seq` changes
         let content = |object: &Object| {
-            let spec = if kind == "servers" { object.spec.without("seq") } else { object.spec.clone() };
+            let spec = if kind == "servers" {
+                object.spec.without("seq")
+            } else {
+                object.spec.clone()
+            };
             (spec, object.status.clone())
         };
-        if known.as_ref().is_some_and(|known| content(known) == content(&object)) {
+        if known
+            .as_ref()
+            .is_some_and(|known| content(known) == content(&object))
+        {
             return known.expect("it is known");
         }
         self.revision += 1;
         object.revision = self.revision;
         objects.insert(name.to_owned(), object.clone());
-        self.history.push_back((self.revision, kind.to_owned(), object.clone(), false));
+        self.history
+            .push_back((self.revision, kind.to_owned(), object.clone(), false));
         object
     }
 
@@ -327,7 +378,8 @@
         let objects = self.objects.entry(kind.to_owned()).or_default();
         if let Some(object) = objects.remove(name) {
             self.revision += 1;
-            self.history.push_back((self.revision, kind.to_owned(), object, true));
+            self.history
+                .push_back((self.revision, kind.to_owned(), object, true));
         }
     }
 }
--- a/review/rig-2/world.rs
+++ b/review/rig-2/world.rs
@@ -33,13 +33,21 @@
 impl World {
     pub fn new() -> io::Result<World> {
         let pid = std::process::id();
-        let net = (0..50).map(|shift| format!("127.{}.{}", 10 + (pid + shift) % 200, pid / 200 % 250));
+        let net =
+            (0..50).map(|shift| format!("127.{}.{}", 10 + (pid + shift) % 200, pid / 200 % 250));
         let is_free = |net: &String| TcpListener::bind(format!("{net}.1:18225")).is_ok();
-        let net = net.into_iter().find(is_free).ok_or(io::ErrorKind::AddrInUse)?;
+        let net = net
+            .into_iter()
+            .find(is_free)
+            .ok_or(io::ErrorKind::AddrInUse)?;
         let folder = std::env::temp_dir().join(format!("agateloom-review-2-{pid}"));
         fs::create_dir_all(&folder)?;
         let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned());
-        let record = OpenOptions::new().create(true).write(true).truncate(true).open(path)?;
+        let record = OpenOptions::new()
+            .create(true)
+            .write(true)
+            .truncate(true)
+            .open(path)?;
         let world = World {
             store: Store::default(),
             net,
@@ -49,12 +57,16 @@
             processes: Vec::new(),
             servers: Vec::new(),
         };
-        world.store.start(world.address(1, 18225), world.address(2, 18225))?;
+        world
+            .store
+            .start(world.address(1, 18225), world.address(2, 18225))?;
         Ok(world)
     }
 
     pub fn address(&self, host: usize, port: u16) -> SocketAddr {
-        format!("{}.{host}:{port}", self.net).parse().expect("an address")
+        format!("{}.{host}:{port}", self.net)
+            .parse()
+            .expect("an address")
     }
 
     /// callers' address of a daemon
@@ -79,12 +91,13 @@
         fs::read_to_string(self.folder.join("runs.txt")).unwrap_or_default()
     }
 
-    /// log of a daemon
-    pub fn log(&self, number: usize) -> String {
-        fs::read_to_string(self.folder.join(format!("daemon-{number}.log"))).unwrap_or_default()
-    }
-
-    pub fn start_server(&mut self, number: usize, service: &str, version: &str, zone: &str) -> io::Result<()> {
+    pub fn start_server(
+        &mut self,
+        number: usize,
+        service: &str,
+        version: &str,
+        zone: &str,
+    ) -> io::Result<()> {
         let id = format!("i-{number}");
         let args = [
             "server".to_owned(),
@@ -99,7 +112,9 @@
         let mut command = Command::new(std::env::current_exe()?);
         command.args(&args).stdin(Stdio::null());
         let child = command.spawn()?;
-        self.note(&format!("server {id} {version} of {service} in {zone} starts"));
+        self.note(&format!(
+            "server {id} {version} of {service} in {zone} starts"
+        ));
         self.servers.push((id.clone(), args.to_vec()));
         self.processes.push((id, child));
         Ok(())
@@ -109,8 +124,10 @@
         let (zone, region) = ZONES[(number - 1) % ZONES.len()];
         let name = format!("edge-{zone}-{number}");
         let ip = format!("{}.{}", self.net, 100 + number);
-        let zones: Vec<String> =
-            ZONES.iter().map(|(zone, region)| format!(r#""{zone}":"{region}""#)).collect();
+        let zones: Vec<String> = ZONES
+            .iter()
+            .map(|(zone, region)| format!(r#""{zone}":"{region}""#))
+            .collect();
         let settings = format!(
             r#"{{"node_name":"{name}","role":"gateway","machine_class":"edge","serves":["edge"],"ip":"{ip}","zone":"{zone}","region":"{region}","zones":{{{}}},
 "listen":{{"front":"{ip}:18221","ready":"{ip}:18224"}},"internal_ports":[17600,17615],"seeds":[],"first_start":{is_first},"fault_counted":false,
@@ -129,7 +146,10 @@
         let log = OpenOptions::new().create(true).append(true).open(log)?;
         let mut command = Command::new("target/release/agateloomd");
         command.arg("platform").env("AGATELOOM_NODE_FILE", &path);
-        command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        command
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log);
         let child = command.spawn()?;
         self.note(&format!("daemon {name} starts"));
         self.processes.push((format!("daemon-{number}"), child));
@@ -162,17 +182,6 @@
         self.processes.retain(|(known, _)| known != name);
     }
 
-    /// sends a signal by name to a process
-    pub fn signal(&self, name: &str, signal: &str) {
-        for (known, child) in &self.processes {
-            if known == name {
-                let pid = child.id().to_string();
-                let _ = Command::new("kill").args([format!("-{signal}"), pid]).status();
-            }
-        }
-        self.note(&format!("{name} gets SIG{signal}"));
-    }
-
     /// whether a process has ended by itself
     pub fn has_ended(&mut self, name: &str) -> bool {
         let mut found = self.processes.iter_mut().filter(|(known, _)| known == name);
