--- a/review/rig-2/case.rs
+++ b/review/rig-2/case.rs
@@ -25,6 +25,7 @@
         "pending" => pending(),
         "deadly" => deadly(),
         "records" => records(),
+        "late" => late(),
         _ => Err(io::Error::other(format!("unknown case {verb}"))),
     }
 }
@@ -452,3 +453,33 @@
     println!("{text}");
     Ok(taken_up < 12 || gone_on * 2 * 30 >= begun * taken_up)
 }
+
+/// ORDER: more than two streams hold events of two software versions
+///
+/// Two servers are upgraded under their ids, one after the other. The last heartbeat of the first one's former
+/// process is executed late.
+fn late() -> io::Result<bool> {
+    const DELAY: Duration = Duration::from_millis(3000);
+    let mut world = deployment(2)?;
+    let trouble = has_trouble();
+    if trouble {
+        world.store.delay_next("i-2", DELAY);
+        world.note("the store has received a heartbeat of i-2 and executes it 3 s later");
+    } else {
+        world.store.next_heartbeat("i-2");
+    }
+    world.kill("i-2");
+    world.restart_server("i-2", "v2")?;
+    wait(300);
+    let long = send_all(&world, 1, streams("long", 400, 60, 100));
+    let short = send_all(&world, 1, streams("short", 200, 3, 50));
+    wait(2950);
+    world.kill("i-1");
+    world.restart_server("i-1", "v2")?;
+    let joined = count_joined(&world, short.iter().chain(long.iter()));
+    note_runs(&world);
+    let text = format!("streams with events of two versions: {joined} (two are allowed)");
+    world.note(&text);
+    println!("{text}");
+    Ok(joined <= 2)
+}
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -32,6 +32,8 @@
     written: HashMap<String, Instant>,
     /// whether it is down and doesn't answer
     is_down: bool,
+    /// servers of which the next write is executed late and not answered
+    late: HashMap<String, Duration>,
     /// servers that are partitioned from the store
     cut: HashSet<String>,
 }
@@ -109,6 +111,14 @@
         self.0 .1.notify_all();
     }
 
+    /// executes the next write of a server late and doesn't answer it; returns once it has been received
+    pub fn delay_next(&self, server: &str, delay: Duration) {
+        self.state().late.insert(server.to_owned(), delay);
+        while self.state().late.contains_key(server) {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// waits until a server writes
     pub fn next_heartbeat(&self, server: &str) {
         let before = self.state().written.get(server).copied();
@@ -176,6 +186,18 @@
                 thread::sleep(Duration::from_secs(3));
                 return Ok(false);
             }
+            let late = self.state().late.remove(server);
+            if let Some(delay) = late {
+                let this = self.clone();
+                let (method, kind) = (request.method().to_owned(), kind.clone());
+                let (name, body) = (name.clone(), body.clone());
+                thread::spawn(move || {
+                    thread::sleep(delay);
+                    this.change(&method, &kind, name, is_status, body);
+                });
+                thread::sleep(Duration::from_secs(10));
+                return Ok(false);
+            }
             self.state()
                 .written
                 .insert(server.to_owned(), Instant::now());
